--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,78 @@
+// Package peer carries typed messages between proxies over a watermill
+// publisher and subscriber on TCP frames of msgpack. Messages are hints and
+// observations: losing, repeating or reordering one never breaks a promise.
+package peer
+
+import (
+	"context"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// Topics of the messages between proxies.
+const (
+	// TopicHeartbeat carries Heartbeat.
+	TopicHeartbeat = "heartbeat"
+	// TopicObservation carries Observation.
+	TopicObservation = "observation"
+	// TopicGroup carries GroupState.
+	TopicGroup = "group"
+	// TopicConfig carries Config.
+	TopicConfig = "config"
+)
+
+// Heartbeat says that a VM is alive and what it holds.
+type Heartbeat struct {
+	// From names the sender.
+	From tables.VMID `msgpack:"f"`
+	// DataCentre is where the sender runs.
+	DataCentre tables.DataCentreID `msgpack:"d"`
+	// PeerAddress is the sender's IP:port for frames.
+	PeerAddress string `msgpack:"a"`
+	// ConfigVersion is the configuration version in force at the sender.
+	ConfigVersion uint64 `msgpack:"c"`
+	// Leaving says that the sender is shutting down.
+	Leaving bool `msgpack:"l"`
+}
+
+// Observation is what one proxy saw of one upstream.
+type Observation struct {
+	// From names the observer.
+	From tables.VMID `msgpack:"f"`
+	// DataCentre is where the observer runs.
+	DataCentre tables.DataCentreID `msgpack:"d"`
+	// Upstream is the server observed.
+	Upstream tables.UpstreamID `msgpack:"u"`
+	// Cause is how the last probe ended.
+	Cause tables.Cause `msgpack:"c"`
+	// FailingMillis is how long the present run of failures has lasted, in milliseconds.
+	FailingMillis int64 `msgpack:"m"`
+	// Quorum says that the observer reaches a majority of the group, the upstream counted.
+	Quorum bool `msgpack:"q"`
+}
+
+// GroupState is a primary that a proxy learnt of.
+type GroupState struct {
+	// Group names the group.
+	Group tables.GroupID `msgpack:"g"`
+	// Term is the term of the primary.
+	Term tables.Term `msgpack:"t"`
+	// Primary is the upstream promoted at Term.
+	Primary tables.UpstreamID `msgpack:"p"`
+}
+
+// Config hands a whole configuration document to a peer that reported an older version.
+type Config struct {
+	// Version is the version of Document.
+	Version uint64 `msgpack:"v"`
+	// Document is the JSON text of the configuration.
+	Document []byte `msgpack:"b"`
+}
+
+// Bus sends and receives messages between proxies.
+type Bus interface {
+	// Send queues msg for the peer at address without blocking; a full queue drops it.
+	Send(address, topic string, msg any)
+	// Run delivers received messages to handle until ctx ends; handle gets one of the message types by value.
+	Run(ctx context.Context, handle func(msg any)) error
+}
--- /dev/null
+++ b/internal/tables/table.go
@@ -0,0 +1,61 @@
+package tables
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Table holds entities by key and visits them in ascending key order, so that
+// a system that runs over it gives the same result every time.
+type Table[K cmp.Ordered, V any] struct {
+	rows map[K]V
+	keys []K
+}
+
+// NewTable returns an empty table.
+func NewTable[K cmp.Ordered, V any]() *Table[K, V] {
+	return &Table[K, V]{rows: make(map[K]V)}
+}
+
+// Get returns the entity under k.
+func (t *Table[K, V]) Get(k K) (V, bool) {
+	v, ok := t.rows[k]
+	return v, ok
+}
+
+// Put stores v under k, replacing what was there.
+func (t *Table[K, V]) Put(k K, v V) {
+	if _, ok := t.rows[k]; !ok {
+		i, _ := slices.BinarySearch(t.keys, k)
+		t.keys = slices.Insert(t.keys, i, k)
+	}
+	t.rows[k] = v
+}
+
+// Delete removes the entity under k, if any.
+func (t *Table[K, V]) Delete(k K) {
+	if _, ok := t.rows[k]; !ok {
+		return
+	}
+	delete(t.rows, k)
+	i, _ := slices.BinarySearch(t.keys, k)
+	t.keys = slices.Delete(t.keys, i, i+1)
+}
+
+// Len returns the number of entities.
+func (t *Table[K, V]) Len() int { return len(t.keys) }
+
+// Keys returns a copy of the keys in ascending order.
+func (t *Table[K, V]) Keys() []K { return slices.Clone(t.keys) }
+
+// All visits the entities in ascending key order. The visitor may Put existing
+// keys but must not add or delete.
+func (t *Table[K, V]) All() func(yield func(K, V) bool) {
+	return func(yield func(K, V) bool) {
+		for _, k := range t.keys {
+			if !yield(k, t.rows[k]) {
+				return
+			}
+		}
+	}
+}
