--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,138 @@
+// Package metrics is the proxy's Prometheus metrics: their names, labels and
+// collectors, and small typed methods that record into them.
+package metrics
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Names of the metrics.
+const (
+	// RequestsTotal counts requests by service, database, kind, served_by and code.
+	RequestsTotal = "cranberrystage_requests_total"
+	// RequestSeconds is the time from a request to its answer, by service and kind.
+	RequestSeconds = "cranberrystage_request_seconds"
+	// ReadAgeSeconds is the age bound of a read's data, by service and within.
+	ReadAgeSeconds = "cranberrystage_read_age_seconds"
+	// WriteGapSeconds is how long writes of a group could not succeed, for each change of primary.
+	WriteGapSeconds = "cranberrystage_write_gap_seconds"
+	// ConfigVersion is the configuration version in force.
+	ConfigVersion = "cranberrystage_config_version"
+	// CallerConnections is the number of open caller connections.
+	CallerConnections = "cranberrystage_caller_connections"
+)
+
+// Names of the labels.
+const (
+	LabelService  = "service"
+	LabelDatabase = "database"
+	LabelKind     = "kind"
+	LabelServedBy = "served_by"
+	LabelCode     = "code"
+	LabelWithin   = "within"
+	LabelGroup    = "group"
+)
+
+// Kind says whether a request reads or writes.
+type Kind string
+
+// Kinds of requests.
+const (
+	KindRead  Kind = "read"
+	KindWrite Kind = "write"
+)
+
+// ServedBy says which role answered a request.
+type ServedBy string
+
+// Roles that answer a request.
+const (
+	ServedByPrimary ServedBy = "primary"
+	ServedByReplica ServedBy = "replica"
+	ServedByNone    ServedBy = "none"
+)
+
+// Request is a finished request.
+type Request struct {
+	// Service is the database service.
+	Service tables.ServiceID
+	// Database is the database's name within the service.
+	Database string
+	// Kind says whether it read or wrote.
+	Kind Kind
+	// ServedBy is the role that answered.
+	ServedBy ServedBy
+	// Code is the result code.
+	Code codes.Code
+	// Took is the time from the request to its answer.
+	Took time.Duration
+}
+
+// Bucket bounds in seconds.
+var (
+	latencyBuckets = []float64{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10}
+	ageBuckets     = []float64{0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5, 10, 30, 60, 300}
+	gapBuckets     = []float64{0.1, 0.2, 0.5, 1, 2, 3, 5, 10, 20, 30, 60, 300}
+)
+
+// Metrics records what the proxy does. Its methods are safe for concurrent use.
+type Metrics struct {
+	requests      *prometheus.CounterVec
+	seconds       *prometheus.HistogramVec
+	readAge       *prometheus.HistogramVec
+	writeGap      *prometheus.HistogramVec
+	configVersion prometheus.Gauge
+	callers       prometheus.Gauge
+}
+
+// New registers the collectors with reg.
+func New(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(
+			prometheus.CounterOpts{Name: RequestsTotal, Help: "Requests by result code."},
+			[]string{LabelService, LabelDatabase, LabelKind, LabelServedBy, LabelCode}),
+		seconds: histogram(RequestSeconds, "Time from a request to its answer.", latencyBuckets, LabelService, LabelKind),
+		readAge: histogram(ReadAgeSeconds, "Age bound of the data that a read returned.", ageBuckets, LabelService, LabelWithin),
+		writeGap: histogram(WriteGapSeconds, "Time during which writes of a group could not succeed.",
+			gapBuckets, LabelGroup),
+		configVersion: prometheus.NewGauge(
+			prometheus.GaugeOpts{Name: ConfigVersion, Help: "Configuration version in force."}),
+		callers: prometheus.NewGauge(
+			prometheus.GaugeOpts{Name: CallerConnections, Help: "Open caller connections."}),
+	}
+	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.callers)
+	return m
+}
+
+func histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	opts := prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}
+	return prometheus.NewHistogramVec(opts, labels)
+}
+
+// ObserveRequest records a finished request.
+func (m *Metrics) ObserveRequest(r Request) {
+	code := strconv.Itoa(int(r.Code))
+	m.requests.WithLabelValues(string(r.Service), r.Database, string(r.Kind), string(r.ServedBy), code).Inc()
+	m.seconds.WithLabelValues(string(r.Service), string(r.Kind)).Observe(r.Took.Seconds())
+}
+
+// ObserveReadAge records the age bound of a read's data and whether it kept the declared age.
+func (m *Metrics) ObserveReadAge(service tables.ServiceID, age time.Duration, within bool) {
+	m.readAge.WithLabelValues(string(service), strconv.FormatBool(within)).Observe(age.Seconds())
+}
+
+// ObserveWriteGap records how long writes of group could not succeed.
+func (m *Metrics) ObserveWriteGap(group tables.GroupID, gap time.Duration) {
+	m.writeGap.WithLabelValues(string(group)).Observe(gap.Seconds())
+}
+
+// SetConfigVersion records the configuration version in force.
+func (m *Metrics) SetConfigVersion(v uint64) { m.configVersion.Set(float64(v)) }
+
+// AddCallers changes the number of open caller connections by n.
+func (m *Metrics) AddCallers(n int) { m.callers.Add(float64(n)) }
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,118 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/jsonc"
+)
+
+// minFrameBytes is the smallest useful limit of a protocol message.
+const minFrameBytes = 1 << 10
+
+// checker collects the problems of one settings file.
+type checker struct {
+	src      *jsonc.Source
+	problems jsonc.Problems
+}
+
+func check(src *jsonc.Source, p Proxy) jsonc.Problems {
+	c := &checker{src: src}
+	c.required("vm", string(p.VM))
+	c.required("dataCentre", string(p.DataCentre))
+	c.address("peerAddress", p.PeerAddress)
+	c.address("adminAddress", p.AdminAddress)
+	c.seedPeers(p.SeedPeers)
+	c.callers(p.Callers)
+	c.platform(p.Platform)
+	c.objects(p.Objects)
+	c.credentials("upstreams.control", p.Upstreams.Control)
+	c.credentials("upstreams.pool", p.Upstreams.Pool)
+	c.timeouts(p.Timeouts)
+	c.positive("shutdownGrace", p.ShutdownGrace)
+	c.problems.Sort()
+	return c.problems
+}
+
+func (c *checker) add(field, format string, args ...any) {
+	c.problems = append(c.problems, c.src.Problem(field, fmt.Sprintf(format, args...)))
+}
+
+func (c *checker) required(field, value string) {
+	if value == "" {
+		c.add(field, "is required")
+	}
+}
+
+func (c *checker) address(field, value string) {
+	if value == "" {
+		c.add(field, "is required")
+		return
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(field, "want IP:port, have %q", value)
+	}
+}
+
+func (c *checker) atLeast(field string, value, least int) {
+	if value < least {
+		c.add(field, "must be at least %d", least)
+	}
+}
+
+func (c *checker) positive(field string, d config.Duration) {
+	if time.Duration(d) <= 0 {
+		c.add(field, "must be longer than 0")
+	}
+}
+
+func (c *checker) seedPeers(peers []string) {
+	for i, p := range peers {
+		c.address(fmt.Sprintf("seedPeers[%d]", i), p)
+	}
+}
+
+func (c *checker) callers(s Callers) {
+	if len(s.Addresses) == 0 {
+		c.add("callers.addresses", "is required")
+	}
+	for i, a := range s.Addresses {
+		c.address(fmt.Sprintf("callers.addresses[%d]", i), a)
+	}
+	if (s.CertificateFile == "") != (s.KeyFile == "") {
+		c.add("callers.certificateFile", "certificateFile and keyFile go together")
+	}
+	c.atLeast("callers.maxCallers", s.MaxCallers, 1)
+	c.atLeast("callers.maxFrameBytes", s.MaxFrameBytes, minFrameBytes)
+}
+
+func (c *checker) platform(s Platform) {
+	u, err := url.Parse(s.URL)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.add("platform.url", "want an http or https URL, have %q", s.URL)
+	}
+	c.positive("platform.timeout", s.Timeout)
+}
+
+func (c *checker) objects(s Objects) {
+	c.address("objects.endpoint", s.Endpoint)
+	c.required("objects.bucket", s.Bucket)
+	c.required("objects.accessKey", s.AccessKey)
+	c.required("objects.secretKey", s.SecretKey.Reveal())
+	c.positive("objects.timeout", s.Timeout)
+}
+
+func (c *checker) credentials(field string, s Credentials) {
+	c.required(field+".user", s.User)
+}
+
+func (c *checker) timeouts(s Timeouts) {
+	c.positive("timeouts.connect", s.Connect)
+	c.positive("timeouts.probeInterval", s.ProbeInterval)
+	c.positive("timeouts.probe", s.Probe)
+	c.positive("timeouts.handshake", s.Handshake)
+	c.positive("timeouts.idle", s.Idle)
+}
