--- /dev/null
+++ b/internal/callers/startup.go
@@ -0,0 +1,207 @@
+package callers
+
+import (
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/base64"
+	"net"
+
+	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+	"github.com/xdg-go/scram"
+)
+
+const (
+	mechanism   = "SCRAM-SHA-256"
+	secretBytes = 4
+)
+
+// startup handles the connection until the caller is authenticated and told
+// that it may send requests; false means that the connection is over.
+func (c *session) startup(overLimit bool) bool {
+	for {
+		msg, err := c.be.ReceiveStartupMessage()
+		if err != nil {
+			return false
+		}
+		switch m := msg.(type) {
+		case *pgproto3.SSLRequest:
+			if !c.answerTLS() {
+				return false
+			}
+		case *pgproto3.GSSEncRequest:
+			if _, err := c.net.Write([]byte{'N'}); err != nil {
+				return false
+			}
+		case *pgproto3.CancelRequest:
+			c.server.cancel(m.ProcessID, m.SecretKey)
+			return false
+		case *pgproto3.StartupMessage:
+			if overLimit {
+				return c.fatal(codes.New(codes.TooManyCallers, codes.NotRun, connectRetry, ""))
+			}
+			return c.admit(m)
+		}
+	}
+}
+
+func (c *session) answerTLS() bool {
+	if c.server.opts.TLS == nil {
+		_, err := c.net.Write([]byte{'N'})
+		return err == nil
+	}
+	if _, err := c.net.Write([]byte{'S'}); err != nil {
+		return false
+	}
+	tc := tls.Server(c.net, c.server.opts.TLS)
+	if err := tc.Handshake(); err != nil {
+		return false
+	}
+	c.use(tc)
+	return true
+}
+
+// use makes the session read and write nc.
+func (c *session) use(nc net.Conn) {
+	c.net = nc
+	c.be = pgproto3.NewBackend(nc, nc)
+	c.be.SetMaxBodyLen(c.server.opts.MaxFrame)
+}
+
+func (c *session) admit(m *pgproto3.StartupMessage) bool {
+	user := m.Parameters["user"]
+	if err := c.authenticate(user); err != nil {
+		c.server.log.Warn("Caller was not admitted.", "user", user, "error", err)
+		return c.fatal(codes.New(codes.AuthFailed, codes.NotRun, 0, ""))
+	}
+	st := Startup{User: user, Database: m.Parameters["database"], Parameters: m.Parameters}
+	if st.Database == "" {
+		st.Database = user
+	}
+	ex, err := c.server.executor.Open(st)
+	if err != nil {
+		return c.fatal(asCode(err))
+	}
+	c.exec = ex
+	if !c.welcome() {
+		ex.Close()
+		return false
+	}
+	return true
+}
+
+func (c *session) welcome() bool {
+	c.pid = c.server.nextPID.Add(1)
+	c.secret = make([]byte, secretBytes)
+	if _, err := rand.Read(c.secret); err != nil {
+		return false
+	}
+	c.be.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", "15.0"},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+	} {
+		c.be.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	c.be.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
+	c.be.Send(&pgproto3.ReadyForQuery{TxStatus: statusIdle})
+	return c.be.Flush() == nil
+}
+
+// fatal tells the caller why the connection ends; it returns false.
+func (c *session) fatal(e *codes.Error) bool {
+	c.be.Send(errorResponse(e, "FATAL"))
+	_ = c.be.Flush()
+	return false
+}
+
+// authenticate runs a SCRAM-SHA-256 exchange against the user's verifier. An
+// unknown user goes through the same exchange and fails at its end.
+func (c *session) authenticate(user string) error {
+	conv, err := c.conversation(user)
+	if err != nil {
+		return err
+	}
+	c.be.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	first, err := c.receiveSASL(pgproto3.AuthTypeSASL)
+	if err != nil {
+		return err
+	}
+	answer, err := conv.Step(first)
+	if err != nil {
+		return errors.Wrap(err, "first message")
+	}
+	c.be.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)})
+	final, err := c.receiveSASL(pgproto3.AuthTypeSASLContinue)
+	if err != nil {
+		return err
+	}
+	answer, err = conv.Step(final)
+	if err != nil {
+		return errors.Wrap(err, "final message")
+	}
+	if !conv.Valid() {
+		return errors.New("proof does not match")
+	}
+	c.be.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
+	return nil
+}
+
+func (c *session) conversation(user string) (*scram.ServerConversation, error) {
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		u, ok := c.server.executor.User(user)
+		if !ok {
+			return scram.StoredCredentials{}, errors.New("unknown user")
+		}
+		return credentials(u)
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "scram server")
+	}
+	return server.NewConversation(), nil
+}
+
+func credentials(u config.User) (scram.StoredCredentials, error) {
+	var sc scram.StoredCredentials
+	salt, err1 := base64.StdEncoding.DecodeString(u.Salt)
+	stored, err2 := base64.StdEncoding.DecodeString(u.StoredKey)
+	key, err3 := base64.StdEncoding.DecodeString(u.ServerKey)
+	if err1 != nil || err2 != nil || err3 != nil {
+		return sc, errors.Errorf("verifier of user %s is not base64", u.Name)
+	}
+	sc.Salt = string(salt)
+	sc.Iters = u.Iterations
+	sc.StoredKey = stored
+	sc.ServerKey = key
+	return sc, nil
+}
+
+func (c *session) receiveSASL(kind uint32) (string, error) {
+	if err := c.be.Flush(); err != nil {
+		return "", err
+	}
+	if err := c.be.SetAuthType(kind); err != nil {
+		return "", err
+	}
+	msg, err := c.be.Receive()
+	if err != nil {
+		return "", err
+	}
+	switch m := msg.(type) {
+	case *pgproto3.SASLInitialResponse:
+		if m.AuthMechanism != mechanism {
+			return "", errors.Errorf("mechanism %q is not offered", m.AuthMechanism)
+		}
+		return string(m.Data), nil
+	case *pgproto3.SASLResponse:
+		return string(m.Data), nil
+	default:
+		return "", errors.New("unexpected message during authentication")
+	}
+}
--- /dev/null
+++ b/internal/exec/prepared.go
@@ -0,0 +1,177 @@
+package exec
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// statement is a prepared statement as the caller declared it.
+type statement struct {
+	query string
+	oids  []uint32
+	// shared is the name under which upstreams hold it. Equal statements of
+	// all callers share one name.
+	shared string
+}
+
+const (
+	sharedPrefix    = "cs_"
+	sharedHashBytes = 16
+)
+
+func newStatement(m *pgproto3.Parse) statement {
+	h := sha256.New()
+	h.Write([]byte(m.Query))
+	for _, oid := range m.ParameterOIDs {
+		h.Write(binary.BigEndian.AppendUint32([]byte{0}, oid))
+	}
+	return statement{
+		query:  m.Query,
+		oids:   m.ParameterOIDs,
+		shared: sharedPrefix + hex.EncodeToString(h.Sum(nil)[:sharedHashBytes]),
+	}
+}
+
+// prepared are a caller's statements by the caller's names; the unnamed one has
+// the empty name.
+type prepared map[string]statement
+
+// outgoing is a batch as it goes to one upstream connection.
+type outgoing struct {
+	messages []pgproto3.FrontendMessage
+	// injected says, for each ParseComplete and CloseComplete in order, that the
+	// caller did not ask for it.
+	injected []bool
+	// adds are the shared names that the connection holds after success.
+	adds []string
+	// executes says that the batch runs something.
+	executes bool
+}
+
+// translate rewrites a batch for a connection that holds the statements in
+// held: names become shared names, and statements that it lacks are parsed first.
+func (p prepared) translate(messages []pgproto3.FrontendMessage, held map[string]struct{}) outgoing {
+	t := translation{prepared: p, held: held, parsed: make(map[string]struct{})}
+	for _, m := range messages {
+		t.add(m)
+	}
+	t.out.messages = append(t.out.messages, &pgproto3.Sync{})
+	return t.out
+}
+
+type translation struct {
+	prepared prepared
+	held     map[string]struct{}
+	parsed   map[string]struct{}
+	out      outgoing
+}
+
+func (t *translation) add(m pgproto3.FrontendMessage) {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		s := newStatement(m)
+		t.prepared[m.Name] = s
+		t.parse(m.Name, s, false)
+	case *pgproto3.Bind:
+		v := *m
+		v.PreparedStatement = t.ensure(m.PreparedStatement)
+		t.send(&v)
+	case *pgproto3.Describe:
+		v := *m
+		if v.ObjectType == 'S' {
+			v.Name = t.ensure(m.Name)
+		}
+		t.send(&v)
+	case *pgproto3.Close:
+		t.closeObject(m)
+	case *pgproto3.Execute:
+		t.out.executes = true
+		t.send(m)
+	default:
+		t.send(m)
+	}
+}
+
+func (t *translation) send(m pgproto3.FrontendMessage) {
+	t.out.messages = append(t.out.messages, m)
+}
+
+// name returns the name of s at an upstream; the unnamed statement stays unnamed.
+func name(callerName string, s statement) string {
+	if callerName == "" {
+		return ""
+	}
+	return s.shared
+}
+
+func (t *translation) parse(callerName string, s statement, injected bool) {
+	n := name(callerName, s)
+	if n != "" {
+		t.send(&pgproto3.Close{ObjectType: 'S', Name: n})
+		t.out.injected = append(t.out.injected, true)
+		t.out.adds = append(t.out.adds, n)
+	}
+	t.send(&pgproto3.Parse{Name: n, Query: s.query, ParameterOIDs: s.oids})
+	t.out.injected = append(t.out.injected, injected)
+	t.parsed[n] = struct{}{}
+}
+
+// ensure makes the statement exist on the connection and returns its name there.
+func (t *translation) ensure(callerName string) string {
+	s, ok := t.prepared[callerName]
+	if !ok {
+		return callerName
+	}
+	n := name(callerName, s)
+	if _, ok := t.parsed[n]; ok {
+		return n
+	}
+	if _, ok := t.held[n]; ok && n != "" {
+		return n
+	}
+	t.parse(callerName, s, true)
+	return n
+}
+
+func (t *translation) closeObject(m *pgproto3.Close) {
+	v := *m
+	if s, ok := t.prepared[m.Name]; ok && m.ObjectType == 'S' {
+		v.Name = name(m.Name, s)
+		delete(t.prepared, m.Name)
+		delete(t.held, v.Name)
+		delete(t.parsed, v.Name)
+	}
+	t.send(&v)
+	t.out.injected = append(t.out.injected, false)
+}
+
+// text returns the SQL that a batch is about: that of its first statement.
+func (p prepared) text(messages []pgproto3.FrontendMessage) string {
+	for _, m := range messages {
+		switch m := m.(type) {
+		case *pgproto3.Parse:
+			return m.Query
+		case *pgproto3.Bind:
+			return p[m.PreparedStatement].query
+		case *pgproto3.Describe:
+			if m.ObjectType == 'S' {
+				return p[m.Name].query
+			}
+		}
+	}
+	return ""
+}
+
+// closesOnly reports whether messages only close statements.
+func closesOnly(messages []pgproto3.FrontendMessage) bool {
+	for _, m := range messages {
+		c, ok := m.(*pgproto3.Close)
+		if !ok || c.ObjectType != 'S' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/exec/request.go
@@ -0,0 +1,482 @@
+package exec
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/callers"
+	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/systems/retry"
+	"github.com/cranberrystage/cranberrystage/internal/systems/route"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/cranberrystage/cranberrystage/internal/tags"
+	"github.com/cranberrystage/cranberrystage/internal/upstream"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+)
+
+const (
+	// primaryPatience bounds the wait of one request for a primary to stand.
+	primaryPatience = 2 * time.Second
+	unknownRetry    = time.Second
+	refusedRetry    = 250 * time.Millisecond
+)
+
+// request is one batch on its way.
+type request struct {
+	s     *callerSession
+	core  Core
+	batch *callers.Batch
+	a     *callers.Answer
+	place place
+	tags  tags.Tags
+
+	arrived  tables.Time
+	route    route.Request
+	attempt  int
+	exposed  bool
+	servedBy metrics.ServedBy
+	asOf     tables.Time
+}
+
+func (s *callerSession) newRequest(b *callers.Batch, a *callers.Answer) (*request, error) {
+	place, ok := s.exec.directory.Load().find(s.database)
+	if !ok {
+		return nil, codes.New(codes.UnknownService, codes.NotRun, 0, s.database)
+	}
+	sql := s.sql(b)
+	merged, err := s.merge(sql, place)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkState(sql); err != nil {
+		return nil, err
+	}
+	core := s.exec.core
+	r := &request{
+		s: s, core: core, batch: b, a: a, place: place, tags: merged,
+		arrived: core.Now(), servedBy: metrics.ServedByNone,
+	}
+	r.route = route.Request{
+		Group:         place.group,
+		Tags:          &r.tags,
+		ArrivedAt:     r.arrived,
+		Deadline:      r.arrived.Add(merged.Deadline),
+		InTransaction: opensTransaction(sql),
+		Load:          core.Load(),
+	}
+	r.route.ForSession(s.session)
+	return r, nil
+}
+
+func (s *callerSession) merge(sql string, place place) (tags.Tags, error) {
+	fromStatement, err := tags.FromComment(sql)
+	if err != nil {
+		return tags.Tags{}, err
+	}
+	connection, err := s.tags.Resolve(place.service)
+	if err != nil {
+		return tags.Tags{}, err
+	}
+	merged := connection
+	if fromStatement.Declared != 0 {
+		statement, err := fromStatement.Resolve(place.service)
+		if err != nil {
+			return tags.Tags{}, err
+		}
+		merged = tags.Merge(connection, statement)
+	}
+	if merged.Deadline <= 0 {
+		merged.Deadline = defaultDeadline
+	}
+	return merged, nil
+}
+
+// run serves the request: on the transaction's connection if one is open, else
+// on the upstream that route chooses.
+func (r *request) run(ctx context.Context) error {
+	if r.s.pinned != nil {
+		return r.runPinned(ctx)
+	}
+	for {
+		r.attempt++
+		d, err := r.choose(ctx)
+		if err != nil {
+			return r.mark(err)
+		}
+		again, err := r.attemptOn(ctx, d)
+		if !again {
+			return err
+		}
+	}
+}
+
+// mark says "unknown" about a refusal that follows an attempt which may have run.
+func (r *request) mark(err error) error {
+	if e, ok := codes.From(err); ok && r.exposed && e.Ran == codes.NotRun {
+		return codes.New(e.Code, codes.Unknown, e.RetryAfter, e.Detail)
+	}
+	return err
+}
+
+// choose waits until route names an upstream or refuses.
+func (r *request) choose(ctx context.Context) (route.Decision, error) {
+	for {
+		changed := r.core.Changed()
+		now := r.core.Now()
+		r.route.Random = rand.Uint64()
+		d := route.Choose(now, r.core.Snapshot(), &r.route)
+		switch d.Kind {
+		case route.KindReplica, route.KindPrimary:
+			return d, nil
+		case route.KindNeedConfirm:
+			r.core.Confirm(r.place.group)
+		case route.KindWaitReplica:
+			r.core.Confirm(r.place.group)
+		case route.KindRefuse:
+			if !r.worthWaiting(now, d) {
+				return d, d.Err
+			}
+			d.Until = r.arrived.Add(primaryPatience)
+		}
+		if err := wait(ctx, changed, d.Until.Sub(now)); err != nil {
+			return d, codes.New(codes.DeadlinePassed, codes.NotRun, refusedRetry, d.Kind.String())
+		}
+	}
+}
+
+// worthWaiting reports whether a refused request may wait for a primary: for a
+// part of its deadline, so that the answer comes well before it.
+func (r *request) worthWaiting(now tables.Time, d route.Decision) bool {
+	if d.Err.Code != codes.NoPrimary {
+		return false
+	}
+	patience := min(primaryPatience, r.tags.Deadline/2)
+	return now.Sub(r.arrived) < patience
+}
+
+func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) error {
+	t := time.NewTimer(max(d, time.Millisecond))
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+// attemptOn makes one attempt; again asks for another.
+func (r *request) attemptOn(ctx context.Context, d route.Decision) (again bool, err error) {
+	pool, ok := r.core.Pool(d.Upstream)
+	if !ok {
+		return r.failed(retry.StageWaiting, d, errors.New("upstream is not configured"))
+	}
+	term := tables.Term(0)
+	if d.Kind == route.KindPrimary {
+		term = d.Term
+	}
+	c, err := pool.Acquire(ctx, term)
+	if err != nil {
+		return r.notAcquired(ctx, d, err)
+	}
+	r.core.Load().Add(d.Upstream, 1)
+	defer r.core.Load().Add(d.Upstream, -1)
+	started := r.core.Now()
+	if needsConfirm(d, r.route.Tags) {
+		r.core.Confirm(r.place.group)
+	}
+	res, err := r.exchange(ctx, c)
+	if err != nil {
+		pool.Discard(c)
+		return r.broken(ctx, res.stage, d, err)
+	}
+	if res.failure == sqlStateReadOnly && d.Kind == route.KindPrimary && res.status == statusIdle && !res.committed {
+		pool.Discard(c)
+		return r.rejected(d)
+	}
+	r.keep(pool, c, res)
+	return false, r.finish(ctx, d, res, started)
+}
+
+// needsConfirm reports whether an answer of the primary has to be confirmed
+// after it: reads that declare no age promise the newest data.
+func needsConfirm(d route.Decision, t *tags.Tags) bool {
+	return d.Kind == route.KindPrimary && t.MaxAge == nil
+}
+
+// keep releases the connection, or pins it while a transaction is open.
+func (r *request) keep(pool *upstream.Pool, c *upstream.Conn, res exchangeResult) {
+	r.s.status = res.status
+	if res.status == statusIdle {
+		pool.Release(c)
+		return
+	}
+	r.s.pin(pool, c)
+}
+
+// exchange runs the batch on c within the deadline; at its end the connection
+// is cut off and the upstream asked to cancel.
+func (r *request) exchange(ctx context.Context, c *upstream.Conn) (exchangeResult, error) {
+	r.s.setRunning(c)
+	defer r.s.setRunning(nil)
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	res, err := exchange(c, r.outgoing(c), r.a)
+	if !stop() && err == nil {
+		// The deadline passed just now; the connection is not reused.
+		c.SetDeadline(time.Time{})
+	}
+	if err != nil && ctx.Err() != nil {
+		go cancelQuietly(c)
+	}
+	return res, err
+}
+
+func cancelQuietly(c *upstream.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = c.Cancel(ctx)
+}
+
+func (r *request) outgoing(c *upstream.Conn) outgoing {
+	if r.batch.Simple {
+		return outgoing{messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: r.batch.Query}}, executes: true}
+	}
+	return r.s.prepared.translate(r.batch.Messages, c.Prepared)
+}
+
+// runPinned runs the batch on the open transaction's connection.
+func (r *request) runPinned(ctx context.Context) error {
+	c, pool := r.s.pinned, r.s.pinnedBy
+	d := route.Decision{Kind: route.KindPrimary, Upstream: c.Upstream(), Term: c.Term}
+	if c.Term == 0 {
+		d.Kind = route.KindReplica
+	}
+	started := r.core.Now()
+	res, err := r.exchange(ctx, c)
+	if err != nil {
+		r.reportLoss(d.Upstream, err)
+		return r.lostAnswer(ctx, res.stage, err)
+	}
+	r.s.status = res.status
+	if res.status == statusIdle {
+		r.s.unpin(true)
+	}
+	_ = pool
+	return r.finish(ctx, d, res, started)
+}
+
+// finish decides whether the answer may go out: a write once it is safe, a
+// read of the primary once its term was confirmed.
+func (r *request) finish(ctx context.Context, d route.Decision, res exchangeResult, started tables.Time) error {
+	r.served(d)
+	if err := r.s.reportServedBy(r.a, r.servedBy); err != nil {
+		return err
+	}
+	if res.committed {
+		return r.acknowledge(ctx, d, res)
+	}
+	if res.failure == "" && res.status == statusIdle && needsConfirm(d, r.route.Tags) {
+		if err := r.confirmSince(ctx, started, d.Term); err != nil {
+			return err
+		}
+	}
+	r.s.exec.budgets.success(r.place.group)
+	return nil
+}
+
+func (r *request) served(d route.Decision) {
+	r.servedBy = metrics.ServedByPrimary
+	if d.Kind == route.KindReplica {
+		r.servedBy = metrics.ServedByReplica
+	}
+	r.asOf = d.AsOf
+}
+
+// acknowledge waits until the commit is safe.
+func (r *request) acknowledge(ctx context.Context, d route.Decision, res exchangeResult) error {
+	c := ack.Commit{Primary: d.Upstream, Term: d.Term, Position: res.position}
+	outcome, err := r.core.Acknowledge(ctx, r.place.group, c)
+	switch {
+	case err != nil:
+		return codes.New(codes.NotConfirmed, codes.Unknown, unknownRetry, "")
+	case outcome == ack.Replaced:
+		return codes.New(codes.PrimaryChanged, codes.Unknown, refusedRetry, "")
+	}
+	r.s.exec.budgets.success(r.place.group)
+	return r.s.wrote(r.a, r.place.group, res.position)
+}
+
+// confirmSince waits for a confirmed point of term that was sent after started.
+func (r *request) confirmSince(ctx context.Context, started tables.Time, term tables.Term) error {
+	for {
+		changed := r.core.Changed()
+		point, current := r.newestPoint()
+		if current != term {
+			return codes.New(codes.PrimaryChanged, codes.Unknown, refusedRetry, "")
+		}
+		if point.Term == term && point.SentAt >= started {
+			return nil
+		}
+		r.core.Confirm(r.place.group)
+		if err := wait(ctx, changed, time.Second); err != nil {
+			return codes.New(codes.NotConfirmed, codes.Unknown, unknownRetry, "")
+		}
+	}
+}
+
+func (r *request) newestPoint() (tables.ConfirmedPoint, tables.Term) {
+	g, ok := r.core.Snapshot().Group(r.place.group)
+	if !ok || len(g.Points) == 0 {
+		return tables.ConfirmedPoint{}, 0
+	}
+	return g.Points[0], g.Term
+}
+
+// notAcquired handles an attempt that got no connection.
+func (r *request) notAcquired(ctx context.Context, d route.Decision, err error) (bool, error) {
+	if ctx.Err() != nil {
+		return false, r.mark(codes.New(codes.NoSlot, codes.NotRun, refusedRetry, string(d.Upstream)))
+	}
+	if e, ok := codes.From(err); ok {
+		return false, r.mark(e)
+	}
+	r.reportLoss(d.Upstream, err)
+	return r.failed(retry.StageWaiting, d, err)
+}
+
+// rejected handles a primary that answered that it does not lead at the term.
+func (r *request) rejected(d route.Decision) (bool, error) {
+	r.a.Drop()
+	r.a.Reset()
+	r.core.Confirm(r.place.group)
+	return r.failed(retry.StageRejected, d, errors.New("the server does not lead at the term"))
+}
+
+// broken handles a connection that broke during the exchange.
+func (r *request) broken(ctx context.Context, stage retry.Stage, d route.Decision, err error) (bool, error) {
+	if _, ok := codes.From(err); ok {
+		return false, err
+	}
+	if ctx.Err() != nil || r.a.Started() {
+		return false, r.lostAnswer(ctx, stage, err)
+	}
+	r.reportLoss(d.Upstream, err)
+	r.a.Reset()
+	return r.failed(stage, d, err)
+}
+
+// failed decides about another attempt.
+func (r *request) failed(stage retry.Stage, d route.Decision, err error) (bool, error) {
+	exposure := retry.Classify(stage, err)
+	declaredRead := r.tags.MaxAge != nil
+	dec := r.s.exec.budgets.decide(r.core.Now(), r.place.group, retry.Attempt{
+		Exposure:   exposure,
+		Exposed:    r.exposed,
+		Idempotent: r.tags.Idempotent || declaredRead,
+		Number:     r.attempt,
+		Deadline:   r.route.Deadline,
+	})
+	if exposure == retry.MayHaveReached {
+		r.exposed = true
+	}
+	if !dec.Retry {
+		return false, r.giveUp(dec, err)
+	}
+	if d.Kind == route.KindReplica {
+		r.route.Tried = append(r.route.Tried, d.Upstream)
+	}
+	if pause := dec.At.Sub(r.core.Now()); pause > 0 {
+		time.Sleep(pause)
+	}
+	return true, nil
+}
+
+func (r *request) giveUp(dec retry.Decision, err error) error {
+	code := codes.UpstreamLost
+	if dec.Exhausted {
+		code = codes.RetryBudget
+	}
+	return codes.New(code, dec.Ran, refusedRetry, err.Error())
+}
+
+// lostAnswer is the final answer to a request whose connection broke or whose
+// deadline passed while it ran.
+func (r *request) lostAnswer(ctx context.Context, stage retry.Stage, err error) error {
+	if e, ok := codes.From(err); ok {
+		return e
+	}
+	ran := retry.Ran(retry.Classify(stage, err), r.exposed)
+	if ctx.Err() != nil {
+		return codes.New(codes.DeadlinePassed, ran, unknownRetry, "")
+	}
+	return codes.New(codes.UpstreamLost, ran, unknownRetry, err.Error())
+}
+
+// reportLoss tells the core that a statement lost its connection.
+func (r *request) reportLoss(u tables.UpstreamID, err error) {
+	if cause, ok := upstream.CauseOf(err); ok {
+		r.core.Report(event.StatementFailed{Upstream: u, Cause: cause})
+	}
+}
+
+// observe records the finished request.
+func (r *request) observe(err error) {
+	kind := metrics.KindWrite
+	if r.tags.MaxAge != nil {
+		kind = metrics.KindRead
+	}
+	took := r.core.Now().Sub(r.arrived)
+	r.s.exec.metrics.ObserveRequest(metrics.Request{
+		Service:  r.place.service.Name,
+		Database: r.place.database,
+		Kind:     kind,
+		ServedBy: r.servedBy,
+		Code:     refusalOf(err),
+		Took:     took,
+	})
+	if kind == metrics.KindRead && r.servedBy == metrics.ServedByReplica {
+		age := r.core.Now().Sub(r.asOf)
+		r.s.exec.metrics.ObserveReadAge(r.place.service.Name, age, age <= *r.tags.MaxAge+took)
+	}
+}
+
+// firstWord returns the first keyword of sql in lower case, comments skipped.
+func firstWord(sql string) string {
+	for {
+		sql = strings.TrimLeft(sql, " \t\r\n;")
+		if !strings.HasPrefix(sql, "/*") {
+			break
+		}
+		_, rest, ok := strings.Cut(sql, "*/")
+		if !ok {
+			return ""
+		}
+		sql = rest
+	}
+	end := strings.IndexAny(sql, " \t\r\n;(")
+	if end < 0 {
+		end = len(sql)
+	}
+	return strings.ToLower(sql[:end])
+}
+
+func opensTransaction(sql string) bool {
+	w := firstWord(sql)
+	return w == "begin" || w == "start"
+}
+
+// checkState refuses statements that would leave state on a shared connection.
+func checkState(sql string) error {
+	switch firstWord(sql) {
+	case "set", "listen", "unlisten", "prepare", "declare", "load", "discard", "reset":
+		return codes.New(codes.SessionState, codes.NotRun, 0, firstWord(sql))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/dbserver/replica.go
@@ -0,0 +1,117 @@
+package dbserver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/standin/replog"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+)
+
+const (
+	replicationUser  = "replication"
+	pullBatch        = 1000
+	pullWait         = 200 * time.Millisecond
+	pullTimeout      = time.Second
+	replicationRetry = 20 * time.Millisecond
+)
+
+// pullAnswer is the primary's answer to cs_pull.
+type pullAnswer struct {
+	Previous tables.Term     `json:"previous"`
+	Records  []replog.Record `json:"records"`
+}
+
+func tablesID(id string) tables.UpstreamID { return tables.UpstreamID(id) }
+
+// replicate pulls records from whomever the server follows, until ctx ends.
+func (s *Server) replicate(ctx context.Context) {
+	for ctx.Err() == nil {
+		address, term, _, changed := s.db.following()
+		if term == 0 {
+			waitFor(ctx, changed, time.Second)
+			continue
+		}
+		if err := s.pullFrom(ctx, address, term); err != nil {
+			waitFor(ctx, nil, replicationRetry)
+		}
+	}
+}
+
+func waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
+}
+
+// pullFrom follows the primary at address while the server follows it at term.
+func (s *Server) pullFrom(ctx context.Context, address string, term tables.Term) error {
+	dialCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	url := fmt.Sprintf("postgres://%s@%s/replication?sslmode=disable&application_name=%s@%s",
+		replicationUser, address, s.cfg.ID, s.cfg.DataCentre)
+	pc, err := pgconn.Connect(dialCtx, url)
+	if err != nil {
+		return errors.Wrap(err, "connect to the primary")
+	}
+	defer pc.Close(context.Background())
+	for ctx.Err() == nil {
+		now, at, index, _ := s.db.following()
+		if now != address || at != term {
+			return nil
+		}
+		if s.currentFaults().ReplicationStopped {
+			return errors.New("replication stopped")
+		}
+		if err := s.pullOnce(ctx, pc, term, index); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Server) pullOnce(ctx context.Context, pc *pgconn.PgConn, term tables.Term, index uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	sql := fmt.Sprintf("SELECT cs_pull(%d, %d)", term, index)
+	results, err := pc.Exec(ctx, sql).ReadAll()
+	if err != nil {
+		return errors.Wrap(err, "pull")
+	}
+	var a pullAnswer
+	if err := json.Unmarshal(results[0].Rows[0][0], &a); err != nil {
+		return errors.Wrap(err, "decode records")
+	}
+	if d := s.cfg.ReplicationDelay + s.currentFaults().ReplicationDelay; d > 0 {
+		waitFor(ctx, nil, d)
+	}
+	return s.db.apply(term, index, a.Previous, a.Records)
+}
+
+// pull serves cs_pull: it waits a while for records after index.
+func (s *Server) pull(ctx context.Context, term tables.Term, index uint64) (string, error) {
+	deadline := time.Now().Add(pullWait)
+	for {
+		previous, records, wait, err := s.db.entries(term, index, pullBatch)
+		if err != nil {
+			return "", err
+		}
+		left := time.Until(deadline)
+		if wait == nil || left <= 0 {
+			b, err := json.Marshal(pullAnswer{Previous: previous, Records: records})
+			return string(b), errors.Wrap(err, "encode records")
+		}
+		waitFor(ctx, wait, left)
+		if ctx.Err() != nil {
+			return "", ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,215 @@
+// Package upstream holds the pooled connections from this proxy to one
+// database server. A connection carries the term under which it writes; one
+// with an answer outstanding is closed and never reused.
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+)
+
+// Startup parameters and reported settings between the proxy and an upstream.
+const (
+	// ParamTerm declares the term under which a connection writes.
+	ParamTerm = "cranberrystage.term"
+	// ParamPosition reports the position of the last commit as "term/index".
+	ParamPosition = "cranberrystage.position"
+)
+
+// Target says where and as whom to connect.
+type Target struct {
+	// Upstream names the server.
+	Upstream tables.UpstreamID
+	// Address is its IP:port.
+	Address string
+	// Database is the database's name at the server.
+	Database string
+	// User is the user that pooled connections log in as.
+	User string
+	// Password is used if the server asks for a clear-text password.
+	Password string
+	// Application is sent as the application name: "vm@data-centre".
+	Application string
+}
+
+// Conn is one connection to an upstream. It is used by one request at a time.
+type Conn struct {
+	// Frontend sends and receives messages.
+	Frontend *pgproto3.Frontend
+	// Term is the term the connection was opened under; 0 for reads.
+	Term tables.Term
+	// Prepared are the names of the statements that the server holds.
+	Prepared map[string]struct{}
+
+	net      net.Conn
+	target   Target
+	pid      uint32
+	secret   []byte
+	slot     int
+	slotAt   time.Time
+	lastUsed time.Time
+}
+
+// dial opens a connection and logs in.
+func dial(ctx context.Context, t Target, term tables.Term) (*Conn, error) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to upstream %s", t.Upstream)
+	}
+	c := &Conn{
+		Frontend: pgproto3.NewFrontend(nc, nc),
+		Term:     term,
+		Prepared: make(map[string]struct{}),
+		net:      nc,
+		target:   t,
+		slot:     noSlot,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := c.login(); err != nil {
+		_ = nc.Close()
+		return nil, errors.Wrapf(err, "log in to upstream %s", t.Upstream)
+	}
+	return c, nil
+}
+
+func (c *Conn) login() error {
+	params := map[string]string{
+		"user":             c.target.User,
+		"database":         c.target.Database,
+		"application_name": c.target.Application,
+	}
+	if c.Term != 0 {
+		params[ParamTerm] = strconv.FormatUint(uint64(c.Term), 10)
+	}
+	c.Frontend.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: params})
+	if err := c.Frontend.Flush(); err != nil {
+		return err
+	}
+	for {
+		msg, err := c.Frontend.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.AuthenticationCleartextPassword:
+			c.Frontend.Send(&pgproto3.PasswordMessage{Password: c.target.Password})
+			if err := c.Frontend.Flush(); err != nil {
+				return err
+			}
+		case *pgproto3.BackendKeyData:
+			c.pid = m.ProcessID
+			c.secret = append([]byte(nil), m.SecretKey...)
+		case *pgproto3.ErrorResponse:
+			return &ServerError{Code: m.Code, Message: m.Message}
+		case *pgproto3.ReadyForQuery:
+			return nil
+		}
+	}
+}
+
+// ServerError is an error that the upstream answered with.
+type ServerError struct {
+	// Code is the SQLSTATE.
+	Code string
+	// Message is the server's text.
+	Message string
+}
+
+// Error implements error.
+func (e *ServerError) Error() string { return e.Message + " (SQLSTATE " + e.Code + ")" }
+
+// SetDeadline bounds all reads and writes; the zero time removes the bound.
+func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
+
+// Upstream returns the server's name.
+func (c *Conn) Upstream() tables.UpstreamID { return c.target.Upstream }
+
+// Cancel asks the server to cancel what the connection runs, over a new
+// connection. The connection itself still gets its answer.
+func (c *Conn) Cancel(ctx context.Context) error {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", c.target.Address)
+	if err != nil {
+		return errors.Wrap(err, "connect to cancel")
+	}
+	defer nc.Close()
+	msg := pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}
+	b, err := msg.Encode(nil)
+	if err != nil {
+		return errors.Wrap(err, "encode cancel request")
+	}
+	_, err = nc.Write(b)
+	return errors.Wrap(err, "send cancel request")
+}
+
+// simple runs a statement that gives at most one row of one text column.
+func (c *Conn) simple(sql string) (string, error) {
+	c.Frontend.Send(&pgproto3.Query{String: sql})
+	if err := c.Frontend.Flush(); err != nil {
+		return "", err
+	}
+	var value string
+	var failed error
+	for {
+		msg, err := c.Frontend.Receive()
+		if err != nil {
+			return "", err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.DataRow:
+			if len(m.Values) > 0 {
+				value = string(m.Values[0])
+			}
+		case *pgproto3.ErrorResponse:
+			failed = &ServerError{Code: m.Code, Message: m.Message}
+		case *pgproto3.ReadyForQuery:
+			return value, failed
+		}
+	}
+}
+
+func (c *Conn) close() { _ = c.net.Close() }
+
+// ParsePosition reads the value of ParamPosition.
+func ParsePosition(text string) (tables.Position, error) {
+	t, i, ok := strings.Cut(text, "/")
+	term, err1 := strconv.ParseUint(t, 10, 64)
+	index, err2 := strconv.ParseUint(i, 10, 64)
+	if !ok || err1 != nil || err2 != nil {
+		return tables.Position{}, errors.Errorf("bad position %q", text)
+	}
+	return tables.Position{LogTerm: tables.Term(term), Index: index}, nil
+}
+
+func lockName(slot int) string { return fmt.Sprintf("%d", slotLockBase+slot) }
+
+// CauseOf tells how reaching the upstream failed; ok is false for errors that
+// say nothing about the upstream, such as an answer that it gave.
+func CauseOf(err error) (cause tables.Cause, ok bool) {
+	var answered *ServerError
+	var netErr net.Error
+	switch {
+	case err == nil || errors.As(err, &answered):
+		return tables.CauseNone, false
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return tables.CauseRefused, true
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return tables.CauseSilent, true
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return tables.CauseReset, true
+	default:
+		return tables.CauseNone, false
+	}
+}
