--- /dev/null
+++ b/internal/platform/memory/faults.go
@@ -0,0 +1,90 @@
+package memory
+
+import (
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// FaultKind says what goes wrong with a call.
+type FaultKind uint8
+
+const (
+	// FaultNone lets the call pass.
+	FaultNone FaultKind = iota
+	// FaultDown refuses the call before it has any effect.
+	FaultDown
+	// FaultSlow delays the call; a caller that gives up meanwhile does not stop its effect.
+	FaultSlow
+	// FaultLoseAnswer lets the call take effect and loses its answer.
+	FaultLoseAnswer
+)
+
+var faultNames = []string{"none", "down", "slow", "lose-answer"}
+
+// String returns "none", "down", "slow" or "lose-answer".
+func (k FaultKind) String() string { return faultNames[k] }
+
+// MarshalText implements encoding.TextMarshaler.
+func (k FaultKind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *FaultKind) UnmarshalText(b []byte) error {
+	i := slices.Index(faultNames, string(b))
+	if i < 0 {
+		return errors.Errorf("not a fault: %q", b)
+	}
+	*k = FaultKind(i)
+	return nil
+}
+
+// Fault is what happens to the next calls.
+type Fault struct {
+	// Kind says what goes wrong.
+	Kind FaultKind `json:"kind"`
+	// Delay is the delay of FaultSlow, in nanoseconds in JSON.
+	Delay time.Duration `json:"delay,omitempty"`
+	// Calls is how many calls are affected; 0 means all until the fault is cleared.
+	Calls int `json:"calls,omitempty"`
+}
+
+// Faults holds the fault in effect. The zero value has none. It is safe for
+// concurrent use.
+type Faults struct {
+	mu      sync.Mutex
+	current Fault
+}
+
+// Inject replaces the fault in effect by f.
+func (fs *Faults) Inject(f Fault) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	fs.current = f
+}
+
+// Clear removes the fault in effect.
+func (fs *Faults) Clear() { fs.Inject(Fault{}) }
+
+// Take returns the fault of one call and counts the call.
+func (fs *Faults) Take() Fault {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	f := fs.current
+	if f.Calls == 1 {
+		fs.current = Fault{}
+	}
+	if f.Calls > 1 {
+		fs.current.Calls--
+	}
+	return f
+}
+
+// MarshalJSON returns the fault in effect.
+func (fs *Faults) MarshalJSON() ([]byte, error) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	return json.Marshal(fs.current)
+}
