--- /dev/null
+++ b/internal/platform/httptables/httptables.go
@@ -0,0 +1,269 @@
+// Package httptables is the client of the platform's table service and VM list
+// over HTTP. Conditions travel as entity tags (RFC 9110); a write of one row
+// is a conditional PUT, a write of several rows a transaction request.
+package httptables
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/platform/tablewire"
+	"github.com/pkg/errors"
+)
+
+const (
+	// DefaultTimeout bounds one call where Options name none.
+	DefaultTimeout = 2 * time.Second
+	// answerLimit is the largest answer, in bytes.
+	answerLimit = 16 << 20
+)
+
+// Options configure a Client.
+type Options struct {
+	// BaseURL is the service's address, such as "http://10.0.0.5:8080".
+	BaseURL string
+	// Timeout bounds each call; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// Transport carries the requests; nil means a new http.Transport.
+	Transport http.RoundTripper
+}
+
+// Client implements platform.Tables and platform.VMs. It is safe for
+// concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    http.Client
+}
+
+var (
+	_ platform.Tables = (*Client)(nil)
+	_ platform.VMs    = (*Client)(nil)
+)
+
+// New returns a client; it connects when first used.
+func New(opts Options) (*Client, error) {
+	u, err := url.Parse(opts.BaseURL)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform address")
+	}
+	if u.Scheme == "" || u.Host == "" {
+		return nil, errors.Errorf("platform address %q has no scheme or host", opts.BaseURL)
+	}
+	if opts.Timeout == 0 {
+		opts.Timeout = DefaultTimeout
+	}
+	if opts.Transport == nil {
+		opts.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	}
+	return &Client{
+		base:    strings.TrimSuffix(opts.BaseURL, "/"),
+		timeout: opts.Timeout,
+		http:    http.Client{Transport: opts.Transport},
+	}, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements platform.Tables.
+func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+	a, err := c.read(ctx, tablewire.RowPath(key))
+	if err != nil {
+		return platform.Row{}, err
+	}
+	version, err := tablewire.ParseETag(a.header.Get("ETag"))
+	if err != nil {
+		return platform.Row{}, unavailable(err)
+	}
+	return platform.Row{Key: key, Value: a.body, Version: version}, nil
+}
+
+// List implements platform.Tables.
+func (c *Client) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	a, err := c.read(ctx, tablewire.RowsPath+"?prefix="+url.QueryEscape(prefix))
+	if err != nil {
+		return nil, err
+	}
+	var list tablewire.RowList
+	if err := json.Unmarshal(a.body, &list); err != nil {
+		return nil, unavailable(err)
+	}
+	return list.Rows, nil
+}
+
+// ListVMs implements platform.VMs.
+func (c *Client) ListVMs(ctx context.Context) ([]platform.ListedVM, error) {
+	a, err := c.read(ctx, tablewire.VMsPath)
+	if err != nil {
+		return nil, err
+	}
+	var vms []platform.ListedVM
+	if err := json.Unmarshal(a.body, &vms); err != nil {
+		return nil, unavailable(err)
+	}
+	return vms, nil
+}
+
+// Commit implements platform.Tables. When the answer is lost it reads the
+// outcome back once; an outcome that is not there yet stays unknown, as the
+// request may still arrive.
+func (c *Client) Commit(ctx context.Context, t platform.Txn) error {
+	if t.ID == "" {
+		return errors.New("transaction without id")
+	}
+	req, err := commitRequest(t)
+	if err != nil {
+		return err
+	}
+	a, err := c.do(ctx, req)
+	if err != nil && !a.sent {
+		return unavailable(err)
+	}
+	if err != nil {
+		return c.readBack(ctx, t.ID, err)
+	}
+	switch a.status {
+	case http.StatusOK, http.StatusNoContent:
+		return nil
+	case http.StatusPreconditionFailed:
+		return errors.Wrapf(platform.ErrConflict, "transaction %s", t.ID)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return unavailable(statusError(a.status))
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return errors.Errorf("transaction %s refused with status %d", t.ID, a.status)
+	default:
+		return c.readBack(ctx, t.ID, statusError(a.status))
+	}
+}
+
+// readBack asks how a transaction ended whose answer was lost through cause.
+func (c *Client) readBack(ctx context.Context, id string, cause error) error {
+	unknown := errors.Wrapf(platform.ErrUnknown, "transaction %s: %v", id, cause)
+	a, err := c.read(ctx, tablewire.TransactionsPath+"/"+url.PathEscape(id))
+	if err != nil {
+		return unknown
+	}
+	var o tablewire.Outcome
+	if err := json.Unmarshal(a.body, &o); err != nil {
+		return unknown
+	}
+	switch o.Outcome {
+	case tablewire.OutcomeApplied:
+		return nil
+	case tablewire.OutcomeConflict:
+		return errors.Wrapf(platform.ErrConflict, "transaction %s", id)
+	default:
+		return unknown
+	}
+}
+
+// request is one HTTP request before it gets a context.
+type request struct {
+	method string
+	path   string
+	body   []byte
+	header http.Header
+}
+
+// answer is one HTTP answer, read whole.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	// sent says that a connection was there, so that bytes may have left.
+	sent bool
+}
+
+// read asks for path and gives ErrNotFound or ErrUnavailable on failure.
+func (c *Client) read(ctx context.Context, path string) (answer, error) {
+	a, err := c.do(ctx, request{method: http.MethodGet, path: path})
+	if err != nil {
+		return answer{}, unavailable(err)
+	}
+	switch a.status {
+	case http.StatusOK:
+		return a, nil
+	case http.StatusNotFound:
+		return answer{}, errors.Wrap(platform.ErrNotFound, path)
+	default:
+		return answer{}, unavailable(statusError(a.status))
+	}
+}
+
+// do carries out r within the client's timeout.
+func (c *Client) do(ctx context.Context, r request) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace),
+		r.method, c.base+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return answer{}, errors.Wrap(err, "build request")
+	}
+	for name, values := range r.header {
+		req.Header[name] = values
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return answer{sent: sent.Load()}, errors.Wrap(err, "send request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := readLimited(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: body, sent: true}, err
+}
+
+func readLimited(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, answerLimit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	if len(body) > answerLimit {
+		return nil, errors.Errorf("answer exceeds %d bytes", answerLimit)
+	}
+	return body, nil
+}
+
+// commitRequest returns a conditional PUT where one row is enough, else a transaction.
+func commitRequest(t platform.Txn) (request, error) {
+	if isOneRow(t) {
+		return putRequest(t), nil
+	}
+	body, err := json.Marshal(t)
+	if err != nil {
+		return request{}, errors.Wrap(err, "encode transaction")
+	}
+	header := http.Header{"Content-Type": {"application/json"}, tablewire.IdempotencyKey: {t.ID}}
+	return request{method: http.MethodPost, path: tablewire.TransactionsPath, body: body, header: header}, nil
+}
+
+func isOneRow(t platform.Txn) bool {
+	return len(t.Writes) == 1 && len(t.Conditions) == 1 && t.Writes[0].Key == t.Conditions[0].Key
+}
+
+func putRequest(t platform.Txn) request {
+	header := http.Header{"Content-Type": {"application/octet-stream"}, tablewire.IdempotencyKey: {t.ID}}
+	if version := t.Conditions[0].Version; version == 0 {
+		header.Set("If-None-Match", "*")
+	} else {
+		header.Set("If-Match", tablewire.ETag(version))
+	}
+	w := t.Writes[0]
+	return request{method: http.MethodPut, path: tablewire.RowPath(w.Key), body: w.Value, header: header}
+}
+
+func unavailable(cause error) error {
+	return errors.Wrap(platform.ErrUnavailable, cause.Error())
+}
+
+func statusError(status int) error { return errors.Errorf("status %d", status) }
--- /dev/null
+++ b/internal/platform/tablewire/tablewire.go
@@ -0,0 +1,61 @@
+// Package tablewire is the HTTP form of the platform's table service and VM
+// list, shared by its client and its emulator.
+package tablewire
+
+import (
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/pkg/errors"
+)
+
+// Paths of the service.
+const (
+	// RowsPath lists rows with the query "prefix"; a row lies below it by its key.
+	RowsPath = "/tables/rows"
+	// TransactionsPath takes transactions; an outcome lies below it by its id.
+	TransactionsPath = "/tables/transactions"
+	// VMsPath is the VM list, an array of platform.ListedVM.
+	VMsPath = "/vms"
+)
+
+// IdempotencyKey is the header that carries a transaction's id.
+const IdempotencyKey = "Idempotency-Key"
+
+// Values of Outcome.
+const (
+	OutcomeApplied  = "applied"
+	OutcomeConflict = "conflict"
+)
+
+// RowList is the answer to a list request.
+type RowList struct {
+	// Rows are in key order.
+	Rows []platform.Row `json:"rows"`
+}
+
+// Outcome is the answer to a transaction.
+type Outcome struct {
+	// Outcome is OutcomeApplied or OutcomeConflict.
+	Outcome string `json:"outcome"`
+}
+
+// RowPath returns the path of a row, each segment of its key escaped.
+func RowPath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		segments[i] = url.PathEscape(s)
+	}
+	return RowsPath + "/" + strings.Join(segments, "/")
+}
+
+// ETag returns the entity tag of a row version.
+func ETag(version uint64) string { return strconv.Quote(strconv.FormatUint(version, 10)) }
+
+// ParseETag returns the row version of an entity tag.
+func ParseETag(tag string) (uint64, error) {
+	version, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
+	return version, errors.Wrapf(err, "entity tag %q", tag)
+}
