--- a/internal/exec/exchange.go
+++ b/internal/exec/exchange.go
@@ -31,8 +31,9 @@
 
 // exchange sends messages on c and copies the answer into a, without its
 // ReadyForQuery. From the first completed command that may be a commit on, the
-// answer is held.
-func exchange(c *upstream.Conn, out outgoing, a *callers.Answer) (exchangeResult, error) {
+// answer is held. When the first result arrives, onResult is asked whether it
+// may still be used; its error ends the exchange.
+func exchange(c *upstream.Conn, out outgoing, a *callers.Answer, onResult func() error) (exchangeResult, error) {
 	r := exchangeResult{stage: retry.StageWritten}
 	for _, m := range out.messages {
 		c.Frontend.Send(m)
@@ -40,7 +41,7 @@
 	if err := c.Frontend.Flush(); err != nil {
 		return r, errors.Wrap(err, "send to upstream")
 	}
-	x := exchanger{conn: c, out: out, answer: a}
+	x := exchanger{conn: c, out: out, answer: a, onResult: onResult}
 	for {
 		msg, err := c.Frontend.Receive()
 		if err != nil {
@@ -65,6 +66,7 @@
 	position  tables.Position
 	committed bool
 	failure   string
+	onResult  func() error
 }
 
 func (x *exchanger) result(r exchangeResult) exchangeResult {
@@ -94,7 +96,14 @@
 		if x.swallow() {
 			return nil
 		}
+	case *pgproto3.DataRow:
+		if err := x.firstResult(); err != nil {
+			return err
+		}
 	case *pgproto3.CommandComplete:
+		if err := x.firstResult(); err != nil {
+			return err
+		}
 		if mayCommit(m.CommandTag) {
 			x.answer.Hold()
 		}
@@ -106,6 +115,15 @@
 	return x.answer.Send(msg)
 }
 
+func (x *exchanger) firstResult() error {
+	check := x.onResult
+	x.onResult = nil
+	if check == nil {
+		return nil
+	}
+	return check()
+}
+
 func (x *exchanger) parameter(m *pgproto3.ParameterStatus) error {
 	if m.Name != upstream.ParamPosition {
 		return x.answer.Send(m)
--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -186,13 +186,21 @@
 	if err != nil {
 		return r.notAcquired(ctx, d, err)
 	}
+	if r.tooOld(d) {
+		pool.Release(c)
+		return true, nil
+	}
 	r.core.Load().Add(d.Upstream, 1)
 	defer r.core.Load().Add(d.Upstream, -1)
 	started := r.core.Now()
 	if needsConfirm(d, r.route.Tags) {
 		r.core.Confirm(r.place.group)
 	}
-	res, err := r.exchange(ctx, c)
+	res, err := r.exchange(ctx, c, r.ageCheck(d))
+	if errors.Is(err, errTooOld) {
+		pool.Discard(c)
+		return r.readNewest(), nil
+	}
 	if err != nil {
 		pool.Discard(c)
 		return r.broken(ctx, res.stage, d, err)
@@ -205,6 +213,43 @@
 	return false, r.finish(ctx, d, res, started)
 }
 
+// errTooOld means that a replica's first result came when its age bound had passed.
+var errTooOld = errors.New("the answer is older than stated")
+
+// tooOld reports whether the replica's data may by now be older than stated.
+func (r *request) tooOld(d route.Decision) bool {
+	if d.Kind != route.KindReplica {
+		return false
+	}
+	oldest := min(r.arrived, r.core.Now().Add(-*r.tags.MaxAge))
+	return d.AsOf < oldest
+}
+
+// ageCheck returns the check of a replica's first result. Execution began
+// before the result arrived, so a result in time is as young as stated; one
+// from a server that was frozen meanwhile is not.
+func (r *request) ageCheck(d route.Decision) func() error {
+	if d.Kind != route.KindReplica {
+		return nil
+	}
+	return func() error {
+		if r.tooOld(d) {
+			return errTooOld
+		}
+		return nil
+	}
+}
+
+// readNewest sends a declared read to the primary, where its answer is
+// confirmed after it ran; it returns true, for another attempt.
+func (r *request) readNewest() bool {
+	r.a.Reset()
+	newest := r.tags
+	newest.MaxAge = nil
+	r.route.Tags = &newest
+	return true
+}
+
 // needsConfirm reports whether an answer of the primary has to be confirmed
 // after it: reads that declare no age promise the newest data.
 func needsConfirm(d route.Decision, t *tags.Tags) bool {
@@ -223,11 +268,11 @@
 
 // exchange runs the batch on c within the deadline; at its end the connection
 // is cut off and the upstream asked to cancel.
-func (r *request) exchange(ctx context.Context, c *upstream.Conn) (exchangeResult, error) {
+func (r *request) exchange(ctx context.Context, c *upstream.Conn, onResult func() error) (exchangeResult, error) {
 	r.s.setRunning(c)
 	defer r.s.setRunning(nil)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	res, err := exchange(c, r.outgoing(c), r.a)
+	res, err := exchange(c, r.outgoing(c), r.a, onResult)
 	if !stop() && err == nil {
 		// The deadline passed just now; the connection is not reused.
 		c.SetDeadline(time.Time{})
@@ -253,13 +298,13 @@
 
 // runPinned runs the batch on the open transaction's connection.
 func (r *request) runPinned(ctx context.Context) error {
-	c, pool := r.s.pinned, r.s.pinnedBy
+	c := r.s.pinned
 	d := route.Decision{Kind: route.KindPrimary, Upstream: c.Upstream(), Term: c.Term}
 	if c.Term == 0 {
 		d.Kind = route.KindReplica
 	}
 	started := r.core.Now()
-	res, err := r.exchange(ctx, c)
+	res, err := r.exchange(ctx, c, nil)
 	if err != nil {
 		r.reportLoss(d.Upstream, err)
 		return r.lostAnswer(ctx, res.stage, err)
@@ -268,7 +313,6 @@
 	if res.status == statusIdle {
 		r.s.unpin(true)
 	}
-	_ = pool
 	return r.finish(ctx, d, res, started)
 }
 
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,17 @@
+package logging
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestPrefixStandsBeforeEachMessage(t *testing.T) {
+	var b bytes.Buffer
+	log := For(New(&b, slog.LevelInfo), "failover").With("group", "g1")
+	log.Info("Promoted a new primary.", "term", 7)
+	assert.Assert(t, strings.Contains(b.String(), `msg="failover: Promoted a new primary." group=g1 term=7`), b.String())
+}
--- /dev/null
+++ b/internal/proxy/core.go
@@ -0,0 +1,153 @@
+// Package proxy is the daemon of an entry VM. It runs the decision core in one
+// goroutine, carries out its actions, and gives the statement path a routing
+// snapshot, connection pools and confirmations.
+package proxy
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/systems/route"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+const (
+	// tickInterval is the time between ticks of the core.
+	tickInterval = 10 * time.Millisecond
+	// inboxSize bounds the events that wait for the core.
+	inboxSize = 4096
+	// eventsPerSnapshot bounds the events handled before a snapshot is published.
+	eventsPerSnapshot = 256
+)
+
+// system is one system of the decision core.
+type system interface {
+	Handle(now tables.Time, w *tables.World, ev event.Event) []action.Action
+	Tick(now tables.Time, w *tables.World) []action.Action
+}
+
+// core owns the world. Only its loop reads and changes it.
+type core struct {
+	world   *tables.World
+	systems []system
+	perform func(w *tables.World, a action.Action)
+	started time.Time
+
+	inbox    chan event.Event
+	requests chan func(*tables.World)
+	dropped  atomic.Uint64
+	snapshot atomic.Pointer[route.Snapshot]
+	changed  atomic.Pointer[chan struct{}]
+}
+
+func newCore(w *tables.World, systems []system, perform func(*tables.World, action.Action)) *core {
+	c := &core{
+		world:    w,
+		systems:  systems,
+		perform:  perform,
+		started:  time.Now(),
+		inbox:    make(chan event.Event, inboxSize),
+		requests: make(chan func(*tables.World)),
+	}
+	ch := make(chan struct{})
+	c.changed.Store(&ch)
+	c.snapshot.Store(route.Build(0, w, nil))
+	return c
+}
+
+// Now returns the monotonic time since the process started. It is never 0.
+func (c *core) Now() tables.Time { return tables.Time(time.Since(c.started)) + 1 }
+
+// Snapshot returns the newest routing snapshot.
+func (c *core) Snapshot() *route.Snapshot { return c.snapshot.Load() }
+
+// Changed returns a channel that is closed when a newer snapshot is published.
+func (c *core) Changed() <-chan struct{} { return *c.changed.Load() }
+
+// Report queues an event. A full inbox drops it: every event is an observation
+// that comes again or whose absence ends in a timeout.
+func (c *core) Report(ev event.Event) {
+	select {
+	case c.inbox <- ev:
+	default:
+		c.dropped.Add(1)
+	}
+}
+
+// inspect runs f in the loop, with the world at rest.
+func (c *core) inspect(ctx context.Context, f func(*tables.World)) error {
+	done := make(chan struct{})
+	request := func(w *tables.World) {
+		f(w)
+		close(done)
+	}
+	select {
+	case c.requests <- request:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-done
+	return nil
+}
+
+// run handles events and ticks until ctx ends.
+func (c *core) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.requests:
+			f(c.world)
+			continue
+		case ev := <-c.inbox:
+			c.handle(ev)
+			c.drain()
+		case <-ticker.C:
+			c.drain()
+			c.tick()
+		}
+		c.publish()
+	}
+}
+
+func (c *core) drain() {
+	for range eventsPerSnapshot {
+		select {
+		case ev := <-c.inbox:
+			c.handle(ev)
+		default:
+			return
+		}
+	}
+}
+
+func (c *core) handle(ev event.Event) {
+	for _, s := range c.systems {
+		c.performAll(s.Handle(c.Now(), c.world, ev))
+	}
+}
+
+func (c *core) tick() {
+	for _, s := range c.systems {
+		c.performAll(s.Tick(c.Now(), c.world))
+	}
+}
+
+func (c *core) performAll(actions []action.Action) {
+	for _, a := range actions {
+		c.perform(c.world, a)
+	}
+}
+
+// publish makes the snapshot of the present world visible and wakes all who wait.
+func (c *core) publish() {
+	c.snapshot.Store(route.Build(c.Now(), c.world, c.snapshot.Load()))
+	next := make(chan struct{})
+	old := c.changed.Swap(&next)
+	close(*old)
+}
