Add acknowledgement, detection and failover to the decision core

A proxy needs to tell a failed primary from a lost path or its own pause, to replace it under a term nobody else uses, and to acknowledge a write only when a majority holds it at the primary's term. Observations gain the age of the probe behind them, so that an answer from before the failure is no veto; without it the last answer of a slower observer would hold back a failover. Grants are kept in memory only: a restarted process with the same VM id must not use a term that its earlier self may have used.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -49,6 +49,8 @@
 	FailingMillis int64 `msgpack:"m"`
 	// Quorum says that the observer reaches a majority of the group, the upstream counted.
 	Quorum bool `msgpack:"q"`
+	// AgeMillis is how long ago the probe that ended with Cause was sent, in milliseconds.
+	AgeMillis int64 `msgpack:"e"`
 }
 
 // GroupState is a primary that a proxy learnt of.
--- /dev/null
+++ b/internal/systems/detect/publish.go
@@ -0,0 +1,110 @@
+package detect
+
+import (
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/peer"
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// publish tells the other proxies what this one sees of an upstream: at a
+// change, and for primaries also periodically.
+func (s *System) publish(now tables.Time, w *tables.World, id tables.UpstreamID) []action.Action {
+	u, _ := w.Upstreams.Get(id)
+	g, ok := w.Groups.Get(u.Group)
+	to := Peers(w)
+	if !ok || len(to) == 0 || !u.HasStatus && !u.Cause.Failing() {
+		return nil
+	}
+	p := s.probe(id)
+	quorum := hasQuorum(now, w, g, id)
+	if !s.due(now, p, u, quorum, g.Primary == id) {
+		return nil
+	}
+	p.published = true
+	p.publishedAt = now
+	p.publishedCause = u.Cause
+	p.publishedQuorum = quorum
+	s.probes.Put(id, p)
+	return []action.Action{action.Publish{To: to, Topic: peer.TopicObservation, Message: observation(now, w, u, quorum)}}
+}
+
+func (s *System) due(now tables.Time, p probe, u tables.Upstream, quorum, primary bool) bool {
+	if !p.published {
+		return true
+	}
+	since := now.Sub(p.publishedAt)
+	if p.publishedCause != u.Cause || p.publishedQuorum != quorum {
+		return since >= s.options.MinPublishInterval
+	}
+	return primary && since >= s.options.PublishInterval
+}
+
+// hasQuorum reports whether a majority of g is reached if the upstream under id is counted.
+func hasQuorum(now tables.Time, w *tables.World, g tables.Group, id tables.UpstreamID) bool {
+	return 1+CountReached(now, w, g, id) >= tables.Majority(len(g.Members))
+}
+
+func observation(now tables.Time, w *tables.World, u tables.Upstream, quorum bool) peer.Observation {
+	o := peer.Observation{From: w.Self, DataCentre: w.DataCentre, Upstream: u.ID, Cause: u.Cause, Quorum: quorum}
+	if u.Cause.Failing() {
+		o.FailingMillis = now.Sub(u.FailingSince).Milliseconds()
+		return o
+	}
+	o.AgeMillis = ceilMillis(now.Sub(u.StatusSentAt))
+	return o
+}
+
+func ceilMillis(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
+}
+
+func store(now tables.Time, w *tables.World, m peer.Observation) {
+	if m.From == w.Self {
+		return
+	}
+	w.Observations.Put(tables.NewObservationKey(m.From, m.Upstream), tables.Observation{
+		From:       m.From,
+		DataCentre: m.DataCentre,
+		Upstream:   m.Upstream,
+		Cause:      m.Cause,
+		FailingFor: time.Duration(m.FailingMillis) * time.Millisecond,
+		Quorum:     m.Quorum,
+		Age:        time.Duration(m.AgeMillis) * time.Millisecond,
+		ReceivedAt: now,
+	})
+}
+
+// publishGroups repeats the known primaries, so that a proxy that just started
+// or lost a message learns of them.
+func (s *System) publishGroups(now tables.Time, w *tables.World) []action.Action {
+	to := Peers(w)
+	if len(to) == 0 || now < s.groupAt {
+		return nil
+	}
+	s.groupAt = now.Add(s.options.PublishInterval + s.jitter(s.options.PublishInterval))
+	var out []action.Action
+	for id, g := range w.Groups.All() {
+		if g.Primary != "" {
+			m := peer.GroupState{Group: id, Term: g.Term, Primary: g.Primary}
+			out = append(out, action.Publish{To: to, Topic: peer.TopicGroup, Message: m})
+		}
+	}
+	return out
+}
+
+func (s *System) jitter(d time.Duration) time.Duration {
+	return time.Duration(s.random.Int64N(int64(d) + 1))
+}
+
+// Peers returns the other VMs.
+func Peers(w *tables.World) []tables.VMID {
+	var out []tables.VMID
+	for id := range w.VMs.All() {
+		if id != w.Self {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/systems/failover/system.go
@@ -0,0 +1,141 @@
+package failover
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/systems/detect"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// System replaces primaries. It is not safe for concurrent use.
+type System struct {
+	options Options
+	random  *rand.Rand
+	groups  *tables.Table[tables.GroupID, state]
+	repairs *tables.Table[tables.UpstreamID, repair]
+}
+
+// state is what the system keeps of one group.
+type state struct {
+	trigger   Trigger
+	triggerAt tables.Time
+	// ownTerm is the term of this process's last attempt.
+	ownTerm tables.Term
+	// contended is the highest term of another coordinator that was seen, first at contendedAt.
+	contended   tables.Term
+	contendedAt tables.Time
+	plannedAt   tables.Time
+	resendAt    tables.Time
+	upkeep      upkeep
+}
+
+// New returns a system that draws its jitter and transaction ids from random.
+func New(options Options, random *rand.Rand) *System {
+	return &System{
+		options: options,
+		random:  random,
+		groups:  tables.NewTable[tables.GroupID, state](),
+		repairs: tables.NewTable[tables.UpstreamID, repair](),
+	}
+}
+
+// Handle takes one event.
+func (s *System) Handle(now tables.Time, w *tables.World, ev event.Event) []action.Action {
+	switch e := ev.(type) {
+	case event.ControlDone:
+		return s.controlDone(now, w, e)
+	case event.GroupRowRead:
+		return s.rowRead(now, w, e)
+	case event.GroupRowWritten:
+		s.rowWritten(now, e)
+	}
+	return nil
+}
+
+// Tick decides, advances the attempts under way and does the repairs that are due.
+func (s *System) Tick(now tables.Time, w *tables.World) []action.Action {
+	var out []action.Action
+	for _, id := range w.Groups.Keys() {
+		out = append(out, s.tickGroup(now, w, id)...)
+	}
+	return out
+}
+
+func (s *System) tickGroup(now tables.Time, w *tables.World, id tables.GroupID) []action.Action {
+	g, _ := w.Groups.Get(id)
+	rank := slices.Index(s.options.Candidates(w, id), w.Self)
+	out := s.advance(now, w, g)
+	if rank < 0 {
+		return out
+	}
+	s.watch(now, w, g)
+	if _, busy := w.Coordinations.Get(id); !busy {
+		out = append(out, s.consider(now, w, g, rank)...)
+		out = append(out, s.repair(now, w, g, rank)...)
+	}
+	return append(out, s.maintainRow(now, w, g)...)
+}
+
+// watch keeps since when the present trigger and another coordinator's term are seen.
+func (s *System) watch(now tables.Time, w *tables.World, g tables.Group) {
+	st := s.state(g.ID)
+	if t := diagnose(now, w, g); t != st.trigger {
+		st.trigger = t
+		st.triggerAt = now
+	}
+	high := highestFenced(w, g)
+	if high > g.Term && high > st.contended && high != st.ownTerm {
+		st.contended = high
+		st.contendedAt = now
+	}
+	s.groups.Put(g.ID, st)
+}
+
+// consider starts an attempt if the evidence asks for one and a grant is at hand.
+func (s *System) consider(now tables.Time, w *tables.World, g tables.Group, rank int) []action.Action {
+	st := s.state(g.ID)
+	if w.Leaving || !Decide(s.evidence(now, w, g, rank), s.options) {
+		return nil
+	}
+	if st.trigger == TriggerPlanned && st.plannedAt > 0 && now.Sub(st.plannedAt) < s.options.PlannedInterval {
+		return nil
+	}
+	term, ok := st.upkeep.takeGrant(highestFenced(w, g))
+	if !ok {
+		return nil
+	}
+	st.ownTerm = term
+	if st.trigger == TriggerPlanned {
+		st.plannedAt = now
+	}
+	s.groups.Put(g.ID, st)
+	return s.start(now, w, g, term, st.trigger.planned())
+}
+
+func (s *System) evidence(now tables.Time, w *tables.World, g tables.Group, rank int) Evidence {
+	st := s.state(g.ID)
+	e := Evidence{
+		Rank:         rank,
+		Trigger:      st.trigger,
+		For:          now.Sub(st.triggerAt),
+		Members:      len(g.Members),
+		Contended:    st.contended > g.Term,
+		ContendedFor: now.Sub(st.contendedAt),
+	}
+	except := tables.UpstreamID("")
+	if p, ok := w.Upstreams.Get(g.Primary); ok && st.trigger.failing() {
+		except = g.Primary
+		e.For = now.Sub(p.FailingSince)
+		countObservers(now, w, p, s.options, &e)
+	}
+	e.Reached = detect.CountReached(now, w, g, except)
+	return e
+}
+
+func (s *System) state(id tables.GroupID) state {
+	st, _ := s.groups.Get(id)
+	return st
+}
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -100,6 +100,11 @@
 	return [...]string{"answered", "refused", "reset", "silent", "slow", "path lost"}[c]
 }
 
+// Failing reports whether c means that the upstream could not be reached.
+func (c Cause) Failing() bool {
+	return c == CauseRefused || c == CauseReset || c == CauseSilent
+}
+
 // VM is an entry VM as this process knows it.
 type VM struct {
 	// ID names the VM.
--- a/internal/tables/world.go
+++ b/internal/tables/world.go
@@ -24,6 +24,8 @@
 	FailingFor time.Duration
 	// Quorum says that the observer reaches a majority of the group, the upstream counted.
 	Quorum bool
+	// Age is how long before publishing the probe that ended with Cause was sent.
+	Age time.Duration
 	// ReceivedAt is this process's time of arrival.
 	ReceivedAt Time
 }
