Serve a request end to end: two proxies before one group of three servers

Membership and configuration spread are interim: each proxy polls the head and is its groups' only candidate.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -145,6 +145,9 @@
 	}
 }
 
+// Close stops listening.
+func (s *Server) Close() { _ = s.listener.Close() }
+
 func (s *Server) cancel(pid uint32, secret []byte) {
 	v, ok := s.sessions.Load(pid)
 	if !ok {
--- /dev/null
+++ b/internal/proxy/admin.go
@@ -0,0 +1,99 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/statusapi"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/systems/route"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const adminTimeout = 5 * time.Second
+
+// adminHandler serves metrics, health and status.
+func (p *Proxy) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.ready.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET "+statusapi.Path, statusapi.Handler(p.status))
+	return mux
+}
+
+// status returns the process's account of itself.
+func (p *Proxy) status() statusapi.Status {
+	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
+	defer cancel()
+	s := statusapi.Status{VM: p.settings.VM, DataCentre: p.settings.DataCentre, Ready: p.ready.Load()}
+	_ = p.core.inspect(ctx, func(w *tables.World) {
+		now := p.core.Now()
+		s.ConfigVersion = w.ConfigVersion
+		for _, g := range w.Groups.All() {
+			s.Groups = append(s.Groups, groupStatus(now, w, p.core.Snapshot(), g))
+		}
+		for _, vm := range w.VMs.All() {
+			if vm.ID != w.Self {
+				s.Peers = append(s.Peers, peerStatus(now, vm))
+			}
+		}
+	})
+	return s
+}
+
+func groupStatus(now tables.Time, w *tables.World, snap *route.Snapshot, g tables.Group) statusapi.Group {
+	out := statusapi.Group{Group: g.ID, Term: g.Term, Primary: g.Primary}
+	for _, id := range g.Members {
+		u, ok := w.Upstreams.Get(id)
+		if !ok {
+			continue
+		}
+		out.Upstreams = append(out.Upstreams, statusapi.Upstream{
+			Upstream:  id,
+			Position:  u.Status.Last,
+			LagMillis: lagMillis(now, snap, g.ID, u),
+			Cause:     u.Cause.String(),
+			Leaving:   u.Leaving,
+		})
+	}
+	return out
+}
+
+// lagMillis bounds the age of u's data by the newest confirmed point that u has
+// reached; -1 means that there is none.
+func lagMillis(now tables.Time, snap *route.Snapshot, group tables.GroupID, u tables.Upstream) int64 {
+	g, ok := snap.Group(group)
+	if !ok || !u.HasStatus {
+		return -1
+	}
+	for _, point := range g.Points {
+		if u.Status.Last.AtLeast(point.Position) {
+			return now.Sub(point.SentAt).Milliseconds()
+		}
+	}
+	return -1
+}
+
+func peerStatus(now tables.Time, vm tables.VM) statusapi.Peer {
+	p := statusapi.Peer{VM: vm.ID, DataCentre: vm.DataCentre, ConfigVersion: vm.ConfigVersion, HeardMillis: -1, Leaving: vm.Leaving}
+	if vm.LastHeard > 0 {
+		p.HeardMillis = now.Sub(vm.LastHeard).Milliseconds()
+	}
+	return p
+}
+
+// Report implements exec.Core.
+func (p *Proxy) Report(ev event.Event) { p.core.Report(ev) }
+
+// Snapshot implements exec.Core.
+func (p *Proxy) Snapshot() *route.Snapshot { return p.core.Snapshot() }
+
+// Changed implements exec.Core.
+func (p *Proxy) Changed() <-chan struct{} { return p.core.Changed() }
--- /dev/null
+++ b/internal/proxy/performer.go
@@ -0,0 +1,249 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/group"
+	"github.com/cranberrystage/cranberrystage/internal/peer"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+)
+
+const (
+	// controlTimeout bounds a fence, promotion or instruction to follow.
+	controlTimeout = time.Second
+	// platformTimeout bounds a request to the platform, its retries included.
+	platformTimeout = 3 * time.Second
+	// groupRowPrefix is followed by a group's name.
+	groupRowPrefix = "group/"
+)
+
+// performer carries out the core's actions without blocking the core.
+type performer struct {
+	ctx       context.Context
+	core      *core
+	upstreams *upstreams
+	bus       peer.Bus
+	tables    platform.Tables
+	objects   platform.Objects
+	vms       platform.VMs
+	probe     time.Duration
+	log       *slog.Logger
+	applied   func(version uint64, doc config.Document)
+
+	// document is the encoded configuration in force; it belongs to the core's loop.
+	document []byte
+}
+
+// perform starts a. It is called from the core's loop.
+func (p *performer) perform(w *tables.World, a action.Action) {
+	switch a := a.(type) {
+	case action.Probe:
+		go p.doProbe(a)
+	case action.Fence:
+		go p.control(a.Group, a.Upstream, a.Term, tables.StepFence, func(ctx context.Context, s group.Server) (tables.Status, error) {
+			return s.Fence(ctx, a.Term)
+		})
+	case action.Promote:
+		go p.control(a.Group, a.Upstream, a.Term, tables.StepPromote, func(ctx context.Context, s group.Server) (tables.Status, error) {
+			return s.Promote(ctx, a.Term)
+		})
+	case action.Follow:
+		p.follow(w, a)
+	case action.Publish:
+		p.publish(w, a)
+	case action.ReadGroupRow:
+		go p.readGroupRow(a)
+	case action.WriteGroupRow:
+		go p.writeGroupRow(a)
+	case action.ListVMs:
+		go p.listVMs()
+	case action.ReadHead:
+		go p.readHead()
+	case action.LoadDocument:
+		go p.loadDocument(a)
+	case action.SendDocument:
+		p.sendDocument(w, a)
+	case action.ApplyDocument:
+		p.applyDocument(a)
+	case action.CloseConnections:
+		p.closeConnections(a)
+	}
+}
+
+func (p *performer) doProbe(a action.Probe) {
+	ctx, cancel := context.WithTimeout(p.ctx, p.probe)
+	defer cancel()
+	sentAt := p.core.Now()
+	st, cause := p.upstreams.probe(ctx, a.Upstream, a.Fresh)
+	p.core.Report(event.ProbeDone{Upstream: a.Upstream, SentAt: sentAt, Status: st, Cause: cause, Fresh: a.Fresh})
+}
+
+func (p *performer) control(g tables.GroupID, u tables.UpstreamID, term tables.Term, step tables.Step,
+	call func(context.Context, group.Server) (tables.Status, error)) {
+	done := event.ControlDone{Group: g, Upstream: u, Term: term, Step: step, Outcome: event.OutcomeFailed}
+	if r, ok := p.upstreams.get(u); ok {
+		ctx, cancel := context.WithTimeout(p.ctx, controlTimeout)
+		defer cancel()
+		st, err := call(ctx, r.control)
+		done.Status = st
+		done.Outcome = controlOutcome(err)
+		p.log.Info("Asked a server for a change of term.", "group", g, "upstream", u, "term", term, "step", step, "outcome", done.Outcome, "error", err)
+	}
+	p.core.Report(done)
+}
+
+// controlOutcome maps a control call's error. A call without an answer may have
+// taken effect.
+func controlOutcome(err error) event.Outcome {
+	switch {
+	case err == nil:
+		return event.OutcomeOK
+	case errors.Is(err, group.ErrFenced):
+		return event.OutcomeFenced
+	default:
+		return event.OutcomeUnknown
+	}
+}
+
+func (p *performer) follow(w *tables.World, a action.Follow) {
+	primary, ok := w.Upstreams.Get(a.Primary)
+	if !ok {
+		return
+	}
+	go p.control(a.Group, a.Upstream, a.Term, tables.StepFollow, func(ctx context.Context, s group.Server) (tables.Status, error) {
+		return s.Follow(ctx, a.Primary, primary.Address, a.Term)
+	})
+}
+
+func (p *performer) publish(w *tables.World, a action.Publish) {
+	for _, id := range a.To {
+		if vm, ok := w.VMs.Get(id); ok && vm.PeerAddress != "" {
+			p.bus.Send(vm.PeerAddress, a.Topic, a.Message)
+		}
+	}
+}
+
+func (p *performer) platformContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(p.ctx, platformTimeout)
+}
+
+// platformOutcome maps an error of the platform.
+func platformOutcome(err error) event.Outcome {
+	switch {
+	case err == nil:
+		return event.OutcomeOK
+	case errors.Is(err, platform.ErrNotFound):
+		return event.OutcomeNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return event.OutcomeConflict
+	case errors.Is(err, platform.ErrUnavailable):
+		return event.OutcomeFailed
+	default:
+		return event.OutcomeUnknown
+	}
+}
+
+func (p *performer) readGroupRow(a action.ReadGroupRow) {
+	ctx, cancel := p.platformContext()
+	defer cancel()
+	done := event.GroupRowRead{Group: a.Group}
+	row, err := p.tables.Get(ctx, groupRowPrefix+string(a.Group))
+	if err == nil {
+		err = json.Unmarshal(row.Value, &done.Row)
+		done.Version = row.Version
+	}
+	done.Outcome = readOutcome(err)
+	p.core.Report(done)
+}
+
+// readOutcome maps an error of a read, which never has an effect.
+func readOutcome(err error) event.Outcome {
+	o := platformOutcome(err)
+	if o == event.OutcomeUnknown || o == event.OutcomeConflict {
+		return event.OutcomeFailed
+	}
+	return o
+}
+
+func (p *performer) writeGroupRow(a action.WriteGroupRow) {
+	ctx, cancel := p.platformContext()
+	defer cancel()
+	key := groupRowPrefix + string(a.Group)
+	value, err := json.Marshal(a.Row)
+	if err == nil {
+		err = p.tables.Commit(ctx, platform.Txn{
+			ID:         a.TxnID,
+			Conditions: []platform.Condition{{Key: key, Version: a.Version}},
+			Writes:     []platform.Write{{Key: key, Value: value}},
+		})
+	}
+	p.core.Report(event.GroupRowWritten{Group: a.Group, TxnID: a.TxnID, Outcome: platformOutcome(err)})
+}
+
+func (p *performer) listVMs() {
+	ctx, cancel := p.platformContext()
+	defer cancel()
+	list, err := p.vms.ListVMs(ctx)
+	p.core.Report(event.VMsListed{Outcome: readOutcome(err), VMs: list})
+}
+
+func (p *performer) readHead() {
+	ctx, cancel := p.platformContext()
+	defer cancel()
+	done := event.HeadRead{}
+	row, err := p.tables.Get(ctx, config.HeadKey)
+	if err == nil {
+		err = json.Unmarshal(row.Value, &done.Head)
+	}
+	done.Outcome = readOutcome(err)
+	p.core.Report(done)
+}
+
+func (p *performer) loadDocument(a action.LoadDocument) {
+	ctx, cancel := p.platformContext()
+	defer cancel()
+	done := event.DocumentLoaded{Version: a.Version}
+	body, err := p.objects.Get(ctx, config.ObjectPrefix+a.Hash)
+	if err == nil {
+		done.Document, err = config.Decode(body)
+	}
+	if err != nil {
+		p.log.Warn("Could not load a configuration document.", "version", a.Version, "error", err)
+	}
+	done.Outcome = readOutcome(err)
+	p.core.Report(done)
+}
+
+func (p *performer) sendDocument(w *tables.World, a action.SendDocument) {
+	vm, ok := w.VMs.Get(a.To)
+	if !ok || w.ConfigVersion == 0 {
+		return
+	}
+	p.bus.Send(vm.PeerAddress, peer.TopicConfig, peer.Config{Version: w.ConfigVersion, Document: p.document})
+}
+
+func (p *performer) applyDocument(a action.ApplyDocument) {
+	body, _, err := a.Document.Encode()
+	if err != nil {
+		p.log.Error("Could not encode the configuration.", "version", a.Version, "error", err)
+		return
+	}
+	p.document = body
+	p.upstreams.apply(a.Document)
+	p.applied(a.Version, a.Document)
+	p.log.Info("Put a configuration in force.", "version", a.Version)
+}
+
+func (p *performer) closeConnections(a action.CloseConnections) {
+	if r, ok := p.upstreams.get(a.Upstream); ok {
+		r.pool.CloseIdle(a.BelowTerm)
+	}
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,225 @@
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/callers"
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/exec"
+	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/settings"
+	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
+	"github.com/cranberrystage/cranberrystage/internal/systems/detect"
+	"github.com/cranberrystage/cranberrystage/internal/systems/failover"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/cranberrystage/cranberrystage/internal/upstream"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+)
+
+// Platform is what the process needs of the platform.
+type Platform struct {
+	// Tables is the table service.
+	Tables platform.Tables
+	// Objects is the object store.
+	Objects platform.Objects
+	// VMs is the VM list.
+	VMs platform.VMs
+}
+
+// Proxy is the daemon of an entry VM.
+type Proxy struct {
+	settings   settings.Proxy
+	log        *slog.Logger
+	registry   *prometheus.Registry
+	metrics    *metrics.Metrics
+	core       *core
+	upstreams  *upstreams
+	confirmers *confirmers
+	performer  *performer
+	exec       *exec.Executor
+	load       exec.Load
+	callers    []*callers.Server
+	admin      net.Listener
+	ready      atomic.Bool
+	leaving    atomic.Bool
+	cancel     context.CancelFunc
+}
+
+var _ exec.Core = (*Proxy)(nil)
+
+// New binds all addresses and returns a proxy that serves once Run is called.
+func New(s settings.Proxy, pl Platform, log *slog.Logger) (*Proxy, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Proxy{settings: s, log: log, registry: prometheus.NewRegistry(), cancel: cancel}
+	p.metrics = metrics.New(p.registry)
+	p.upstreams = newUpstreams(s.Upstreams, s.VM, s.DataCentre)
+	p.performer = &performer{
+		ctx: ctx, upstreams: p.upstreams, bus: nil,
+		tables: pl.Tables, objects: pl.Objects, vms: pl.VMs,
+		probe: time.Duration(s.Timeouts.Probe),
+		log:   logging.For(log, "control"), applied: p.applied,
+	}
+	world := tables.NewWorld(s.VM, s.DataCentre, s.PeerAddress)
+	p.core = newCore(world, p.systems(), p.performer.perform)
+	p.performer.core = p.core
+	p.confirmers = &confirmers{ctx: ctx, core: p.core, upstreams: p.upstreams}
+	p.exec = exec.New(p, p.metrics)
+	if err := p.listen(); err != nil {
+		p.closeListeners()
+		cancel()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Proxy) systems() []system {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return []system{
+		&pollHead{},
+		detect.New(detect.DefaultOptions(selfOnly), random),
+		failover.New(failover.DefaultOptions(selfOnly), random),
+	}
+}
+
+func (p *Proxy) listen() error {
+	opts := callers.Options{
+		MaxCallers:     p.settings.Callers.MaxCallers,
+		MaxFrame:       p.settings.Callers.MaxFrameBytes,
+		StartupTimeout: time.Duration(p.settings.Timeouts.Handshake),
+	}
+	if f := p.settings.Callers.CertificateFile; f != "" {
+		cert, err := tls.LoadX509KeyPair(f, p.settings.Callers.KeyFile)
+		if err != nil {
+			return errors.Wrap(err, "load the certificate")
+		}
+		opts.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	}
+	for _, address := range p.settings.Callers.Addresses {
+		s, err := callers.New(address, p.exec, opts, logging.For(p.log, "callers"))
+		if err != nil {
+			return err
+		}
+		p.callers = append(p.callers, s)
+	}
+	l, err := net.Listen("tcp", p.settings.AdminAddress)
+	p.admin = l
+	return errors.Wrap(err, "listen for operators")
+}
+
+func (p *Proxy) closeListeners() {
+	for _, s := range p.callers {
+		s.Close()
+	}
+	if p.admin != nil {
+		_ = p.admin.Close()
+	}
+}
+
+// applied puts a configuration in force on the statement path.
+func (p *Proxy) applied(version uint64, doc config.Document) {
+	p.exec.SetDocument(doc)
+	p.metrics.SetConfigVersion(version)
+	for _, g := range doc.Groups {
+		for _, u := range g.Upstreams {
+			p.upstreams.limit(u.ID, max(1, u.Connections/defaultProxies-controlConnections))
+		}
+	}
+	p.ready.Store(true)
+}
+
+const (
+	// defaultProxies is how many proxies share an upstream until others are heard.
+	defaultProxies = 5
+	// controlConnections are kept free of pooled connections, per upstream.
+	controlConnections = 2
+)
+
+// Run serves until ctx ends, then shuts down: the proxy stops being ready,
+// takes no new callers, finishes what is in flight and closes idle callers.
+func (p *Proxy) Run(ctx context.Context) error {
+	defer p.cancel()
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, inner := errgroup.WithContext(inner)
+	g.Go(func() error {
+		p.core.run(inner)
+		return nil
+	})
+	g.Go(func() error { return p.serveAdmin(inner) })
+	for _, s := range p.callers {
+		g.Go(func() error { return s.Run(inner) })
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			p.shutdown()
+		case <-inner.Done():
+		}
+		stop()
+		return nil
+	})
+	p.log.Info("proxy: Serving.", "vm", p.settings.VM, "dataCentre", p.settings.DataCentre)
+	err := g.Wait()
+	p.upstreams.closeAll()
+	p.log.Info("proxy: Stopped.")
+	return err
+}
+
+func (p *Proxy) shutdown() {
+	p.log.Info("proxy: Shutting down.")
+	p.ready.Store(false)
+	p.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.settings.ShutdownGrace))
+	defer cancel()
+	var g errgroup.Group
+	for _, s := range p.callers {
+		g.Go(func() error { return s.Shutdown(ctx) })
+	}
+	if err := g.Wait(); err != nil {
+		p.log.Warn("proxy: Cut callers off at the end of the grace time.", "error", err)
+	}
+}
+
+func (p *Proxy) serveAdmin(ctx context.Context) error {
+	srv := &http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: adminTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(p.admin); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve operators")
+	}
+	return nil
+}
+
+// Now implements exec.Core.
+func (p *Proxy) Now() tables.Time { return p.core.Now() }
+
+// Confirm implements exec.Core.
+func (p *Proxy) Confirm(g tables.GroupID) { p.confirmers.get(g).point() }
+
+// Acknowledge implements exec.Core.
+func (p *Proxy) Acknowledge(ctx context.Context, g tables.GroupID, c ack.Commit) (ack.Outcome, error) {
+	return p.confirmers.get(g).acknowledge(ctx, c)
+}
+
+// Pool implements exec.Core.
+func (p *Proxy) Pool(u tables.UpstreamID) (*upstream.Pool, bool) {
+	r, ok := p.upstreams.get(u)
+	if !ok {
+		return nil, false
+	}
+	return r.pool, true
+}
+
+// Load implements exec.Core.
+func (p *Proxy) Load() *exec.Load { return &p.load }
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -145,4 +145,3 @@
 	}
 	return tables.CauseReset
 }
-
