--- /dev/null
+++ b/internal/declare/declare.go
@@ -0,0 +1,125 @@
+// Package declare reads directories of declaration files, JSON with comments,
+// and merges them into one configuration document. Each file may hold any of
+// the sections; the arrangement of files doesn't change the document.
+package declare
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/jsonc"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// Extension is the file name extension of declaration files.
+const Extension = ".jsonc"
+
+// sections is the content of one declaration file.
+type sections struct {
+	Services         []config.Service    `json:"services"`
+	Groups           []config.Group      `json:"groups"`
+	Users            []config.User       `json:"users"`
+	Operators        []config.Operator   `json:"operators"`
+	LeavingVMs       []tables.VMID       `json:"leavingVMs"`
+	LeavingUpstreams []tables.UpstreamID `json:"leavingUpstreams"`
+}
+
+// file is one declaration file with the places of its values.
+type file struct {
+	sections
+	source *jsonc.Source
+}
+
+// Load reads every file named *.jsonc that stands directly in one of dirs,
+// checks them together and returns the merged document. The error is
+// jsonc.Problems with everything that is wrong.
+func Load(dirs ...string) (config.Document, error) {
+	files, problems := readDirs(dirs)
+	if len(problems) == 0 {
+		problems = validate(files)
+	}
+	if err := problems.Err(); err != nil {
+		return config.Document{}, err
+	}
+	return merge(files), nil
+}
+
+func readDirs(dirs []string) ([]file, jsonc.Problems) {
+	var files []file
+	var problems jsonc.Problems
+	for _, dir := range dirs {
+		paths, ps := list(dir)
+		problems = append(problems, ps...)
+		for _, path := range paths {
+			var f file
+			f.source, ps = jsonc.ReadFile(path, &f.sections)
+			problems = append(problems, ps...)
+			files = append(files, f)
+		}
+	}
+	return files, problems
+}
+
+// list returns the declaration files of dir in name order.
+func list(dir string) ([]string, jsonc.Problems) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, jsonc.Problems{{File: dir, Message: err.Error()}}
+	}
+	var paths []string
+	for _, e := range entries {
+		if !e.IsDir() && filepath.Ext(e.Name()) == Extension {
+			paths = append(paths, filepath.Join(dir, e.Name()))
+		}
+	}
+	if len(paths) == 0 {
+		return nil, jsonc.Problems{{File: dir, Message: "no " + Extension + " file in this directory"}}
+	}
+	return paths, nil
+}
+
+func merge(files []file) config.Document {
+	var doc config.Document
+	var leaving []tables.UpstreamID
+	for _, f := range files {
+		doc.Services = append(doc.Services, f.Services...)
+		doc.Groups = append(doc.Groups, f.Groups...)
+		doc.Users = append(doc.Users, f.Users...)
+		doc.Operators = append(doc.Operators, f.Operators...)
+		doc.LeavingVMs = append(doc.LeavingVMs, f.LeavingVMs...)
+		leaving = append(leaving, f.LeavingUpstreams...)
+	}
+	markLeaving(doc.Groups, leaving)
+	sortDocument(&doc)
+	return doc
+}
+
+func markLeaving(groups []config.Group, leaving []tables.UpstreamID) {
+	for g := range groups {
+		for u := range groups[g].Upstreams {
+			up := &groups[g].Upstreams[u]
+			up.Leaving = up.Leaving || slices.Contains(leaving, up.ID)
+		}
+	}
+}
+
+// sortDocument gives equal declarations equal content hashes.
+func sortDocument(doc *config.Document) {
+	slices.SortFunc(doc.Services, func(a, b config.Service) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(doc.Groups, func(a, b config.Group) int { return compare(a.ID, b.ID) })
+	slices.SortFunc(doc.Users, func(a, b config.User) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(doc.Operators, func(a, b config.Operator) int { return compare(a.Name, b.Name) })
+	slices.Sort(doc.LeavingVMs)
+	for _, g := range doc.Groups {
+		slices.SortFunc(g.Upstreams, func(a, b config.Upstream) int { return compare(a.ID, b.ID) })
+	}
+	for _, s := range doc.Services {
+		slices.SortFunc(s.Intents, func(a, b config.Intent) int { return compare(a.Name, b.Name) })
+		slices.SortFunc(s.Objectives, func(a, b config.Objective) int { return compare(a.Promise, b.Promise) })
+	}
+}
+
+func compare[S ~string](a, b S) int { return strings.Compare(string(a), string(b)) }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/jsonc"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+const minimal = `{
+  "vm": "vm-1",
+  "dataCentre": "ub-east",
+  "callers": {"addresses": ["127.0.0.1:6432"]},
+  "peerAddress": "127.0.0.1:6501",
+  "adminAddress": "127.0.0.1:6601",
+  "platform": {"url": "http://127.0.0.1:6700"},
+  "objects": {"endpoint": "127.0.0.1:6701", "accessKey": "demo", "secretKey": "demo-secret"},
+  "upstreams": {"control": {"user": "control"}, "pool": {"user": "pool", "password": "p"}},
+}`
+
+func load(t *testing.T, text string) (Proxy, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "proxy.jsonc")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return Load(path)
+}
+
+func TestDefaultsFillOptionalFields(t *testing.T) {
+	p, err := load(t, minimal)
+	assert.NilError(t, err)
+	assert.Equal(t, p.Callers.MaxCallers, DefaultMaxCallers)
+	assert.Equal(t, time.Duration(p.Timeouts.Probe), DefaultProbeTimeout)
+	assert.Equal(t, p.Objects.Bucket, DefaultBucket)
+}
+
+func TestEveryProblemIsReported(t *testing.T) {
+	text := strings.NewReplacer(
+		`"vm": "vm-1",`, ``,
+		`127.0.0.1:6432`, `localhost:6432`,
+		`"http://127.0.0.1:6700"`, `"127.0.0.1", "timeout": "0s"`,
+		`"secretKey": "demo-secret"`, `"secretKey": ""`,
+		`{"user": "control"}`, `{}`,
+	).Replace(minimal)
+	_, err := load(t, text)
+	var problems jsonc.Problems
+	assert.Assert(t, errors.As(err, &problems))
+	var fields []string
+	for _, p := range problems {
+		fields = append(fields, p.Field)
+	}
+	assert.DeepEqual(t, fields, []string{
+		"vm", "callers.addresses[0]", "platform.url", "platform.timeout", "objects.secretKey", "upstreams.control.user",
+	})
+}
+
+func TestUnknownFieldNamesLine(t *testing.T) {
+	_, err := load(t, strings.Replace(minimal, `"peerAddress"`, `"peerAdress"`, 1))
+	assert.ErrorContains(t, err, "proxy.jsonc:5:3: peerAdress: unknown field")
+}
+
+func TestSecretsStayOutOfText(t *testing.T) {
+	assert.Equal(t, Secret("x").String(), "(hidden)")
+	assert.Equal(t, Secret("x").LogValue().String(), "(hidden)")
+}
+
+// TestDocumentNamesEveryField compares docs/SETTINGS.md with the struct.
+func TestDocumentNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	assert.NilError(t, err)
+	for _, field := range fieldPaths(reflect.TypeFor[Proxy](), "") {
+		assert.Assert(t, strings.Contains(string(page), "| `"+field+"` |"), "docs/SETTINGS.md lacks %s", field)
+	}
+}
+
+func fieldPaths(typ reflect.Type, prefix string) []string {
+	var paths []string
+	for i := range typ.NumField() {
+		f := typ.Field(i)
+		path := prefix + f.Tag.Get("json")
+		if f.Type.Kind() == reflect.Struct {
+			paths = append(paths, fieldPaths(f.Type, path+".")...)
+			continue
+		}
+		paths = append(paths, path)
+	}
+	return paths
+}
