Add plans: what changes, what it costs, and the idempotent confirm

A stored plan is base version and document hash only, so that equal plans are equal objects named by their content hash; costs change with the state observed and are shown, not stored. The history row decides what a confirm with a lost answer did, since the head row may have moved on.

config.Head gains the operator's signature; statusapi gains open connections and callers, which the cost estimate sums up. Ruled out: a lock row around the confirm, which an operator's crash would leave behind.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -160,6 +160,8 @@
 	Operator string `json:"operator"`
 	// ConfirmedAt is the confirming machine's wall time, for people only.
 	ConfirmedAt time.Time `json:"confirmedAt"`
+	// Signature is the operator's base64 Ed25519 signature of the confirm.
+	Signature string `json:"signature,omitempty"`
 }
 
 // Encode returns the canonical JSON of d and its hex SHA-256.
--- /dev/null
+++ b/internal/plan/state.go
@@ -0,0 +1,136 @@
+package plan
+
+import (
+	"slices"
+
+	"github.com/cranberrystage/cranberrystage/internal/statusapi"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// State is what was observed of the proxies when a plan was made.
+type State struct {
+	// Proxies is the number of proxies that answered.
+	Proxies int
+	// DataCentres is the number of data centres that they run in.
+	DataCentres int
+	// Primaries are the known primaries.
+	Primaries []Primary
+	// Connections are the open pooled connections, summed over all proxies.
+	Connections []UpstreamConnections
+	// Callers are the open caller connections, summed over all proxies.
+	Callers []ServiceCallers
+}
+
+// Primary is the primary of a group.
+type Primary struct {
+	// Group names the group.
+	Group tables.GroupID
+	// Term is the term under which Upstream stands.
+	Term tables.Term
+	// Upstream is the primary.
+	Upstream tables.UpstreamID
+}
+
+// UpstreamConnections counts the open connections to one upstream.
+type UpstreamConnections struct {
+	// Upstream names the server.
+	Upstream tables.UpstreamID
+	// Open is the number of connections.
+	Open int
+}
+
+// ServiceCallers counts the caller connections of one service.
+type ServiceCallers struct {
+	// Service names the service.
+	Service tables.ServiceID
+	// Open is the number of connections.
+	Open int
+}
+
+// Observe sums up the accounts of several proxies. Of a group's primary the
+// highest term counts.
+func Observe(statuses []statusapi.Status) State {
+	s := State{Proxies: len(statuses)}
+	var centres []tables.DataCentreID
+	for _, st := range statuses {
+		if !slices.Contains(centres, st.DataCentre) {
+			centres = append(centres, st.DataCentre)
+		}
+		for _, g := range st.Groups {
+			s.addGroup(g)
+		}
+		for _, c := range st.Callers {
+			s.addCallers(c)
+		}
+	}
+	s.DataCentres = len(centres)
+	return s
+}
+
+func (s *State) addGroup(g statusapi.Group) {
+	s.addPrimary(Primary{Group: g.Group, Term: g.Term, Upstream: g.Primary})
+	for _, u := range g.Upstreams {
+		s.addConnections(u.Upstream, u.Connections)
+	}
+}
+
+func (s *State) addPrimary(p Primary) {
+	if p.Upstream == "" {
+		return
+	}
+	i := slices.IndexFunc(s.Primaries, func(q Primary) bool { return q.Group == p.Group })
+	if i < 0 {
+		s.Primaries = append(s.Primaries, p)
+		return
+	}
+	if p.Term > s.Primaries[i].Term {
+		s.Primaries[i] = p
+	}
+}
+
+func (s *State) addConnections(upstream tables.UpstreamID, n int) {
+	i := slices.IndexFunc(s.Connections, func(c UpstreamConnections) bool { return c.Upstream == upstream })
+	if i < 0 {
+		s.Connections = append(s.Connections, UpstreamConnections{Upstream: upstream, Open: n})
+		return
+	}
+	s.Connections[i].Open += n
+}
+
+func (s *State) addCallers(c statusapi.ServiceCallers) {
+	i := slices.IndexFunc(s.Callers, func(sc ServiceCallers) bool { return sc.Service == c.Service })
+	if i < 0 {
+		s.Callers = append(s.Callers, ServiceCallers{Service: c.Service, Open: c.Open})
+		return
+	}
+	s.Callers[i].Open += c.Open
+}
+
+// primary returns the primary of group: the observed one, or first if none was observed.
+func (s State) primary(group tables.GroupID, first tables.UpstreamID) tables.UpstreamID {
+	for _, p := range s.Primaries {
+		if p.Group == group {
+			return p.Upstream
+		}
+	}
+	return first
+}
+
+// open returns the open connections to upstream; ok is false if nobody reported it.
+func (s State) open(upstream tables.UpstreamID) (n int, ok bool) {
+	for _, c := range s.Connections {
+		if c.Upstream == upstream {
+			return c.Open, true
+		}
+	}
+	return 0, false
+}
+
+func (s State) callers(service tables.ServiceID) int {
+	for _, c := range s.Callers {
+		if c.Service == service {
+			return c.Open
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/plan/store.go
@@ -0,0 +1,154 @@
+package plan
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/pkg/errors"
+)
+
+// retryAfter is when to ask again after the platform did not answer.
+const retryAfter = time.Second
+
+// Store is where plans, documents and the head row are kept.
+type Store struct {
+	// Tables holds the head row and the history.
+	Tables platform.Tables
+	// Objects holds plans and documents.
+	Objects platform.Objects
+}
+
+// InForce is the configuration in force.
+type InForce struct {
+	// Head is the head row's content; its Version is 0 while nothing is in force.
+	Head config.Head
+	// Document is the configuration.
+	Document config.Document
+
+	rowVersion uint64
+}
+
+// Current returns the configuration in force.
+func (s Store) Current(ctx context.Context) (InForce, error) {
+	cur, err := s.head(ctx)
+	if err != nil || cur.Head.Version == 0 {
+		return cur, err
+	}
+	cur.Document, err = s.document(ctx, cur.Head.Hash)
+	return cur, err
+}
+
+// History returns the heads of all versions in ascending order.
+func (s Store) History(ctx context.Context) ([]config.Head, error) {
+	rows, err := s.Tables.List(ctx, config.HistoryPrefix)
+	if err != nil {
+		return nil, platformDown(err)
+	}
+	heads := make([]config.Head, 0, len(rows))
+	for _, r := range rows {
+		h, err := decodeHead(r)
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, h)
+	}
+	return heads, nil
+}
+
+// Put stores a plan and its document, so that Confirm finds them by the plan's id.
+func (s Store) Put(ctx context.Context, p Plan, doc config.Document) error {
+	body, hash, err := doc.Encode()
+	if err != nil {
+		return err
+	}
+	if hash != p.DocumentHash {
+		return errors.New("the document is not the plan's")
+	}
+	if err := s.Objects.Put(ctx, config.ObjectPrefix+hash, body); err != nil {
+		return platformDown(err)
+	}
+	record, id, err := p.encode()
+	if err != nil {
+		return err
+	}
+	if err := s.Objects.Put(ctx, config.ObjectPrefix+id, record); err != nil {
+		return platformDown(err)
+	}
+	return nil
+}
+
+func (s Store) record(ctx context.Context, id string) (Record, error) {
+	body, err := s.Objects.Get(ctx, config.ObjectPrefix+id)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Record{}, planUnknown(id)
+	}
+	if err != nil {
+		return Record{}, platformDown(err)
+	}
+	var r Record
+	if err := json.Unmarshal(body, &r); err != nil {
+		return Record{}, planUnknown(id)
+	}
+	// A document's hash names an object too, but its content is no record.
+	if _, got, err := r.encode(); err != nil || got != id {
+		return Record{}, planUnknown(id)
+	}
+	return r, nil
+}
+
+func (s Store) document(ctx context.Context, hash string) (config.Document, error) {
+	body, err := s.Objects.Get(ctx, config.ObjectPrefix+hash)
+	if err != nil {
+		return config.Document{}, platformDown(err)
+	}
+	return config.Decode(body)
+}
+
+// head returns the head without its document.
+func (s Store) head(ctx context.Context) (InForce, error) {
+	row, err := s.Tables.Get(ctx, config.HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return InForce{}, nil
+	}
+	if err != nil {
+		return InForce{}, platformDown(err)
+	}
+	h, err := decodeHead(row)
+	return InForce{Head: h, rowVersion: row.Version}, err
+}
+
+// historic returns the head that was in force at version; ok is false if none was.
+func (s Store) historic(ctx context.Context, version uint64) (h config.Head, ok bool, err error) {
+	row, err := s.Tables.Get(ctx, historyKey(version))
+	if errors.Is(err, platform.ErrNotFound) {
+		return config.Head{}, false, nil
+	}
+	if err != nil {
+		return config.Head{}, false, platformDown(err)
+	}
+	h, err = decodeHead(row)
+	return h, err == nil, err
+}
+
+func historyKey(version uint64) string { return fmt.Sprintf("%s%012d", config.HistoryPrefix, version) }
+
+func decodeHead(row platform.Row) (config.Head, error) {
+	var h config.Head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return config.Head{}, errors.Wrapf(err, "row %s", row.Key)
+	}
+	return h, nil
+}
+
+func platformDown(err error) error {
+	return codes.New(codes.PlatformDown, codes.NotRun, retryAfter, err.Error())
+}
+
+func planUnknown(id string) error {
+	return codes.New(codes.PlanUnknown, codes.NotRun, 0, id)
+}
--- a/internal/statusapi/statusapi.go
+++ b/internal/statusapi/statusapi.go
@@ -33,6 +33,16 @@
 	Groups []Group `json:"groups"`
 	// Peers are the other proxies in ascending order.
 	Peers []Peer `json:"peers"`
+	// Callers count the open caller connections of each service, in ascending order.
+	Callers []ServiceCallers `json:"callers"`
+}
+
+// ServiceCallers counts the open caller connections of one service.
+type ServiceCallers struct {
+	// Service names the service.
+	Service tables.ServiceID `json:"service"`
+	// Open is the number of connections.
+	Open int `json:"open"`
 }
 
 // Group is a database group as the proxy knows it.
@@ -59,6 +69,8 @@
 	LagMillis int64 `json:"lagMillis"`
 	// Cause is how the last probe ended: "answered", "refused", "silent" and so on.
 	Cause string `json:"cause"`
+	// Connections is the number of this proxy's open pooled connections to it.
+	Connections int `json:"connections"`
 	// Leaving says that it receives no new work.
 	Leaving bool `json:"leaving"`
 }
