Add the peer bus over TCP frames of msgpack

One bounded queue and one reused connection per peer; Send never blocks and drops the oldest message of a full queue. TCP_USER_TIMEOUT closes a connection whose sent bytes stay unacknowledged, so that a path that lost its state is left within the write timeout. Ruled out: acknowledgements between peers, as messages are hints.

--- /dev/null
+++ b/internal/peer/tcpbus/codec.go
@@ -0,0 +1,58 @@
+package tcpbus
+
+import (
+	"github.com/cranberrystage/cranberrystage/internal/peer"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// topics are the topics that Run subscribes to.
+var topics = []string{peer.TopicHeartbeat, peer.TopicObservation, peer.TopicGroup, peer.TopicConfig}
+
+// decode returns the message of topic by value.
+func decode(topic string, payload []byte) (any, error) {
+	switch topic {
+	case peer.TopicHeartbeat:
+		return decodeAs(payload, checkHeartbeat)
+	case peer.TopicObservation:
+		return decodeAs(payload, checkObservation)
+	case peer.TopicGroup:
+		return decodeAs(payload, func(peer.GroupState) error { return nil })
+	case peer.TopicConfig:
+		return decodeAs(payload, func(peer.Config) error { return nil })
+	default:
+		return nil, errors.Errorf("unknown topic %q", topic)
+	}
+}
+
+func decodeAs[T any](payload []byte, check func(T) error) (any, error) {
+	var m T
+	if err := msgpack.Unmarshal(payload, &m); err != nil {
+		return nil, errors.Wrapf(err, "decode %T", m)
+	}
+	if err := check(m); err != nil {
+		return nil, errors.Wrapf(err, "check %T", m)
+	}
+	return m, nil
+}
+
+func checkHeartbeat(h peer.Heartbeat) error {
+	if h.From == "" {
+		return errors.New("no sender")
+	}
+	return nil
+}
+
+func checkObservation(o peer.Observation) error {
+	if o.From == "" {
+		return errors.New("no sender")
+	}
+	if o.Cause > tables.CausePathLost {
+		return errors.Errorf("unknown cause %d", o.Cause)
+	}
+	if o.FailingMillis < 0 {
+		return errors.Errorf("negative duration %d ms", o.FailingMillis)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/tcpbus/outbound.go
@@ -0,0 +1,121 @@
+package tcpbus
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// outbound sends the frames for one peer over one reused connection.
+type outbound struct {
+	bus     *Bus
+	address string
+	queue   *queue
+	conn    net.Conn
+	backoff time.Duration
+}
+
+// run sends until ctx ends or nothing was queued for the idle timeout.
+func (o *outbound) run(ctx context.Context) {
+	defer o.disconnect()
+	idle := time.NewTimer(o.bus.opts.IdleTimeout)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.queue.ready:
+			o.flush(ctx)
+			idle.Reset(o.bus.opts.IdleTimeout)
+		case <-idle.C:
+			if o.bus.forget(o) {
+				return
+			}
+			idle.Reset(o.bus.opts.IdleTimeout)
+		}
+	}
+}
+
+// flush sends what is queued and waits out the backoff after a failure.
+func (o *outbound) flush(ctx context.Context) {
+	for ctx.Err() == nil {
+		wire, ok := o.queue.pop()
+		if !ok {
+			return
+		}
+		if err := o.send(ctx, wire); err != nil {
+			o.bus.log.Debug("peer: send failed", "address", o.address, "error", err)
+			o.disconnect()
+			if !o.queue.pushFront(wire) {
+				o.bus.stats.dropped.Add(1)
+			}
+			o.pause(ctx)
+			continue
+		}
+		o.backoff = 0
+	}
+}
+
+func (o *outbound) send(ctx context.Context, wire []byte) error {
+	if err := o.connect(ctx); err != nil {
+		return err
+	}
+	if err := o.conn.SetWriteDeadline(time.Now().Add(o.bus.opts.WriteTimeout)); err != nil {
+		return errors.Wrap(err, "write deadline")
+	}
+	n, err := o.conn.Write(wire)
+	o.bus.stats.bytesSent.Add(uint64(n))
+	if err != nil {
+		return errors.Wrap(err, "write")
+	}
+	o.bus.stats.framesSent.Add(1)
+	return nil
+}
+
+// connect opens the connection unless there is one.
+func (o *outbound) connect(ctx context.Context) error {
+	if o.conn != nil {
+		return nil
+	}
+	dialer := net.Dialer{Timeout: o.bus.opts.DialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", o.address)
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	if err := setUserTimeout(conn, o.bus.opts.WriteTimeout); err != nil {
+		_ = conn.Close()
+		return err
+	}
+	o.conn = conn
+	o.bus.wg.Go(func() { closeOnEnd(conn) })
+	return nil
+}
+
+// closeOnEnd closes conn once the peer has; a peer never sends on it.
+func closeOnEnd(conn net.Conn) {
+	_, _ = io.Copy(io.Discard, conn)
+	_ = conn.Close()
+}
+
+func (o *outbound) disconnect() {
+	if o.conn != nil {
+		_ = o.conn.Close()
+		o.conn = nil
+	}
+}
+
+// pause waits for the backoff, which doubles with each failure and is jittered by half.
+func (o *outbound) pause(ctx context.Context) {
+	o.backoff = min(max(2*o.backoff, o.bus.opts.MinBackoff), o.bus.opts.MaxBackoff)
+	wait := o.backoff/2 + rand.N(o.backoff/2+1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
