--- a/cmd/cranberrystage-standin/main.go
+++ b/cmd/cranberrystage-standin/main.go
@@ -8,29 +8,58 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cranberrystage/cranberrystage/internal/declare"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/standin/layout"
 	"github.com/cranberrystage/cranberrystage/internal/standin/run"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
 func main() {
 	app := kingpin.New("cranberrystage-standin", "Emulator of the platform and of database servers.")
-	path := app.Arg("settings", "Settings file, JSON with comments.").Required().ExistingFile()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := serve(ctx, *path); err != nil {
+	serveCmd := app.Command("serve", "Serve what a settings file names.")
+	path := serveCmd.Arg("settings", "Settings file, JSON with comments.").Required().ExistingFile()
+	layoutCmd := app.Command("layout", "Write the settings files of a whole set-up on this machine.")
+	out := layoutCmd.Flag("out", "Directory for the files.").Required().String()
+	dcs := layoutCmd.Flag("data-centres", "Data centres, one proxy for each, separated by commas.").Default("ub-east,tunis,ub-east").String()
+	level := layoutCmd.Flag("log-level", "Log level of the proxies.").Default("INFO").String()
+	dirs := layoutCmd.Arg("declarations", "Directories of declarations.").Required().ExistingDirs()
+
+	var err error
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case serveCmd.FullCommand():
+		err = serve(*path)
+	case layoutCmd.FullCommand():
+		err = writeLayout(*dirs, *out, *dcs, *level)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func serve(ctx context.Context, path string) error {
+func serve(path string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	s, err := run.Load(path)
 	if err != nil {
 		return err
 	}
 	return run.Serve(ctx, s, logging.New(os.Stderr, slog.LevelInfo))
 }
+
+func writeLayout(dirs []string, out, dataCentres, level string) error {
+	doc, err := declare.Load(dirs...)
+	if err != nil {
+		return err
+	}
+	o := layout.Options{Directory: out, LogLevel: level}
+	for _, dc := range strings.Split(dataCentres, ",") {
+		o.DataCentres = append(o.DataCentres, tables.DataCentreID(strings.TrimSpace(dc)))
+	}
+	return layout.Write(doc, o)
+}
--- a/internal/standin/dbserver/conn.go
+++ b/internal/standin/dbserver/conn.go
@@ -141,7 +141,7 @@
 		}
 		c.held = true
 	}
-	time.Sleep(c.server.cfg.SetUpTime)
+	time.Sleep(time.Duration(c.server.cfg.SetUpTime))
 	c.be.Send(&pgproto3.AuthenticationOk{})
 	c.be.Send(&pgproto3.ParameterStatus{Name: "server_version", Value: "15.0"})
 	c.be.Send(&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"})
@@ -183,7 +183,7 @@
 // delay emulates the network between data centres: one round trip.
 func (c *conn) delay() {
 	if c.dc != "" && c.dc != c.server.cfg.DataCentre && c.server.cfg.CrossLatency > 0 {
-		time.Sleep(2 * c.server.cfg.CrossLatency)
+		time.Sleep(2 * time.Duration(c.server.cfg.CrossLatency))
 	}
 }
 
--- a/internal/standin/dbserver/exec.go
+++ b/internal/standin/dbserver/exec.go
@@ -134,7 +134,7 @@
 	}
 	c.server.startStatement()
 	defer c.server.endStatement()
-	if d := c.server.cfg.StatementTime + c.server.currentFaults().StatementDelay; d > 0 {
+	if d := time.Duration(c.server.cfg.StatementTime) + c.server.currentFaults().StatementDelay; d > 0 {
 		time.Sleep(d)
 	}
 	switch p.stmt.Kind {
--- a/internal/standin/dbserver/replica.go
+++ b/internal/standin/dbserver/replica.go
@@ -90,7 +90,7 @@
 	if err := json.Unmarshal(results[0].Rows[0][0], &a); err != nil {
 		return errors.Wrap(err, "decode records")
 	}
-	if d := s.cfg.ReplicationDelay + s.currentFaults().ReplicationDelay; d > 0 {
+	if d := time.Duration(s.cfg.ReplicationDelay) + s.currentFaults().ReplicationDelay; d > 0 {
 		waitFor(ctx, nil, d)
 	}
 	return s.db.apply(term, index, a.Previous, a.Records)
--- a/internal/standin/dbserver/server.go
+++ b/internal/standin/dbserver/server.go
@@ -9,10 +9,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/pkg/errors"
 )
 
-// Config describes one emulated server. Durations in JSON are nanoseconds.
+// Config describes one emulated server.
 type Config struct {
 	// ID names the server.
 	ID string `json:"id"`
@@ -31,13 +32,13 @@
 	// Connections is how many connections it accepts; replicas' own do not count.
 	Connections int `json:"connections"`
 	// SetUpTime is how long a new connection takes.
-	SetUpTime time.Duration `json:"setUpTime"`
+	SetUpTime config.Duration `json:"setUpTime,omitempty"`
 	// CrossLatency is the one-way latency from another data centre.
-	CrossLatency time.Duration `json:"crossLatency"`
+	CrossLatency config.Duration `json:"crossLatency,omitempty"`
 	// StatementTime is how long a statement occupies a slot.
-	StatementTime time.Duration `json:"statementTime"`
+	StatementTime config.Duration `json:"statementTime,omitempty"`
 	// ReplicationDelay is how long a replica waits before it applies records.
-	ReplicationDelay time.Duration `json:"replicationDelay"`
+	ReplicationDelay config.Duration `json:"replicationDelay,omitempty"`
 }
 
 // Stats counts what the emulator saw.
--- /dev/null
+++ b/internal/standin/layout/layout.go
@@ -0,0 +1,193 @@
+// Package layout writes the settings files of a whole set-up on one machine:
+// the emulated platform, one emulated server per declared upstream, and
+// proxies on consecutive ports.
+package layout
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/settings"
+	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
+	"github.com/cranberrystage/cranberrystage/internal/standin/run"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+)
+
+// Ports of the set-up. Proxy number n, from 0, adds n to its bases; a server's
+// control port lies controlOffset above its own.
+const (
+	platformPort  = 7001
+	callerBase    = 6432
+	peerBase      = 6532
+	adminBase     = 6632
+	controlOffset = 1000
+)
+
+// The emulated servers keep these times.
+const (
+	connectionSetUp = 10 * time.Millisecond
+	crossLatency    = 500 * time.Microsecond
+	statementTime   = 200 * time.Microsecond
+)
+
+// Options describe the set-up.
+type Options struct {
+	// Directory receives the files.
+	Directory string
+	// DataCentres gives one proxy per entry.
+	DataCentres []tables.DataCentreID
+	// LogLevel is the proxies' log level.
+	LogLevel string
+}
+
+// Write writes one settings file per process: platform.jsonc,
+// server-ID.jsonc and proxy-N.jsonc, N from 1.
+func Write(doc config.Document, o Options) error {
+	if err := os.MkdirAll(o.Directory, 0o755); err != nil {
+		return errors.Wrap(err, "make the directory")
+	}
+	if err := o.writePlatform(); err != nil {
+		return err
+	}
+	for _, g := range doc.Groups {
+		if err := o.writeGroup(g); err != nil {
+			return err
+		}
+	}
+	for i := range o.DataCentres {
+		if err := o.write(fmt.Sprintf("proxy-%d", i+1), o.proxy(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o Options) write(name string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	path := filepath.Join(o.Directory, name+".jsonc")
+	return errors.Wrap(os.WriteFile(path, append(b, '\n'), 0o644), "write settings")
+}
+
+func local(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func vmID(i int) tables.VMID { return tables.VMID(fmt.Sprintf("vm-%d", i+1)) }
+
+func (o Options) writePlatform() error {
+	s := run.Settings{Platform: local(platformPort)}
+	for i, dc := range o.DataCentres {
+		s.VMs = append(s.VMs, platform.ListedVM{ID: string(vmID(i)), DataCentre: string(dc), PeerAddress: local(peerBase + i)})
+	}
+	return o.write("platform", s)
+}
+
+func (o Options) writeGroup(g config.Group) error {
+	primary := g.Upstreams[0]
+	for _, u := range g.Upstreams {
+		if u.ID == g.FirstPrimary {
+			primary = u
+		}
+	}
+	for _, u := range g.Upstreams {
+		control, err := controlAddress(u.Address)
+		if err != nil {
+			return err
+		}
+		s := run.Settings{Control: control, Servers: []dbserver.Config{server(u, primary)}}
+		if err := o.write("server-"+string(u.ID), s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// controlAddress returns the address of faults and counters of the server at address.
+func controlAddress(address string) (string, error) {
+	var port int
+	host, text, _ := strings.Cut(address, ":")
+	if _, err := fmt.Sscan(text, &port); err != nil {
+		return "", errors.Errorf("address %q has no port", address)
+	}
+	return fmt.Sprintf("%s:%d", host, port+controlOffset), nil
+}
+
+func server(u, primary config.Upstream) dbserver.Config {
+	return dbserver.Config{
+		ID:             string(u.ID),
+		DataCentre:     string(u.DataCentre),
+		Listen:         u.Address,
+		Primary:        u.ID == primary.ID,
+		PrimaryID:      string(primary.ID),
+		PrimaryAddress: primary.Address,
+		Slots:          u.Slots,
+		Connections:    u.Connections,
+		SetUpTime:      config.Duration(connectionSetUp),
+		CrossLatency:   config.Duration(crossLatency),
+		StatementTime:  config.Duration(statementTime),
+	}
+}
+
+// proxyFile is the part of a proxy's settings that has no default.
+type proxyFile struct {
+	VM           tables.VMID           `json:"vm"`
+	DataCentre   tables.DataCentreID   `json:"dataCentre"`
+	Callers      proxyCallers          `json:"callers"`
+	PeerAddress  string                `json:"peerAddress"`
+	AdminAddress string                `json:"adminAddress"`
+	SeedPeers    []string              `json:"seedPeers"`
+	Platform     proxyPlatform         `json:"platform"`
+	Objects      proxyObjects          `json:"objects"`
+	Upstreams    map[string]credential `json:"upstreams"`
+	LogLevel     string                `json:"logLevel"`
+}
+
+type proxyCallers struct {
+	Addresses []string `json:"addresses"`
+}
+
+type proxyPlatform struct {
+	URL string `json:"url"`
+}
+
+type proxyObjects struct {
+	Endpoint  string `json:"endpoint"`
+	Bucket    string `json:"bucket"`
+	AccessKey string `json:"accessKey"`
+	SecretKey string `json:"secretKey"`
+}
+
+type credential struct {
+	User string `json:"user"`
+}
+
+func (o Options) proxy(i int) proxyFile {
+	p := proxyFile{
+		VM:           vmID(i),
+		DataCentre:   o.DataCentres[i],
+		Callers:      proxyCallers{Addresses: []string{local(callerBase + i)}},
+		PeerAddress:  local(peerBase + i),
+		AdminAddress: local(adminBase + i),
+		Platform:     proxyPlatform{URL: "http://" + local(platformPort)},
+		Objects: proxyObjects{
+			Endpoint: local(platformPort), Bucket: settings.DefaultBucket,
+			AccessKey: "demo", SecretKey: "demo-secret",
+		},
+		Upstreams: map[string]credential{"control": {User: "control"}, "pool": {User: "pool"}},
+		LogLevel:  o.LogLevel,
+	}
+	for j := range o.DataCentres {
+		if j != i {
+			p.SeedPeers = append(p.SeedPeers, local(peerBase+j))
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/standin/layout/layout_test.go
@@ -0,0 +1,34 @@
+package layout
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/cranberrystage/cranberrystage/internal/declare"
+	"github.com/cranberrystage/cranberrystage/internal/settings"
+	"github.com/cranberrystage/cranberrystage/internal/standin/run"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"gotest.tools/v3/assert"
+)
+
+func TestWrittenFilesLoad(t *testing.T) {
+	root := filepath.Join("..", "..", "..", "deploy")
+	doc, err := declare.Load(filepath.Join(root, "batbayar"), filepath.Join(root, "agency"))
+	assert.NilError(t, err)
+	dir := t.TempDir()
+	o := Options{Directory: dir, DataCentres: []tables.DataCentreID{"ub-east", "tunis"}, LogLevel: "INFO"}
+	assert.NilError(t, Write(doc, o))
+
+	p, err := settings.Load(filepath.Join(dir, "proxy-2.jsonc"))
+	assert.NilError(t, err)
+	assert.Equal(t, p.DataCentre, tables.DataCentreID("tunis"))
+	pl, err := run.Load(filepath.Join(dir, "platform.jsonc"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(pl.VMs), 2)
+	servers, err := filepath.Glob(filepath.Join(dir, "server-*.jsonc"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(servers), 18)
+	s, err := run.Load(servers[0])
+	assert.NilError(t, err)
+	assert.Equal(t, s.Servers[0].Connections, 30)
+}
--- a/internal/standin/run/run.go
+++ b/internal/standin/run/run.go
@@ -21,13 +21,13 @@
 // Settings say what one emulator process serves.
 type Settings struct {
 	// Platform is the platform's IP:port; empty means that it is not served.
-	Platform string `json:"platform"`
+	Platform string `json:"platform,omitempty"`
 	// VMs is the platform's VM list at the start.
-	VMs []platform.ListedVM `json:"vms"`
+	VMs []platform.ListedVM `json:"vms,omitempty"`
 	// Control is the IP:port of the servers' faults and counters; empty means none.
-	Control string `json:"control"`
+	Control string `json:"control,omitempty"`
 	// Servers are the database servers.
-	Servers []dbserver.Config `json:"servers"`
+	Servers []dbserver.Config `json:"servers,omitempty"`
 }
 
 // Load reads a settings file, JSON with comments.
