Hold slots by a pool's own seekers and give them back

Cause: a pool kept its slots for good, and every waiter polled the server. Seekers now get slots for the waiters, one of them persistent; a janitor gives slots of idle connections back, and a busy connection offers its slot after a quantum. A refusal for the connection limit backs off. A connection that was asked to cancel is not reused. Connections set keep-alive and TCP_USER_TIMEOUT. Prepared statements per connection are bounded.

--- a/internal/exec/exchange.go
+++ b/internal/exec/exchange.go
@@ -50,6 +50,7 @@
 		if ready, ok := msg.(*pgproto3.ReadyForQuery); ok {
 			r.status = ready.TxStatus
 			r.stage = retry.StageAnswered
+			c.Settle()
 			x.remember()
 			return x.result(r), nil
 		}
@@ -80,9 +81,15 @@
 func (x *exchanger) remember() {
 	for _, n := range x.out.adds {
 		if x.failure == "" {
-			x.conn.Prepared[n] = struct{}{}
+			x.conn.Prepared.Add(n)
 		} else {
-			delete(x.conn.Prepared, n)
+			x.conn.Prepared.Remove(n)
+		}
+	}
+	if x.failure != "" {
+		// A statement that was to be closed may still stand.
+		for _, n := range x.out.closes {
+			x.conn.Prepared.Add(n)
 		}
 	}
 }
--- a/internal/exec/prepared.go
+++ b/internal/exec/prepared.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 
+	"github.com/cranberrystage/cranberrystage/internal/upstream"
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
@@ -47,13 +48,15 @@
 	injected []bool
 	// adds are the shared names that the connection holds after success.
 	adds []string
+	// closes are the shared names that the connection lacks after success.
+	closes []string
 	// executes says that the batch runs something.
 	executes bool
 }
 
 // translate rewrites a batch for a connection that holds the statements in
 // held: names become shared names, and statements that it lacks are parsed first.
-func (p prepared) translate(messages []pgproto3.FrontendMessage, held map[string]struct{}) outgoing {
+func (p prepared) translate(messages []pgproto3.FrontendMessage, held *upstream.Statements) outgoing {
 	t := translation{prepared: p, held: held, parsed: make(map[string]struct{})}
 	for _, m := range messages {
 		t.add(m)
@@ -64,7 +67,7 @@
 
 type translation struct {
 	prepared prepared
-	held     map[string]struct{}
+	held     *upstream.Statements
 	parsed   map[string]struct{}
 	out      outgoing
 }
@@ -110,8 +113,8 @@
 func (t *translation) parse(callerName string, s statement, injected bool) {
 	n := name(callerName, s)
 	if n != "" {
-		t.send(&pgproto3.Close{ObjectType: 'S', Name: n})
-		t.out.injected = append(t.out.injected, true)
+		t.makeRoom()
+		t.closeFirst(n)
 		t.out.adds = append(t.out.adds, n)
 	}
 	t.send(&pgproto3.Parse{Name: n, Query: s.query, ParameterOIDs: s.oids})
@@ -119,6 +122,24 @@
 	t.parsed[n] = struct{}{}
 }
 
+// makeRoom closes the longest unused statement of a connection that holds its
+// bound.
+func (t *translation) makeRoom() {
+	n, ok := t.held.Surplus()
+	if !ok {
+		return
+	}
+	t.held.Remove(n)
+	t.closeFirst(n)
+	t.out.closes = append(t.out.closes, n)
+}
+
+// closeFirst closes a statement that may stand under a shared name.
+func (t *translation) closeFirst(n string) {
+	t.send(&pgproto3.Close{ObjectType: 'S', Name: n})
+	t.out.injected = append(t.out.injected, true)
+}
+
 // ensure makes the statement exist on the connection and returns its name there.
 func (t *translation) ensure(callerName string) string {
 	s, ok := t.prepared[callerName]
@@ -129,7 +150,7 @@
 	if _, ok := t.parsed[n]; ok {
 		return n
 	}
-	if _, ok := t.held[n]; ok && n != "" {
+	if n != "" && t.held.Use(n) {
 		return n
 	}
 	t.parse(callerName, s, true)
@@ -141,7 +162,7 @@
 	if s, ok := t.prepared[m.Name]; ok && m.ObjectType == 'S' {
 		v.Name = name(m.Name, s)
 		delete(t.prepared, m.Name)
-		delete(t.held, v.Name)
+		t.held.Remove(v.Name)
 		delete(t.parsed, v.Name)
 	}
 	t.send(&v)
--- a/internal/group/client.go
+++ b/internal/group/client.go
@@ -100,24 +100,33 @@
 }
 
 func (c *Client) call(ctx context.Context, sql string) (tables.Status, error) {
+	text, err := c.value(ctx, sql)
+	if err != nil {
+		return tables.Status{}, err
+	}
+	return DecodeStatus(text)
+}
+
+// value runs a statement that answers with one text.
+func (c *Client) value(ctx context.Context, sql string) (string, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn == nil {
 		pc, err := c.connect(ctx)
 		if err != nil {
-			return tables.Status{}, err
+			return "", err
 		}
 		c.conn = pc
 	}
 	results, err := c.conn.Exec(ctx, sql).ReadAll()
 	if err != nil {
-		return tables.Status{}, c.classify(err)
+		return "", c.classify(err)
 	}
 	if len(results) != 1 || len(results[0].Rows) != 1 {
 		c.drop()
-		return tables.Status{}, errors.New("unexpected answer to a control function")
+		return "", errors.New("unexpected answer to a control function")
 	}
-	return DecodeStatus(string(results[0].Rows[0][0]))
+	return string(results[0].Rows[0][0]), nil
 }
 
 func (c *Client) classify(err error) error {
--- a/internal/proxy/interim.go
+++ b/internal/proxy/interim.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
@@ -65,3 +66,9 @@
 
 // Send implements peer.Bus.
 func (noBus) Send(string, string, any) {}
+
+// Run implements peer.Bus.
+func (noBus) Run(ctx context.Context, _ func(msg any)) error {
+	<-ctx.Done()
+	return nil
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,7 +65,7 @@
 	p.metrics = metrics.New(p.registry)
 	p.upstreams = newUpstreams(s.Upstreams, s.VM, s.DataCentre)
 	p.performer = &performer{
-		ctx: ctx, upstreams: p.upstreams, bus: nil,
+		ctx: ctx, upstreams: p.upstreams, bus: noBus{},
 		tables: pl.Tables, objects: pl.Objects, vms: pl.VMs,
 		probe: time.Duration(s.Timeouts.Probe),
 		log:   logging.For(log, "control"), applied: p.applied,
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -54,7 +54,8 @@
 	c, err := scram.SHA256.NewClient(name, password, "")
 	assert.NilError(t, err)
 	salt := "0123456789abcdef"
-	sc := c.GetStoredCredentials(scram.KeyFactors{Salt: salt, Iters: 4096})
+	sc, err := c.GetStoredCredentialsWithError(scram.KeyFactors{Salt: salt, Iters: 4096})
+	assert.NilError(t, err)
 	return config.User{
 		Name:       name,
 		Salt:       base64.StdEncoding.EncodeToString([]byte(salt)),
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -77,11 +77,13 @@
 		Password:    u.settings.Pool.Password.Reveal(),
 		Application: u.application,
 	}
-	u.by[d.ID] = &remote{
+	r := &remote{
 		declared: d,
 		control:  u.newControl(d.Address),
 		pool:     upstream.NewPool(target, upstream.Limits{Connections: 1, Slots: d.Slots}),
 	}
+	go r.pool.Run(context.Background()) // ends when the pool closes
+	u.by[d.ID] = r
 }
 
 func (u *upstreams) newControl(address string) *group.Client {
--- a/internal/standin/dbserver/conn.go
+++ b/internal/standin/dbserver/conn.go
@@ -43,7 +43,8 @@
 	portals  map[string]portal
 	skipping bool
 
-	cancel atomic.Pointer[context.CancelFunc]
+	cancel      atomic.Pointer[context.CancelFunc]
+	application atomic.Pointer[string]
 }
 
 type portal struct {
@@ -127,7 +128,9 @@
 
 func (c *conn) start(m *pgproto3.StartupMessage) bool {
 	c.user = m.Parameters["user"]
-	c.dc = dataCentreOf(m.Parameters["application_name"])
+	application := m.Parameters["application_name"]
+	c.application.Store(&application)
+	c.dc = dataCentreOf(application)
 	if !c.reachable(context.Background()) {
 		return false
 	}
@@ -164,6 +167,10 @@
 	if string(secretBytes(c.secret)) != string(secret) {
 		return
 	}
+	s.cancelRunning(c)
+}
+
+func (s *Server) cancelRunning(c *conn) {
 	if cancel := c.cancel.Load(); cancel != nil {
 		(*cancel)()
 	}
--- a/internal/standin/dbserver/exec.go
+++ b/internal/standin/dbserver/exec.go
@@ -1,10 +1,12 @@
 package dbserver
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -51,6 +53,8 @@
 		return "?column?", oidInt4, true
 	case engine.KindSleep:
 		return "pg_sleep", oidText, true
+	case engine.KindTryLocks:
+		return "case", oidInt4, true
 	case engine.KindShow, engine.KindFunction:
 		return s.Name, oidText, true
 	default:
@@ -128,6 +132,9 @@
 			return nil, "", err
 		}
 	}
+	if p.stmt.Kind == engine.KindTryLocks {
+		return []string{c.tryLocks(args)}, "SELECT 1", nil
+	}
 	if p.stmt.Kind == engine.KindFunction {
 		v, err := c.function(ctx, p.stmt.Name, args)
 		return []string{v}, "SELECT 1", err
@@ -291,6 +298,9 @@
 	case name == "cs_stats" && len(args) == 0:
 		b, err := json.Marshal(c.server.Stats())
 		return string(b), err
+	case name == "cs_sessions" && len(args) == 0:
+		b, err := json.Marshal(c.server.sessions())
+		return string(b), err
 	case name == "pg_try_advisory_lock" && len(args) == 1:
 		return letter(c.server.tryLock(args[0], c.pid)), nil
 	case name == "pg_advisory_unlock" && len(args) == 1:
@@ -302,15 +312,41 @@
 	}
 }
 
+// tryLocks takes the first lock that is free; args are lock names and results
+// in turns.
+func (c *conn) tryLocks(args []string) string {
+	for i := 0; i+1 < len(args); i += 2 {
+		if c.server.tryLock(args[i], c.pid) {
+			return args[i+1]
+		}
+	}
+	return "-1"
+}
+
 func (s *Server) terminate(pid string) bool {
 	n, _ := strconv.ParseUint(pid, 10, 32)
 	v, ok := s.conns.Load(uint32(n))
 	if ok {
 		_ = v.(*conn).net.Close()
+		s.cancelRunning(v.(*conn))
 	}
 	return ok
 }
 
+// sessions lists the open connections in the order of their process ids.
+func (s *Server) sessions() []group.Session {
+	var list []group.Session
+	s.conns.Range(func(_, v any) bool {
+		c := v.(*conn)
+		if name := c.application.Load(); name != nil {
+			list = append(list, group.Session{PID: c.pid, Application: *name})
+		}
+		return true
+	})
+	slices.SortFunc(list, func(a, b group.Session) int { return cmp.Compare(a.PID, b.PID) })
+	return list
+}
+
 func letter(b bool) string {
 	if b {
 		return "t"
--- a/internal/standin/engine/statement.go
+++ b/internal/standin/engine/statement.go
@@ -34,6 +34,7 @@
 	KindFunction
 	KindEmpty
 	KindListen
+	KindTryLocks
 )
 
 // Statement is one parsed statement. Arguments may be literals or "$n".
@@ -92,6 +93,7 @@
 	compile(KindCommit, `(?:commit|end)`),
 	compile(KindRollback, `(?:rollback|abort)`),
 	compile(KindSleep, `select pg_sleep\(~ARG~\)`),
+	compile(KindTryLocks, `select case((?: when pg_try_advisory_lock\(\d+\) then \d+)+) else -1 end`),
 	compile(KindFunction, `select (\w+)\(~(?:ARG~)?(?:,~ARG~)?(?:,~ARG~)?(?:,~ARG~)?\)`),
 	compile(KindSelectOne, `select ARG`),
 	compile(KindSet, `set (?:session )?([\w.]+)(?:~=~| to )(.+)`),
@@ -141,6 +143,9 @@
 		s.Name = strings.ToLower(groups[0])
 		s.Args = []Arg{{Text: strings.Trim(strings.TrimSpace(groups[1]), `'"`)}}
 		return s, nil
+	case KindTryLocks:
+		s.Args = lockArgs(groups[0])
+		return s, nil
 	case KindBegin, KindCommit, KindRollback, KindReset:
 		return s, nil
 	}
@@ -157,6 +162,17 @@
 	return s, nil
 }
 
+var numberPattern = regexp.MustCompile(`\d+`)
+
+// lockArgs returns the lock names and results of a KindTryLocks in turns.
+func lockArgs(branches string) []Arg {
+	var args []Arg
+	for _, n := range numberPattern.FindAllString(branches, -1) {
+		args = append(args, Arg{Text: n})
+	}
+	return args
+}
+
 func parseArg(text string) (Arg, error) {
 	if strings.HasPrefix(text, "$") {
 		n, err := strconv.Atoi(text[1:])
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,14 +5,15 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
@@ -48,16 +49,20 @@
 	Frontend *pgproto3.Frontend
 	// Term is the term the connection was opened under; 0 for reads.
 	Term tables.Term
-	// Prepared are the names of the statements that the server holds.
-	Prepared map[string]struct{}
-
-	net      net.Conn
-	target   Target
-	pid      uint32
-	secret   []byte
-	slot     int
-	slotAt   time.Time
-	lastUsed time.Time
+	// Prepared are the statements that the server holds for this connection.
+	Prepared *Statements
+
+	net       *watchedConn
+	target    Target
+	pid       uint32
+	secret    []byte
+	slot      int
+	slotFirst int
+	slotAt    time.Time
+	lastUsed  time.Time
+	// cancelled is set once a cancel request may be on its way: it could hit a
+	// later statement, so the connection is not reused.
+	cancelled atomic.Bool
 }
 
 // dial opens a connection and logs in.
@@ -67,23 +72,32 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to upstream %s", t.Upstream)
 	}
+	sockopt.Bound(nc)
+	wc := &watchedConn{Conn: nc}
 	c := &Conn{
-		Frontend: pgproto3.NewFrontend(nc, nc),
+		Frontend: pgproto3.NewFrontend(wc, wc),
 		Term:     term,
-		Prepared: make(map[string]struct{}),
-		net:      nc,
+		Prepared: newStatements(),
+		net:      wc,
 		target:   t,
 		slot:     noSlot,
 	}
-	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := c.login(); err != nil {
-		_ = nc.Close()
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	err = c.login()
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		c.close()
 		return nil, errors.Wrapf(err, "log in to upstream %s", t.Upstream)
 	}
+	c.Settle()
 	return c, nil
 }
 
+// Settle records that the whole answer to the last request arrived.
+func (c *Conn) Settle() { c.net.settle() }
+
 func (c *Conn) login() error {
 	params := map[string]string{
 		"user":             c.target.User,
@@ -137,8 +151,10 @@
 func (c *Conn) Upstream() tables.UpstreamID { return c.target.Upstream }
 
 // Cancel asks the server to cancel what the connection runs, over a new
-// connection. The connection itself still gets its answer.
+// connection, and waits until the server has taken the request. The connection
+// itself still gets its answer; the pool closes it afterwards.
 func (c *Conn) Cancel(ctx context.Context) error {
+	c.cancelled.Store(true)
 	var d net.Dialer
 	nc, err := d.DialContext(ctx, "tcp", c.target.Address)
 	if err != nil {
@@ -150,8 +166,13 @@
 	if err != nil {
 		return errors.Wrap(err, "encode cancel request")
 	}
-	_, err = nc.Write(b)
-	return errors.Wrap(err, "send cancel request")
+	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if _, err = nc.Write(b); err != nil {
+		return errors.Wrap(err, "send cancel request")
+	}
+	_, err = io.Copy(io.Discard, nc)
+	return errors.Wrap(err, "await the end of the cancel request")
 }
 
 // simple runs a statement that gives at most one row of one text column.
@@ -175,13 +196,26 @@
 		case *pgproto3.ErrorResponse:
 			failed = &ServerError{Code: m.Code, Message: m.Message}
 		case *pgproto3.ReadyForQuery:
+			c.Settle()
 			return value, failed
 		}
 	}
 }
 
+// close ends the connection without a word to the server.
 func (c *Conn) close() { _ = c.net.Close() }
 
+// terminate ends a connection that has no answer outstanding.
+func (c *Conn) terminate() {
+	c.SetDeadline(time.Now().Add(terminateTimeout))
+	c.Frontend.Send(&pgproto3.Terminate{})
+	_ = c.Frontend.Flush()
+	c.close()
+}
+
+// terminateTimeout bounds the farewell to a server.
+const terminateTimeout = 5 * time.Millisecond
+
 // ParsePosition reads the value of ParamPosition.
 func ParsePosition(text string) (tables.Position, error) {
 	t, i, ok := strings.Cut(text, "/")
@@ -193,8 +227,6 @@
 	return tables.Position{LogTerm: tables.Term(term), Index: index}, nil
 }
 
-func lockName(slot int) string { return fmt.Sprintf("%d", slotLockBase+slot) }
-
 // CauseOf tells how reaching the upstream failed; ok is false for errors that
 // say nothing about the upstream, such as an answer that it gave.
 func CauseOf(err error) (cause tables.Cause, ok bool) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,195 +18,273 @@
 	Slots int
 }
 
-// Pool holds the connections to one upstream. All methods are safe for
-// concurrent use.
+// sqlStateTooManyConnections is how a server refuses a connection over its limit.
+const sqlStateTooManyConnections = "53300"
+
+const (
+	// dialTimeout bounds connecting and logging in.
+	dialTimeout = 3 * time.Second
+	// refusedPause is the pause after the server refused a connection over its
+	// limit; it doubles with each refusal up to maxRefusedPause.
+	refusedPause    = 10 * time.Millisecond
+	maxRefusedPause = time.Second
+)
+
+// Pool holds the connections to one upstream. A connection is idle or busy; a
+// busy one belongs to one request or to one of the pool's own goroutines. All
+// methods are safe for concurrent use.
 type Pool struct {
 	target Target
 
 	mu     sync.Mutex
 	limits Limits
-	idle   []*Conn
-	open   int
-	wait   []chan struct{}
-	closed bool
+	// idle are ordered by last use, the newest last.
+	idle []*Conn
+	busy map[*Conn]struct{}
+	// open counts connections, those being opened included.
+	open int
+	// holders counts connections that hold a slot.
+	holders int
+	// seekers counts goroutines that open a connection or try for a slot.
+	seekers int
+	// persistent is set while a seeker waits for a slot to become free.
+	persistent bool
+	waiters    []*waiter
+	refusals   int
+	refusedTo  time.Time
+	silence    silence
+	closed     bool
+
+	// attentive is set while the janitor looks again by itself soon.
+	attentive bool
+	attention chan struct{}
+	gone      chan struct{}
+}
+
+// waiter is a request that waits for a connection.
+type waiter struct {
+	term tables.Term
+	got  chan delivery
+}
+
+type delivery struct {
+	conn *Conn
+	err  error
 }
 
-// NewPool returns an empty pool.
+// NewPool returns an empty pool. Its owner runs Run.
 func NewPool(target Target, limits Limits) *Pool {
-	return &Pool{target: target, limits: limits}
+	return &Pool{
+		target:    target,
+		limits:    limits.atLeastOne(),
+		busy:      make(map[*Conn]struct{}),
+		attention: make(chan struct{}, 1),
+		gone:      make(chan struct{}),
+	}
+}
+
+func (l Limits) atLeastOne() Limits {
+	return Limits{Connections: max(1, l.Connections), Slots: max(1, l.Slots)}
 }
 
 // SetLimits changes the bounds. Surplus connections close as they become idle.
 func (p *Pool) SetLimits(l Limits) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limits = l
+	p.limits = l.atLeastOne()
 	p.trim()
-	p.wakeAll()
+	p.seek()
 }
 
 // Acquire returns a connection opened under term that holds one of the
 // server's slots. It waits until ctx ends and then returns ctx's error; other
-// errors come from connecting.
+// errors come from connecting. A refusal for the server's connection limit is
+// no error: the request goes on waiting.
 func (p *Pool) Acquire(ctx context.Context, term tables.Term) (*Conn, error) {
-	for {
-		c, dialing, wait := p.take(term)
-		if wait != nil {
-			select {
-			case <-wait:
-				continue
-			case <-ctx.Done():
-				p.forget(wait)
-				return nil, ctx.Err()
-			}
-		}
-		if dialing {
-			var err error
-			if c, err = dial(ctx, p.target, term); err != nil {
-				p.lost()
-				return nil, err
-			}
-		}
-		if c == nil {
-			return nil, codes.New(codes.ShuttingDown, codes.NotRun, 0, "pool closed")
-		}
-		if err := p.ensureSlot(ctx, c); err != nil {
-			p.Discard(c)
-			return nil, err
-		}
-		return c, nil
+	c, w, err := p.take(term)
+	if c != nil || err != nil {
+		return c, err
+	}
+	select {
+	case d := <-w.got:
+		return d.conn, d.err
+	case <-ctx.Done():
+		p.forget(w)
+		return nil, ctx.Err()
 	}
 }
 
-// take returns an idle connection, or permission to dial, or a channel to wait on.
-func (p *Pool) take(term tables.Term) (c *Conn, dialing bool, wait chan struct{}) {
+// take returns an idle connection that holds a slot, or a waiter in the queue.
+func (p *Pool) take(term tables.Term) (*Conn, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, false, nil
-	}
-	if c := p.takeIdle(term); c != nil {
-		return c, false, nil
+		return nil, nil, errClosed()
 	}
-	if p.open < p.limits.Connections || p.closeOtherTerm(term) {
-		p.open++
-		return nil, true, nil
+	if c := p.takeIdle(func(c *Conn) bool { return c.Term == term && c.slot != noSlot }); c != nil {
+		return c, nil, nil
 	}
-	wait = make(chan struct{})
-	p.wait = append(p.wait, wait)
-	return nil, false, wait
+	w := &waiter{term: term, got: make(chan delivery, 1)}
+	p.waiters = append(p.waiters, w)
+	p.seek()
+	return nil, w, nil
 }
 
-func (p *Pool) takeIdle(term tables.Term) *Conn {
+func errClosed() error {
+	return codes.New(codes.ShuttingDown, codes.NotRun, 0, "pool closed")
+}
+
+// takeIdle makes the newest idle connection that fits busy. The lock must be held.
+func (p *Pool) takeIdle(fits func(*Conn) bool) *Conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; c.Term == term {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			return c
+		c := p.idle[i]
+		if !fits(c) {
+			continue
 		}
+		p.idle = append(p.idle[:i], p.idle[i+1:]...)
+		p.busy[c] = struct{}{}
+		return c
 	}
 	return nil
 }
 
-// closeOtherTerm makes room by closing an idle connection of another term.
-func (p *Pool) closeOtherTerm(term tables.Term) bool {
-	for i, c := range p.idle {
-		if c.Term != term {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			p.open--
-			c.close()
-			return true
+// forget drops a waiter that gave up. What it was handed meanwhile goes on to
+// the next.
+func (p *Pool) forget(w *waiter) {
+	p.mu.Lock()
+	for i, other := range p.waiters {
+		if other == w {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			p.mu.Unlock()
+			return
 		}
 	}
-	return false
+	p.mu.Unlock()
+	if d := <-w.got; d.conn != nil {
+		p.Release(d.conn)
+	}
 }
 
-// Release puts back a connection that has no answer outstanding and no open transaction.
+// Release puts back a connection that has no answer outstanding and no open
+// transaction. One that was asked to cancel is closed instead.
 func (p *Pool) Release(c *Conn) {
+	if c.cancelled.Load() {
+		p.Discard(c)
+		return
+	}
 	c.lastUsed = time.Now()
+	if c.slot != noSlot && c.lastUsed.Sub(c.slotAt) > slotQuantum {
+		go p.yieldSlot(c)
+		return
+	}
 	c.SetDeadline(time.Time{})
+	p.offer(c)
+}
+
+// offer hands a busy connection to the first waiter that can use it, or makes
+// it idle.
+func (p *Pool) offer(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		p.open--
-		c.close()
+	defer p.seek()
+	if c.slot != noSlot && !p.closed && p.handOver(c) {
 		return
 	}
+	delete(p.busy, c)
 	p.idle = append(p.idle, c)
 	p.trim()
-	p.wakeOne()
+	if c.slot != noSlot {
+		p.alert()
+	}
+}
+
+// handOver gives c to the first waiter of its term. The lock must be held.
+func (p *Pool) handOver(c *Conn) bool {
+	for i, w := range p.waiters {
+		if w.term == c.Term {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			w.got <- delivery{conn: c}
+			return true
+		}
+	}
+	return false
 }
 
 // Discard closes a connection that may have an answer outstanding.
 func (p *Pool) Discard(c *Conn) {
 	c.close()
-	p.lost()
-}
-
-func (p *Pool) lost() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
-	p.wakeOne()
+	delete(p.busy, c)
+	p.closedOne(c)
+	p.seek()
 }
 
-// trim closes idle connections over the limit. The lock must be held.
-func (p *Pool) trim() {
-	for p.open > p.limits.Connections && len(p.idle) > 0 {
-		p.idle[0].close()
-		p.idle = p.idle[1:]
-		p.open--
+// closedOne counts a connection that was closed. The lock must be held.
+func (p *Pool) closedOne(c *Conn) {
+	p.open--
+	if c.slot != noSlot {
+		p.holders--
 	}
 }
 
-func (p *Pool) wakeOne() {
-	if len(p.wait) > 0 {
-		close(p.wait[0])
-		p.wait = p.wait[1:]
+// closeIdleWhere closes idle connections that fit, at most n of them, the
+// longest unused first. The lock must be held.
+func (p *Pool) closeIdleWhere(n int, fits func(*Conn) bool) (closed int) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if closed == n || !fits(c) {
+			kept = append(kept, c)
+			continue
+		}
+		closed++
+		c.terminate()
+		p.closedOne(c)
 	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	return closed
 }
 
-func (p *Pool) wakeAll() {
-	for len(p.wait) > 0 {
-		p.wakeOne()
-	}
-}
+func anyConn(*Conn) bool { return true }
 
-// forget drops a waiter that gave up; if it was woken meanwhile, the next one is.
-func (p *Pool) forget(wait chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i, w := range p.wait {
-		if w == wait {
-			p.wait = append(p.wait[:i], p.wait[i+1:]...)
-			return
-		}
+// trim closes idle connections over the limit, or all once the pool is closed.
+// The lock must be held.
+func (p *Pool) trim() {
+	surplus := p.open - p.limits.Connections
+	if p.closed {
+		surplus = p.open
+	}
+	if surplus > 0 {
+		p.closeIdleWhere(surplus, anyConn)
 	}
-	p.wakeOne()
 }
 
 // CloseIdle closes idle connections opened under a term below belowTerm; 0 closes all.
 func (p *Pool) CloseIdle(belowTerm tables.Term) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if belowTerm != 0 && (c.Term == 0 || c.Term >= belowTerm) {
-			kept = append(kept, c)
-			continue
-		}
-		p.open--
-		c.close()
-	}
-	p.idle = kept
-	p.wakeAll()
+	p.closeIdleWhere(p.open, func(c *Conn) bool {
+		return belowTerm == 0 || c.Term != 0 && c.Term < belowTerm
+	})
+	p.seek()
 }
 
-// Close closes idle connections now and others as they are released.
+// Close refuses waiters, closes idle connections now and others as they are
+// released.
 func (p *Pool) Close() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
 	p.closed = true
-	p.mu.Unlock()
-	p.CloseIdle(0)
+	close(p.gone)
+	for _, w := range p.waiters {
+		w.got <- delivery{err: errClosed()}
+	}
+	p.waiters = nil
+	p.trim()
 }
 
 // Open returns the number of open connections.
@@ -216,6 +294,13 @@
 	return p.open
 }
 
+// Waiting returns the number of requests that wait for a connection.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiters)
+}
+
 // IsTimeout reports whether err means that a wait ended with its context.
 func IsTimeout(err error) bool {
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
--- a/internal/upstream/slot.go
+++ b/internal/upstream/slot.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
-	"context"
-	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -14,54 +16,47 @@
 	slotQuantum = 50 * time.Millisecond
 	// slotIdle is how long an idle connection keeps its slot.
 	slotIdle = 5 * time.Millisecond
-	// slotRetry is the pause between two rounds of attempts.
+	// slotRetry is the mean pause between two attempts at taking a slot.
 	slotRetry = 500 * time.Microsecond
+	// slotYield is how long a connection that offered its slot stays away from
+	// the slots, so that the next attempt of another proxy comes first.
+	slotYield = 2 * slotRetry
+	// slotTimeout bounds the answer to a lock statement. A connection that
+	// stays silent for longer is closed; another one is opened in its place.
+	slotTimeout = time.Second
 )
 
-// ensureSlot makes c hold one of the server's slots. A slot is a session-level
-// advisory lock at the server itself: it ends with the connection, so two
-// proxies never hold the same slot, whatever either believes about the other.
-func (p *Pool) ensureSlot(ctx context.Context, c *Conn) error {
-	if c.slot != noSlot {
-		return nil
+// A slot is a session-level advisory lock at the server itself. It ends with
+// the connection, so two proxies never hold the same slot, whatever either
+// believes about the other.
+
+// trySlots makes c hold any of the server's slots that is free.
+func (c *Conn) trySlots(slots int) (bool, error) {
+	c.slotFirst = (c.slotFirst + 1) % slots
+	v, err := c.lockStatement(trySlotsSQL(c.slotFirst, slots))
+	if err != nil {
+		return false, err
 	}
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	p.mu.Lock()
-	slots := p.limits.Slots
-	p.mu.Unlock()
-	for {
-		ok, err := c.trySlots(slots)
-		if err != nil {
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			return err
-		}
-		if ok {
-			return nil
-		}
-		if err := pause(ctx, slotRetry); err != nil {
-			return err
-		}
+	slot, err := strconv.Atoi(v)
+	if err != nil {
+		return false, errors.Wrap(err, "slot number")
 	}
+	c.slot = slot
+	c.slotAt = time.Now()
+	return slot != noSlot, nil
 }
 
-func (c *Conn) trySlots(slots int) (bool, error) {
-	first := rand.IntN(slots)
+// trySlotsSQL tries the slots in order from first on and answers with the one
+// it took, or noSlot. CASE fixes the order and stops at the first success.
+func trySlotsSQL(first, slots int) string {
+	var sql strings.Builder
+	sql.WriteString("SELECT CASE")
 	for i := range slots {
 		slot := (first + i) % slots
-		v, err := c.simple("SELECT pg_try_advisory_lock(" + lockName(slot) + ")")
-		if err != nil {
-			return false, err
-		}
-		if v == "t" {
-			c.slot = slot
-			c.slotAt = time.Now()
-			return true, nil
-		}
+		sql.WriteString(" WHEN pg_try_advisory_lock(" + lockName(slot) + ") THEN " + strconv.Itoa(slot))
 	}
-	return false, nil
+	sql.WriteString(" ELSE " + strconv.Itoa(noSlot) + " END")
+	return sql.String()
 }
 
 // releaseSlot gives the slot back to all proxies.
@@ -69,18 +64,18 @@
 	if c.slot == noSlot {
 		return nil
 	}
-	_, err := c.simple("SELECT pg_advisory_unlock(" + lockName(c.slot) + ")")
+	_, err := c.lockStatement("SELECT pg_advisory_unlock(" + lockName(c.slot) + ")")
 	c.slot = noSlot
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+func (c *Conn) lockStatement(sql string) (string, error) {
+	c.SetDeadline(time.Now().Add(slotTimeout))
+	v, err := c.simple(sql)
+	if err == nil {
+		c.SetDeadline(time.Time{})
 	}
+	return v, err
 }
+
+func lockName(slot int) string { return strconv.Itoa(slotLockBase + slot) }
