--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -49,6 +49,7 @@
 	seekers int
 	// persistent is set while a seeker waits for a slot to become free.
 	persistent bool
+	quantum    time.Duration
 	waiters    []*waiter
 	refusals   int
 	refusedTo  time.Time
@@ -77,6 +78,7 @@
 	return &Pool{
 		target:    target,
 		limits:    limits.atLeastOne(),
+		quantum:   minQuantum,
 		busy:      make(map[*Conn]struct{}),
 		attention: make(chan struct{}, 1),
 		gone:      make(chan struct{}),
@@ -173,14 +175,20 @@
 		return
 	}
 	c.lastUsed = time.Now()
-	if c.slot != noSlot && c.lastUsed.Sub(c.slotAt) > slotQuantum {
+	c.SetDeadline(time.Time{})
+	if c.slot != noSlot && c.lastUsed.Sub(c.slotAt) > p.currentQuantum() {
 		go p.yieldSlot(c)
 		return
 	}
-	c.SetDeadline(time.Time{})
 	p.offer(c)
 }
 
+func (p *Pool) currentQuantum() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.quantum
+}
+
 // offer hands a busy connection to the first waiter that can use it, or makes
 // it idle.
 func (p *Pool) offer(c *Conn) {
--- a/internal/upstream/seek.go
+++ b/internal/upstream/seek.go
@@ -135,8 +135,12 @@
 		return false, nil
 	}
 	found, err = c.trySlots(slots)
-	if found || err != nil || !p.beginPersistent() {
-		return found, err
+	if err != nil {
+		return false, err
+	}
+	p.adaptQuantum(found)
+	if found || !p.beginPersistent() {
+		return found, nil
 	}
 	defer p.endPersistent()
 	for {
@@ -152,6 +156,17 @@
 	}
 }
 
+// adaptQuantum learns from a first attempt whether other proxies want slots.
+func (p *Pool) adaptQuantum(found bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if found {
+		p.quantum = min(2*p.quantum, maxQuantum)
+		return
+	}
+	p.quantum = minQuantum
+}
+
 // beginPersistent reports whether the seeker is the one that goes on trying.
 func (p *Pool) beginPersistent() bool {
 	p.mu.Lock()
--- a/internal/upstream/slot.go
+++ b/internal/upstream/slot.go
@@ -11,9 +11,12 @@
 const (
 	noSlot       = -1
 	slotLockBase = 7_000_000
-	// slotQuantum is how long a connection keeps a slot under steady use before
-	// it offers the slot to other proxies.
-	slotQuantum = 50 * time.Millisecond
+	// minQuantum and maxQuantum bound how long a connection keeps a slot under
+	// steady use before it offers the slot to other proxies. The quantum doubles
+	// while a free slot is found at the first attempt, and falls back to the
+	// minimum once all are taken.
+	minQuantum = 10 * time.Millisecond
+	maxQuantum = 160 * time.Millisecond
 	// slotIdle is how long an idle connection keeps its slot.
 	slotIdle = 5 * time.Millisecond
 	// slotRetry is the mean pause between two attempts at taking a slot.
