Record and replay session settings; refuse other state of a session

A later statement of a simple query, a pipelined statement and a Bind were not looked at, so SET, LISTEN and locks could leak to the next caller.

--- a/internal/exec/exchange.go
+++ b/internal/exec/exchange.go
@@ -23,6 +23,8 @@
 	// position is the commit's position; valid when committed.
 	position  tables.Position
 	committed bool
+	// rolledBack says that a command ended a transaction without its effects.
+	rolledBack bool
 	// failure is the SQLSTATE of an error response, or empty.
 	failure string
 	// stage is how far the exchange came; it matters when an error is returned.
@@ -67,6 +69,7 @@
 	position  tables.Position
 	committed bool
 	failure   string
+	rolled    bool
 	onResult  func() error
 }
 
@@ -74,6 +77,7 @@
 	r.position = x.position
 	r.committed = x.committed
 	r.failure = x.failure
+	r.rolledBack = x.rolled
 	return r
 }
 
@@ -111,6 +115,7 @@
 		if err := x.firstResult(); err != nil {
 			return err
 		}
+		x.rolled = x.rolled || string(m.CommandTag) == "ROLLBACK"
 		if mayCommit(m.CommandTag) {
 			x.answer.Hold()
 		}
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -88,14 +88,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerSession{
+	first, err := startupSettings(s.Parameters)
+	if err != nil {
+		return nil, err
+	}
+	cs := &callerSession{
 		exec:     e,
 		database: s.Database,
 		tags:     t,
 		session:  sess,
 		prepared: make(prepared),
 		status:   statusIdle,
-	}, nil
+	}
+	cs.settings.startWith(first)
+	return cs, nil
 }
 
 // Directory finds services, databases and users by name.
--- a/internal/exec/prepared.go
+++ b/internal/exec/prepared.go
@@ -186,6 +186,24 @@
 	return ""
 }
 
+// texts returns the SQL of every statement that a batch parses, describes or binds.
+func (p prepared) texts(messages []pgproto3.FrontendMessage) []string {
+	var list []string
+	parsed := ""
+	for _, m := range messages {
+		switch m := m.(type) {
+		case *pgproto3.Parse:
+			list = append(list, m.Query)
+			parsed = m.Name
+		case *pgproto3.Bind:
+			if len(list) == 0 || m.PreparedStatement != parsed {
+				list = append(list, p[m.PreparedStatement].query)
+			}
+		}
+	}
+	return list
+}
+
 // closesOnly reports whether messages only close statements.
 func closesOnly(messages []pgproto3.FrontendMessage) bool {
 	for _, m := range messages {
--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
@@ -35,6 +34,7 @@
 	a     *callers.Answer
 	place place
 	tags  tags.Tags
+	seen  inspection
 
 	arrived  tables.Time
 	route    route.Request
@@ -49,25 +49,28 @@
 	if !ok {
 		return nil, codes.New(codes.UnknownService, codes.NotRun, 0, s.database)
 	}
-	sql := s.sql(b)
-	merged, err := s.merge(sql, place)
+	merged, err := s.merge(s.sql(b), place)
 	if err != nil {
 		return nil, err
 	}
-	if err := checkState(sql); err != nil {
+	seen, err := inspectAll(s.statements(b), s.status != statusIdle, len(s.pending) > 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.settings.admits(append(s.pending, seen.changes...)); err != nil {
 		return nil, err
 	}
 	core := s.exec.core
 	r := &request{
 		s: s, core: core, batch: b, a: a, place: place, tags: merged,
-		arrived: core.Now(), servedBy: metrics.ServedByNone,
+		arrived: core.Now(), servedBy: metrics.ServedByNone, seen: seen,
 	}
 	r.route = route.Request{
 		Group:         place.group,
 		Tags:          &r.tags,
 		ArrivedAt:     r.arrived,
 		Deadline:      r.arrived.Add(merged.Deadline),
-		InTransaction: opensTransaction(sql),
+		InTransaction: seen.opens,
 		Load:          core.Load(),
 	}
 	r.route.ForSession(s.session)
@@ -190,6 +193,10 @@
 		pool.Release(c)
 		return true, nil
 	}
+	if err := c.Adopt(ctx, r.s.settings.text); err != nil {
+		pool.Discard(c)
+		return r.notAdopted(ctx, d, err)
+	}
 	r.core.Load().Add(d.Upstream, 1)
 	defer r.core.Load().Add(d.Upstream, -1)
 	started := r.core.Now()
@@ -209,6 +216,7 @@
 		pool.Discard(c)
 		return r.rejected(d)
 	}
+	r.s.settle(c, r.seen, res)
 	r.keep(pool, c, res)
 	return false, r.finish(ctx, d, res, started)
 }
@@ -309,6 +317,7 @@
 		r.reportLoss(d.Upstream, err)
 		return r.lostAnswer(ctx, res.stage, err)
 	}
+	r.s.settle(c, r.seen, res)
 	r.s.status = res.status
 	if res.status == statusIdle {
 		r.s.unpin(true)
@@ -395,6 +404,16 @@
 	return r.failed(retry.StageWaiting, d, err)
 }
 
+// notAdopted handles a connection that did not take the session's settings; the
+// request was not sent.
+func (r *request) notAdopted(ctx context.Context, d route.Decision, err error) (bool, error) {
+	var answered *upstream.ServerError
+	if errors.As(err, &answered) {
+		return false, r.mark(refuseState("the server refuses the session's settings: " + answered.Error()))
+	}
+	return r.notAcquired(ctx, d, err)
+}
+
 // rejected handles a primary that answered that it does not lead at the term.
 func (r *request) rejected(d route.Decision) (bool, error) {
 	r.a.Drop()
@@ -490,37 +509,3 @@
 		r.s.exec.metrics.ObserveReadAge(r.place.service.Name, age, age <= *r.tags.MaxAge+took)
 	}
 }
-
-// firstWord returns the first keyword of sql in lower case, comments skipped.
-func firstWord(sql string) string {
-	for {
-		sql = strings.TrimLeft(sql, " \t\r\n;")
-		if !strings.HasPrefix(sql, "/*") {
-			break
-		}
-		_, rest, ok := strings.Cut(sql, "*/")
-		if !ok {
-			return ""
-		}
-		sql = rest
-	}
-	end := strings.IndexAny(sql, " \t\r\n;(")
-	if end < 0 {
-		end = len(sql)
-	}
-	return strings.ToLower(sql[:end])
-}
-
-func opensTransaction(sql string) bool {
-	w := firstWord(sql)
-	return w == "begin" || w == "start"
-}
-
-// checkState refuses statements that would leave state on a shared connection.
-func checkState(sql string) error {
-	switch firstWord(sql) {
-	case "set", "listen", "unlisten", "prepare", "declare", "load", "discard", "reset":
-		return codes.New(codes.SessionState, codes.NotRun, 0, firstWord(sql))
-	}
-	return nil
-}
--- a/internal/exec/session.go
+++ b/internal/exec/session.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
-	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/systems/session"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -37,6 +36,9 @@
 	tags     tags.Tags
 	session  session.Session
 	prepared prepared
+	settings settingsList
+	// pending are the changes of settings in the open transaction.
+	pending  []change
 	status   byte
 	servedBy metrics.ServedBy
 
@@ -79,32 +81,12 @@
 		return s.status
 	}
 	s.unpin(false)
+	s.pending = nil
 	s.lost = true
 	s.status = statusFailed
 	return s.status
 }
 
-// local answers what needs no upstream.
-func (s *callerSession) local(b *callers.Batch, a *callers.Answer) (done bool, err error) {
-	if s.lost {
-		return true, s.runLost(b, a)
-	}
-	if !b.Simple {
-		if s.pinned == nil && closesOnly(b.Messages) {
-			return true, s.closeStatements(b, a)
-		}
-		return false, nil
-	}
-	set, ok := tags.ParseSet(b.Query)
-	if !ok {
-		return false, nil
-	}
-	if err := s.declare(set); err != nil {
-		return true, err
-	}
-	return true, a.Send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
-}
-
 // declare applies SET cranberrystage.name = value to the connection.
 func (s *callerSession) declare(set tags.Assignment) error {
 	t := s.tags
@@ -123,34 +105,6 @@
 	return nil
 }
 
-// runLost answers while the open transaction's connection is gone.
-func (s *callerSession) runLost(b *callers.Batch, a *callers.Answer) error {
-	word := firstWord(s.sql(b))
-	if word != "rollback" && word != "commit" && word != "end" && word != "abort" {
-		return codes.New(codes.UpstreamLost, codes.NotRun, 0, "the transaction is over; roll back")
-	}
-	s.lost = false
-	s.status = statusIdle
-	return a.Send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
-}
-
-func (s *callerSession) closeStatements(b *callers.Batch, a *callers.Answer) error {
-	for _, m := range b.Messages {
-		delete(s.prepared, m.(*pgproto3.Close).Name)
-		if err := a.Send(&pgproto3.CloseComplete{}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (s *callerSession) sql(b *callers.Batch) string {
-	if b.Simple {
-		return b.Query
-	}
-	return s.prepared.text(b.Messages)
-}
-
 // Cancel implements callers.Session.
 func (s *callerSession) Cancel() {
 	s.mu.Lock()
@@ -207,3 +161,20 @@
 	s.session = s.session.Wrote(g, p)
 	return a.Send(&pgproto3.ParameterStatus{Name: ParamSession, Value: s.session.Token.String()})
 }
+
+// settle records what an answered batch did to the settings of c and of the session.
+func (s *callerSession) settle(c *upstream.Conn, seen inspection, res exchangeResult) {
+	if seen.touches() {
+		c.SettingsUnknown()
+	}
+	if res.failure == "" {
+		s.pending = append(s.pending, seen.changes...)
+	}
+	if res.status != statusIdle || len(s.pending) == 0 {
+		return
+	}
+	if !res.rolledBack && res.failure == "" {
+		s.settings.apply(s.pending)
+	}
+	s.pending = nil
+}
--- a/internal/standin/dbserver/conn.go
+++ b/internal/standin/dbserver/conn.go
@@ -39,14 +39,19 @@
 	failed   bool
 	pending  []engine.Op
 	settings map[string]string
-	prepared map[string]engine.Statement
-	portals  map[string]portal
-	skipping bool
+	// local are the values before SET LOCAL, beforeTxn those before the transaction.
+	local     []savedSetting
+	beforeTxn map[string]string
+	prepared  map[string]engine.Statement
+	portals   map[string]portal
+	skipping  bool
 
 	cancel      atomic.Pointer[context.CancelFunc]
 	application atomic.Pointer[string]
 }
 
+type savedSetting struct{ name, value string }
+
 type portal struct {
 	stmt    engine.Statement
 	params  []string
--- a/internal/standin/dbserver/exec.go
+++ b/internal/standin/dbserver/exec.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -150,7 +151,7 @@
 	case engine.KindBegin, engine.KindCommit, engine.KindRollback:
 		tag, err := c.transaction(p.stmt.Kind)
 		return nil, tag, err
-	case engine.KindSet, engine.KindShow, engine.KindReset, engine.KindListen:
+	case engine.KindSet, engine.KindSetLocal, engine.KindShow, engine.KindReset, engine.KindResetOne, engine.KindListen:
 		return c.setting(p.stmt, args)
 	default:
 		return c.read(ctx, p.stmt, args)
@@ -225,10 +226,12 @@
 	switch kind {
 	case engine.KindBegin:
 		c.inTxn = true
+		c.beforeTxn = maps.Clone(c.settings)
 		return "BEGIN", nil
 	case engine.KindCommit:
 		failed := c.failed
 		c.inTxn, c.failed = false, false
+		c.endSettings(!failed)
 		if failed {
 			c.pending = nil
 			return "ROLLBACK", nil
@@ -236,6 +239,7 @@
 		return "COMMIT", c.commitOps()
 	default:
 		c.inTxn, c.failed = false, false
+		c.endSettings(false)
 		c.pending = nil
 		return "ROLLBACK", nil
 	}
@@ -272,12 +276,49 @@
 	case engine.KindListen:
 		c.settings["listen."+s.Name] = "on"
 		return nil, "LISTEN", nil
+	case engine.KindSetLocal:
+		if c.inTxn {
+			c.local = append(c.local, savedSetting{s.Name, c.settings[s.Name]})
+			c.settings[s.Name] = args[0]
+		}
+		return nil, "SET", nil
+	case engine.KindResetOne:
+		delete(c.settings, s.Name)
+		return nil, "RESET", nil
 	default:
+		return nil, c.reset(s.Name), nil
+	}
+}
+
+// reset runs a statement that returns state to its beginning; it returns the
+// command tag.
+func (c *conn) reset(what string) string {
+	if what == "reset all" || what == "discard all" {
 		clear(c.settings)
+	}
+	if what == "deallocate all" || what == "discard all" {
 		clear(c.prepared)
+	}
+	if what == "discard all" {
 		c.server.unlockAll(c.pid)
-		return nil, "DISCARD ALL", nil
+		return "DISCARD ALL"
+	}
+	if what == "reset all" {
+		return "RESET"
+	}
+	return strings.ToUpper(what)
+}
+
+// endSettings ends the effect of SET LOCAL, and of SET after a rollback.
+func (c *conn) endSettings(committed bool) {
+	for i := len(c.local) - 1; i >= 0; i-- {
+		c.settings[c.local[i].name] = c.local[i].value
+	}
+	c.local = nil
+	if !committed && c.beforeTxn != nil {
+		c.settings = c.beforeTxn
 	}
+	c.beforeTxn = nil
 }
 
 // function runs a replication control or lock function.
--- a/internal/standin/engine/statement.go
+++ b/internal/standin/engine/statement.go
@@ -35,6 +35,8 @@
 	KindEmpty
 	KindListen
 	KindTryLocks
+	KindSetLocal
+	KindResetOne
 )
 
 // Statement is one parsed statement. Arguments may be literals or "$n".
@@ -93,12 +95,14 @@
 	compile(KindCommit, `(?:commit|end)`),
 	compile(KindRollback, `(?:rollback|abort)`),
 	compile(KindSleep, `select pg_sleep\(~ARG~\)`),
-	compile(KindTryLocks, `select case((?: when pg_try_advisory_lock\(\d+\) then \d+)+) else -1 end`),
-	compile(KindFunction, `select (\w+)\(~(?:ARG~)?(?:,~ARG~)?(?:,~ARG~)?(?:,~ARG~)?\)`),
+	compile(KindTryLocks, `select case((?: when (?:pg_catalog\.)?pg_try_advisory_lock\(\d+\) then \d+)+) else -1 end`),
+	compile(KindFunction, `select (?:pg_catalog\.)?(\w+)\(~(?:ARG~)?(?:,~ARG~)?(?:,~ARG~)?(?:,~ARG~)?\)`),
 	compile(KindSelectOne, `select ARG`),
+	compile(KindSetLocal, `set local ([\w.]+)(?:~=~| to )(.+)`),
 	compile(KindSet, `set (?:session )?([\w.]+)(?:~=~| to )(.+)`),
 	compile(KindShow, `show ([\w.]+)`),
 	compile(KindReset, `(discard all|reset all|deallocate all|unlisten \*|close all)`),
+	compile(KindResetOne, `reset ([\w.]+)`),
 	compile(KindListen, `listen (\w+)`),
 }
 
@@ -136,17 +140,20 @@
 	case KindUpdateKey:
 		s.Table = strings.ToLower(groups[0])
 		groups = []string{groups[2], groups[1]}
-	case KindFunction, KindShow, KindListen:
+	case KindFunction, KindShow, KindListen, KindResetOne:
 		s.Name = strings.ToLower(groups[0])
 		groups = groups[1:]
-	case KindSet:
+	case KindSet, KindSetLocal:
 		s.Name = strings.ToLower(groups[0])
 		s.Args = []Arg{{Text: strings.Trim(strings.TrimSpace(groups[1]), `'"`)}}
 		return s, nil
 	case KindTryLocks:
 		s.Args = lockArgs(groups[0])
 		return s, nil
-	case KindBegin, KindCommit, KindRollback, KindReset:
+	case KindReset:
+		s.Name = strings.ToLower(groups[0])
+		return s, nil
+	case KindBegin, KindCommit, KindRollback:
 		return s, nil
 	}
 	for _, g := range groups {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -60,6 +60,10 @@
 	slotFirst int
 	slotAt    time.Time
 	lastUsed  time.Time
+	// settings is the text that made the connection's settings; it is not valid
+	// while settingsUnknown.
+	settings        string
+	settingsUnknown bool
 	// cancelled is set once a cancel request may be on its way: it could hit a
 	// later statement, so the connection is not reused.
 	cancelled atomic.Bool
@@ -150,6 +154,30 @@
 // Upstream returns the server's name.
 func (c *Conn) Upstream() tables.UpstreamID { return c.target.Upstream }
 
+// SettingsUnknown records that a statement may have changed the connection's
+// settings. They are reset before the next use.
+func (c *Conn) SettingsUnknown() { c.settingsUnknown = true }
+
+// Adopt makes the connection's settings those that text makes, SET statements
+// separated by semicolons. It returns nil only after the server answered that
+// the settings of earlier use are gone and these are in force.
+func (c *Conn) Adopt(ctx context.Context, text string) error {
+	if !c.settingsUnknown && c.settings == text {
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	_, err := c.simple("RESET ALL;" + text)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		return errors.Wrap(err, "set up the session's settings")
+	}
+	c.settings = text
+	c.settingsUnknown = false
+	return nil
+}
+
 // Cancel asks the server to cancel what the connection runs, over a new
 // connection, and waits until the server has taken the request. The connection
 // itself still gets its answer; the pool closes it afterwards.
--- a/internal/upstream/slot.go
+++ b/internal/upstream/slot.go
@@ -31,7 +31,8 @@
 
 // A slot is a session-level advisory lock at the server itself. It ends with
 // the connection, so two proxies never hold the same slot, whatever either
-// believes about the other.
+// believes about the other. Function names are qualified, because the search
+// path may be a caller's.
 
 // trySlots makes c hold any of the server's slots that is free.
 func (c *Conn) trySlots(slots int) (bool, error) {
@@ -56,7 +57,7 @@
 	sql.WriteString("SELECT CASE")
 	for i := range slots {
 		slot := (first + i) % slots
-		sql.WriteString(" WHEN pg_try_advisory_lock(" + lockName(slot) + ") THEN " + strconv.Itoa(slot))
+		sql.WriteString(" WHEN pg_catalog.pg_try_advisory_lock(" + lockName(slot) + ") THEN " + strconv.Itoa(slot))
 	}
 	sql.WriteString(" ELSE " + strconv.Itoa(noSlot) + " END")
 	return sql.String()
@@ -67,7 +68,7 @@
 	if c.slot == noSlot {
 		return nil
 	}
-	_, err := c.lockStatement("SELECT pg_advisory_unlock(" + lockName(c.slot) + ")")
+	_, err := c.lockStatement("SELECT pg_catalog.pg_advisory_unlock(" + lockName(c.slot) + ")")
 	c.slot = noSlot
 	return err
 }
