--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 
+	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 )
@@ -21,6 +22,9 @@
 // streamBytes is the size at which an answer that is not held goes out early.
 const streamBytes = 32 << 10
 
+// maxHeldBytes bounds what is held back until a write is safe.
+const maxHeldBytes = 16 << 20
+
 // NewAnswer returns an answer that is written to out.
 func NewAnswer(out io.Writer) *Answer { return &Answer{out: out} }
 
@@ -31,8 +35,11 @@
 		return errors.Wrap(err, "encode message")
 	}
 	a.buf = b
-	if !a.held && len(a.buf) >= streamBytes {
+	switch {
+	case !a.held && len(a.buf) >= streamBytes:
 		return a.Flush()
+	case a.held && len(a.buf)-a.mark > maxHeldBytes:
+		return codes.New(codes.FrameTooLarge, codes.Unknown, 0, "the answer after a write")
 	}
 	return nil
 }
--- a/internal/callers/batch.go
+++ b/internal/callers/batch.go
@@ -5,7 +5,7 @@
 )
 
 // Batch is one request: a simple query, or extended-protocol messages up to a
-// Sync, which is left out.
+// Sync or Flush, which is left out.
 type Batch struct {
 	// Query is the text of a simple query; Messages is empty then.
 	Query string
@@ -13,50 +13,38 @@
 	Messages []pgproto3.FrontendMessage
 	// Simple says that the request is a simple query.
 	Simple bool
+	// Partial says that the messages end with a Flush: their answers are due,
+	// but the implicit transaction goes on until a Sync.
+	Partial bool
 }
 
-// add copies m, which the reader reuses, and returns its approximate size in bytes.
+// add appends m and returns its approximate size in bytes.
 func (b *Batch) add(m pgproto3.FrontendMessage) int {
+	b.Messages = append(b.Messages, m)
+	return messageOverhead + messageSize(m)
+}
+
+// messageOverhead is roughly what a message takes beside its text.
+const messageOverhead = 64
+
+func messageSize(m pgproto3.FrontendMessage) int {
 	switch m := m.(type) {
 	case *pgproto3.Parse:
-		v := *m
-		b.Messages = append(b.Messages, &v)
-		return len(v.Query) + len(v.Name) + 4*len(v.ParameterOIDs)
+		return len(m.Query) + len(m.Name) + 4*len(m.ParameterOIDs)
 	case *pgproto3.Bind:
-		v := copyBind(m)
-		b.Messages = append(b.Messages, v)
-		return bindSize(v)
+		return bindSize(m)
 	case *pgproto3.Describe:
-		v := *m
-		b.Messages = append(b.Messages, &v)
-		return len(v.Name)
+		return len(m.Name)
 	case *pgproto3.Execute:
-		v := *m
-		b.Messages = append(b.Messages, &v)
-		return len(v.Portal)
+		return len(m.Portal)
 	case *pgproto3.Close:
-		v := *m
-		b.Messages = append(b.Messages, &v)
-		return len(v.Name)
+		return len(m.Name)
 	}
 	return 0
 }
 
-func copyBind(m *pgproto3.Bind) *pgproto3.Bind {
-	v := *m
-	v.ParameterFormatCodes = append([]int16(nil), m.ParameterFormatCodes...)
-	v.ResultFormatCodes = append([]int16(nil), m.ResultFormatCodes...)
-	v.Parameters = make([][]byte, len(m.Parameters))
-	for i, p := range m.Parameters {
-		if p != nil {
-			v.Parameters[i] = append([]byte{}, p...)
-		}
-	}
-	return &v
-}
-
 func bindSize(m *pgproto3.Bind) int {
-	n := len(m.DestinationPortal) + len(m.PreparedStatement)
+	n := len(m.DestinationPortal) + len(m.PreparedStatement) + 24*len(m.Parameters)
 	for _, p := range m.Parameters {
 		n += len(p)
 	}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 )
@@ -31,7 +32,8 @@
 // Session runs one caller's requests, one at a time.
 type Session interface {
 	// Run puts the answer to b into a, ReadyForQuery left out, and returns the
-	// transaction status that belongs there. On an error a has received no
+	// transaction status that belongs there. After a partial batch a transaction
+	// may be open whatever the status says. On an error a has received no
 	// error response yet; a *codes.Error keeps its number.
 	Run(ctx context.Context, b *Batch, a *Answer) (txStatus byte, err error)
 	// Cancel asks for the cancellation of the request that runs now, if any.
@@ -56,10 +58,33 @@
 	MaxFrame int
 	// StartupTimeout bounds the time until a caller is authenticated.
 	StartupTimeout time.Duration
+	// IdleInTransaction bounds how long a caller may keep an open transaction
+	// waiting for its next request; 0 means DefaultIdleInTransaction.
+	IdleInTransaction time.Duration
+	// WriteTimeout bounds how long a caller may take to accept a part of an
+	// answer; 0 means DefaultWriteTimeout.
+	WriteTimeout time.Duration
 	// TLS is offered when not nil.
 	TLS *tls.Config
 }
 
+// Bounds that hold where Options sets none. An open transaction holds one of a
+// server's few slots.
+const (
+	DefaultIdleInTransaction = 10 * time.Second
+	DefaultWriteTimeout      = 30 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.IdleInTransaction == 0 {
+		o.IdleInTransaction = DefaultIdleInTransaction
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = DefaultWriteTimeout
+	}
+	return o
+}
+
 // Server accepts callers.
 type Server struct {
 	opts     Options
@@ -80,7 +105,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	return &Server{opts: opts, executor: ex, log: log, listener: l}, nil
+	return &Server{opts: opts.withDefaults(), executor: ex, log: log, listener: l}, nil
 }
 
 // Addr returns the bound address.
@@ -111,6 +136,7 @@
 	defer func() { _ = nc.Close() }()
 	n := s.open.Add(1)
 	defer s.open.Add(-1)
+	sockopt.Bound(nc)
 	c := newSession(s, nc)
 	_ = nc.SetDeadline(time.Now().Add(s.opts.StartupTimeout))
 	if !c.startup(n > int64(s.opts.MaxCallers)) {
--- a/internal/callers/session.go
+++ b/internal/callers/session.go
@@ -20,12 +20,16 @@
 type session struct {
 	server *Server
 	net    net.Conn
+	in     frames
+	// be reads and writes the startup messages; it is nil afterwards.
 	be     *pgproto3.Backend
 	exec   Session
 	pid    uint32
 	secret []byte
 
 	status byte
+	// within is set while a transaction or a batch is open.
+	within bool
 	// busy is set while a request runs or a transaction is open.
 	busy atomic.Bool
 }
@@ -58,45 +62,75 @@
 
 // loop serves requests until the connection ends.
 func (c *session) loop(ctx context.Context) {
-	var b Batch
+	for {
+		b, ok := c.receive()
+		if !ok || !c.request(ctx, b) {
+			return
+		}
+		c.within = b.Partial || c.status != statusIdle
+		if !b.Partial && c.leave() {
+			return
+		}
+	}
+}
+
+// receive reads one request; false means that the connection is over.
+func (c *session) receive() (*Batch, bool) {
+	b := &Batch{}
 	size := 0
 	for {
-		msg, err := c.be.Receive()
+		msg, err := c.nextMessage(size > 0)
 		if err != nil {
 			c.end(err)
-			return
+			return nil, false
 		}
-		c.begin()
 		switch m := msg.(type) {
 		case *pgproto3.Query:
-			b = Batch{Query: m.String, Simple: true}
+			if size > 0 {
+				c.fatal(codes.New(codes.MalformedFrame, codes.NotRun, 0, "a query inside a batch"))
+				return nil, false
+			}
+			return &Batch{Query: m.String, Simple: true}, true
 		case *pgproto3.Sync:
+			return b, true
+		case *pgproto3.Flush:
+			if size > 0 {
+				b.Partial = true
+				return b, true
+			}
 		case *pgproto3.Terminate:
-			return
+			return nil, false
 		case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
 			if size += b.add(m); size > c.server.opts.MaxFrame {
 				c.fatal(codes.New(codes.FrameTooLarge, codes.NotRun, 0, "pipelined messages"))
-				return
+				return nil, false
 			}
-			continue
 		default:
 			c.fatal(codes.New(codes.Unsupported, codes.NotRun, 0, "message kind"))
-			return
-		}
-		if !c.request(ctx, &b) {
-			return
-		}
-		b = Batch{}
-		size = 0
-		if c.leave() {
-			return
+			return nil, false
 		}
 	}
 }
 
+// nextMessage reads one message. Inside a transaction or batch the caller has
+// to send it in time.
+func (c *session) nextMessage(inBatch bool) (pgproto3.FrontendMessage, error) {
+	bounded := c.within || inBatch
+	if bounded {
+		_ = c.net.SetReadDeadline(time.Now().Add(c.server.opts.IdleInTransaction))
+	}
+	c.in.rest()
+	msg, err := c.in.next()
+	c.begin()
+	if bounded && err == nil {
+		_ = c.net.SetReadDeadline(time.Time{})
+	}
+	return msg, err
+}
+
 // request runs one batch and ends its answer; false means that the connection is over.
 func (c *session) request(ctx context.Context, b *Batch) bool {
-	a := NewAnswer(c.net)
+	a := NewAnswer(boundedWriter{conn: c.net, timeout: c.server.opts.WriteTimeout})
 	status, err := c.exec.Run(ctx, b, a)
 	if err != nil {
 		a.Drop()
@@ -106,12 +140,26 @@
 	}
 	a.Release()
 	c.status = status
-	if a.Send(&pgproto3.ReadyForQuery{TxStatus: status}) != nil {
+	if !b.Partial && a.Send(&pgproto3.ReadyForQuery{TxStatus: status}) != nil {
 		return false
 	}
 	return a.Flush() == nil
 }
 
+// boundedWriter gives a caller a bounded time to accept each write.
+type boundedWriter struct {
+	conn    net.Conn
+	timeout time.Duration
+}
+
+// Write implements io.Writer.
+func (w boundedWriter) Write(b []byte) (int, error) {
+	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+		return 0, errors.Wrap(err, "bound a write")
+	}
+	return w.conn.Write(b)
+}
+
 // leave reports whether the session ends because the proxy is shutting down.
 // It marks the session idle first, so that a shutdown that begins now sees it.
 func (c *session) leave() bool {
@@ -128,16 +176,17 @@
 
 // end answers a read that failed.
 func (c *session) end(err error) {
-	var tooLong *pgproto3.ExceededMaxBodyLenErr
 	var netErr net.Error
-	switch {
-	case errors.As(err, &tooLong):
-		c.fatal(codes.New(codes.FrameTooLarge, codes.NotRun, 0, ""))
-	case errors.As(err, &netErr) && netErr.Timeout() && c.server.draining.Load():
+	timeout := errors.As(err, &netErr) && netErr.Timeout()
+	switch e, ok := codes.From(err); {
+	case ok:
+		c.fatal(e)
+	case timeout && c.within:
+		c.fatal(codes.New(codes.DeadlinePassed, codes.NotRun, 0, "idle in a transaction"))
+	case timeout && c.server.draining.Load():
 		c.fatal(codes.New(codes.ShuttingDown, codes.NotRun, connectRetry, ""))
-	case errors.As(err, &netErr):
-	default:
-		c.fatal(codes.New(codes.MalformedFrame, codes.NotRun, 0, ""))
+	case timeout:
+		c.fatal(codes.New(codes.DeadlinePassed, codes.NotRun, 0, "the request did not end"))
 	}
 }
 
--- a/internal/callers/startup.go
+++ b/internal/callers/startup.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/base64"
 	"net"
+	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
@@ -16,6 +17,8 @@
 const (
 	mechanism   = "SCRAM-SHA-256"
 	secretBytes = 4
+	// farewellTimeout bounds telling a caller why its connection ends.
+	farewellTimeout = time.Second
 )
 
 // startup handles the connection until the caller is authenticated and told
@@ -52,6 +55,10 @@
 		_, err := c.net.Write([]byte{'N'})
 		return err == nil
 	}
+	if c.in.buffer().Buffered() > 0 {
+		// Bytes that arrived before the handshake were not encrypted.
+		return false
+	}
 	if _, err := c.net.Write([]byte{'S'}); err != nil {
 		return false
 	}
@@ -66,10 +73,14 @@
 // use makes the session read and write nc.
 func (c *session) use(nc net.Conn) {
 	c.net = nc
-	c.be = pgproto3.NewBackend(nc, nc)
-	c.be.SetMaxBodyLen(c.server.opts.MaxFrame)
+	c.in = frames{conn: nc, max: c.server.opts.MaxFrame}
+	c.be = pgproto3.NewBackend(byteReader{&c.in}, nc)
+	c.be.SetMaxBodyLen(maxStartupFrame)
 }
 
+// maxStartupFrame bounds the messages of authentication.
+const maxStartupFrame = 10 << 10
+
 func (c *session) admit(m *pgproto3.StartupMessage) bool {
 	user := m.Parameters["user"]
 	if err := c.authenticate(user); err != nil {
@@ -111,13 +122,18 @@
 	}
 	c.be.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
 	c.be.Send(&pgproto3.ReadyForQuery{TxStatus: statusIdle})
-	return c.be.Flush() == nil
+	err := c.be.Flush()
+	c.be = nil
+	return err == nil
 }
 
 // fatal tells the caller why the connection ends; it returns false.
 func (c *session) fatal(e *codes.Error) bool {
-	c.be.Send(errorResponse(e, "FATAL"))
-	_ = c.be.Flush()
+	b, err := errorResponse(e, "FATAL").Encode(nil)
+	if err == nil {
+		_ = c.net.SetWriteDeadline(time.Now().Add(farewellTimeout))
+		_, _ = c.net.Write(b)
+	}
 	return false
 }
 
--- a/internal/exec/exchange.go
+++ b/internal/exec/exchange.go
@@ -43,7 +43,7 @@
 	if err := c.Frontend.Flush(); err != nil {
 		return r, errors.Wrap(err, "send to upstream")
 	}
-	x := exchanger{conn: c, out: out, answer: a, onResult: onResult}
+	x := exchanger{conn: c, out: out, answer: a, onResult: onResult, due: len(out.messages) - 1}
 	for {
 		msg, err := c.Frontend.Receive()
 		if err != nil {
@@ -59,6 +59,11 @@
 		if err := x.take(msg); err != nil {
 			return x.result(r), err
 		}
+		if out.partial && x.answered(msg) {
+			c.Settle()
+			x.remember()
+			return x.result(r), nil
+		}
 	}
 }
 
@@ -71,6 +76,24 @@
 	failure   string
 	rolled    bool
 	onResult  func() error
+	// ran says that a command of the batch completed.
+	ran bool
+	// due counts the messages of a partial batch whose answer is due.
+	due int
+}
+
+// answered reports whether msg ends the answer to a partial batch: each of its
+// messages was answered, or one failed and the rest is skipped.
+func (x *exchanger) answered(msg pgproto3.BackendMessage) bool {
+	switch msg.(type) {
+	case *pgproto3.ErrorResponse:
+		return true
+	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete,
+		*pgproto3.RowDescription, *pgproto3.NoData,
+		*pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		x.due--
+	}
+	return x.due == 0
 }
 
 func (x *exchanger) result(r exchangeResult) exchangeResult {
@@ -107,7 +130,7 @@
 		if x.swallow() {
 			return nil
 		}
-	case *pgproto3.DataRow:
+	case *pgproto3.DataRow, *pgproto3.CopyOutResponse:
 		if err := x.firstResult(); err != nil {
 			return err
 		}
@@ -115,6 +138,7 @@
 		if err := x.firstResult(); err != nil {
 			return err
 		}
+		x.ran = true
 		x.rolled = x.rolled || string(m.CommandTag) == "ROLLBACK"
 		if mayCommit(m.CommandTag) {
 			x.answer.Hold()
@@ -161,13 +185,18 @@
 }
 
 // refuseCopy ends a copy into the database, which the proxy does not carry. The
-// server drops the statement, so it did not run.
+// server drops the statement, so it did not run; what came before it in the
+// same batch may have.
 func (x *exchanger) refuseCopy() error {
 	x.conn.Frontend.Send(&pgproto3.CopyFail{Message: "refused"})
 	if err := x.conn.Frontend.Flush(); err != nil {
 		return errors.Wrap(err, "refuse copy")
 	}
-	return codes.New(codes.Unsupported, codes.NotRun, 0, "COPY FROM STDIN")
+	ran := codes.NotRun
+	if x.ran {
+		ran = codes.Unknown
+	}
+	return codes.New(codes.Unsupported, ran, 0, "COPY FROM STDIN")
 }
 
 // mayCommit reports whether a command with this tag may have written: the
--- a/internal/exec/prepared.go
+++ b/internal/exec/prepared.go
@@ -50,18 +50,24 @@
 	adds []string
 	// closes are the shared names that the connection lacks after success.
 	closes []string
-	// executes says that the batch runs something.
-	executes bool
+	// partial says that the batch ends with a Flush, which has no answer of its own.
+	partial bool
 }
 
 // translate rewrites a batch for a connection that holds the statements in
 // held: names become shared names, and statements that it lacks are parsed first.
-func (p prepared) translate(messages []pgproto3.FrontendMessage, held *upstream.Statements) outgoing {
+func (p prepared) translate(messages []pgproto3.FrontendMessage, partial bool, held *upstream.Statements) outgoing {
 	t := translation{prepared: p, held: held, parsed: make(map[string]struct{})}
+	t.out.messages = make([]pgproto3.FrontendMessage, 0, len(messages)+1)
 	for _, m := range messages {
 		t.add(m)
 	}
-	t.out.messages = append(t.out.messages, &pgproto3.Sync{})
+	t.out.partial = partial
+	if partial {
+		t.send(&pgproto3.Flush{})
+	} else {
+		t.send(&pgproto3.Sync{})
+	}
 	return t.out
 }
 
@@ -90,9 +96,6 @@
 		t.send(&v)
 	case *pgproto3.Close:
 		t.closeObject(m)
-	case *pgproto3.Execute:
-		t.out.executes = true
-		t.send(m)
 	default:
 		t.send(m)
 	}
--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -264,10 +264,10 @@
 	return d.Kind == route.KindPrimary && t.MaxAge == nil
 }
 
-// keep releases the connection, or pins it while a transaction is open.
+// keep releases the connection, or pins it while a transaction or a batch is open.
 func (r *request) keep(pool *upstream.Pool, c *upstream.Conn, res exchangeResult) {
-	r.s.status = res.status
-	if res.status == statusIdle {
+	r.s.advance(r.batch, res)
+	if !r.batch.Partial && res.status == statusIdle {
 		pool.Release(c)
 		return
 	}
@@ -277,7 +277,9 @@
 // exchange runs the batch on c within the deadline; at its end the connection
 // is cut off and the upstream asked to cancel.
 func (r *request) exchange(ctx context.Context, c *upstream.Conn, onResult func() error) (exchangeResult, error) {
-	r.s.setRunning(c)
+	if !r.s.setRunning(c) {
+		return exchangeResult{stage: retry.StageWaiting}, errCancelled
+	}
 	defer r.s.setRunning(nil)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	res, err := exchange(c, r.outgoing(c), r.a, onResult)
@@ -299,9 +301,9 @@
 
 func (r *request) outgoing(c *upstream.Conn) outgoing {
 	if r.batch.Simple {
-		return outgoing{messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: r.batch.Query}}, executes: true}
+		return outgoing{messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: r.batch.Query}}}
 	}
-	return r.s.prepared.translate(r.batch.Messages, c.Prepared)
+	return r.s.prepared.translate(r.batch.Messages, r.batch.Partial, c.Prepared)
 }
 
 // runPinned runs the batch on the open transaction's connection.
@@ -318,8 +320,8 @@
 		return r.lostAnswer(ctx, res.stage, err)
 	}
 	r.s.settle(c, r.seen, res)
-	r.s.status = res.status
-	if res.status == statusIdle {
+	r.s.advance(r.batch, res)
+	if !r.batch.Partial && res.status == statusIdle {
 		r.s.unpin(true)
 	}
 	return r.finish(ctx, d, res, started)
@@ -335,7 +337,7 @@
 	if res.committed {
 		return r.acknowledge(ctx, d, res)
 	}
-	if res.failure == "" && res.status == statusIdle && needsConfirm(d, r.route.Tags) {
+	if res.failure == "" && r.s.status == statusIdle && needsConfirm(d, r.route.Tags) {
 		if err := r.confirmSince(ctx, started, d.Term); err != nil {
 			return err
 		}
--- a/internal/exec/session.go
+++ b/internal/exec/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
+	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/systems/session"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -45,46 +46,76 @@
 	// pinned is the connection of the open transaction.
 	pinned   *upstream.Conn
 	pinnedBy *upstream.Pool
+	// skipping says that messages are ignored up to the next Sync, because one
+	// of a partial batch failed.
+	skipping bool
 	// lost says that the open transaction's connection is gone; the caller has
 	// to roll back.
 	lost bool
 
-	mu      sync.Mutex
-	running *upstream.Conn
+	mu          sync.Mutex
+	running     *upstream.Conn
+	stopWaiting context.CancelFunc
+	cancelled   bool
 }
 
 var _ callers.Session = (*callerSession)(nil)
 
 // Run implements callers.Session.
 func (s *callerSession) Run(ctx context.Context, b *callers.Batch, a *callers.Answer) (byte, error) {
+	if s.skipping {
+		if b.Partial {
+			return s.status, nil
+		}
+		s.skipping = false
+		b = &callers.Batch{}
+	}
+	err := s.serve(ctx, b, a)
+	if err != nil {
+		s.fail()
+	}
+	if b.Partial && err != nil {
+		s.skipping = true
+	}
+	return s.status, err
+}
+
+func (s *callerSession) serve(ctx context.Context, b *callers.Batch, a *callers.Answer) error {
 	if done, err := s.local(b, a); done {
-		return s.status, err
+		return err
 	}
 	r, err := s.newRequest(b, a)
 	if err != nil {
-		return s.fail(), err
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.tags.Deadline)
 	defer cancel()
+	s.setWaiting(cancel)
+	defer s.setWaiting(nil)
 	err = r.run(ctx)
 	r.observe(err)
-	if err != nil {
-		return s.fail(), err
-	}
-	return s.status, nil
+	return err
 }
 
-// fail returns the status after a request that failed in the proxy: an open
-// transaction is over and must be rolled back by the caller.
-func (s *callerSession) fail() byte {
-	if s.status == statusIdle {
-		return s.status
-	}
+// fail ends an open transaction or batch after a request that failed in the
+// proxy. The caller must roll the transaction back.
+func (s *callerSession) fail() {
 	s.unpin(false)
 	s.pending = nil
+	if s.status == statusIdle {
+		return
+	}
 	s.lost = true
 	s.status = statusFailed
-	return s.status
+}
+
+// advance records the status after a batch that was answered.
+func (s *callerSession) advance(b *callers.Batch, res exchangeResult) {
+	if !b.Partial {
+		s.status = res.status
+		return
+	}
+	s.skipping = res.failure != ""
 }
 
 // declare applies SET cranberrystage.name = value to the connection.
@@ -105,11 +136,16 @@
 	return nil
 }
 
-// Cancel implements callers.Session.
+// Cancel implements callers.Session. A request that waits ends at once, one
+// that runs is cancelled at its server.
 func (s *callerSession) Cancel() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running == nil {
+		if s.stopWaiting != nil {
+			s.cancelled = true
+			s.stopWaiting()
+		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
@@ -119,10 +155,27 @@
 
 const cancelTimeout = time.Second
 
-func (s *callerSession) setRunning(c *upstream.Conn) {
+// errCancelled means that the caller cancelled its request before it was sent.
+var errCancelled = codes.New(codes.DeadlinePassed, codes.NotRun, 0, "cancelled by the caller")
+
+// setRunning says which connection runs the request. It reports false if the
+// caller cancelled the request before.
+func (s *callerSession) setRunning(c *upstream.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c != nil && s.cancelled {
+		return false
+	}
 	s.running = c
+	return true
+}
+
+// setWaiting says how to end the wait of the request that begins now.
+func (s *callerSession) setWaiting(stop context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopWaiting = stop
+	s.cancelled = false
 }
 
 // Close implements callers.Session.
@@ -167,8 +220,11 @@
 	if seen.touches() {
 		c.SettingsUnknown()
 	}
-	if res.failure == "" {
+	switch {
+	case res.failure == "":
 		s.pending = append(s.pending, seen.changes...)
+	case s.status == statusIdle:
+		s.pending = nil // an implicit transaction failed
 	}
 	if res.status != statusIdle || len(s.pending) == 0 {
 		return
