--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -427,7 +427,7 @@
 // broken handles a connection that broke during the exchange.
 func (r *request) broken(ctx context.Context, stage retry.Stage, d route.Decision, err error) (bool, error) {
 	if _, ok := codes.From(err); ok {
-		return false, err
+		return false, r.mark(err)
 	}
 	if ctx.Err() != nil || r.a.Started() {
 		return false, r.lostAnswer(ctx, stage, err)
