Test pipelines, prepared statements over pooled connections and lost transactions

An error is flushed by the emulator while it skips to a Sync, as a server does. Failing first: without skipping to the Sync after a failed partial batch.

--- /dev/null
+++ b/internal/callers/server_test.go
@@ -0,0 +1,438 @@
+package callers
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/scramverifier"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	testUser     = "shop"
+	testPassword = "secret"
+)
+
+// fakeExecutor answers every query with its own text. "BEGIN" and "COMMIT"
+// change the status, "wait" ends once the test says so.
+type fakeExecutor struct {
+	user     config.User
+	started  atomic.Int64
+	finished atomic.Int64
+	closed   atomic.Int64
+	release  chan struct{}
+	cancel   chan struct{}
+}
+
+func newFakeExecutor(t testing.TB) *fakeExecutor {
+	u, err := scramverifier.New(testUser, testPassword, []byte("0123456789abcdef"), scramverifier.MinIterations)
+	assert.NilError(t, err)
+	return &fakeExecutor{user: u, release: make(chan struct{}), cancel: make(chan struct{}, 1)}
+}
+
+func (e *fakeExecutor) User(name string) (config.User, bool) { return e.user, name == testUser }
+
+func (e *fakeExecutor) Open(Startup) (Session, error) {
+	return &fakeSession{e: e, status: statusIdle}, nil
+}
+
+type fakeSession struct {
+	e      *fakeExecutor
+	status byte
+}
+
+func (s *fakeSession) Run(_ context.Context, b *Batch, a *Answer) (byte, error) {
+	s.e.started.Add(1)
+	defer s.e.finished.Add(1)
+	switch {
+	case b.Query == "BEGIN":
+		s.status = 'T'
+	case b.Query == "COMMIT":
+		s.status = statusIdle
+	case b.Query == "fail":
+		return s.status, codes.New(codes.NoSlot, codes.NotRun, time.Second, "")
+	case strings.HasPrefix(b.Query, "wait"):
+		<-s.e.release
+	}
+	for range b.Messages {
+		if err := a.Send(&pgproto3.ParseComplete{}); err != nil {
+			return s.status, err
+		}
+	}
+	return s.status, a.Send(&pgproto3.CommandComplete{CommandTag: []byte(b.Query)})
+}
+
+func (s *fakeSession) Cancel() { s.e.cancel <- struct{}{} }
+
+func (s *fakeSession) Close() { s.e.closed.Add(1) }
+
+func startServer(t testing.TB, e Executor, opts Options) *Server {
+	if opts.MaxCallers == 0 {
+		opts.MaxCallers = 1000
+	}
+	if opts.MaxFrame == 0 {
+		opts.MaxFrame = 1 << 20
+	}
+	if opts.StartupTimeout == 0 {
+		opts.StartupTimeout = 5 * time.Second
+	}
+	s, err := New("127.0.0.1:0", e, opts, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return s
+}
+
+func connect(t testing.TB, s *Server) *pgconn.PgConn {
+	t.Helper()
+	c, err := pgconn.Connect(context.Background(), url(s, testUser, "disable"))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Conn().Close() })
+	return c
+}
+
+func url(s *Server, user, mode string) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/db?sslmode=%s", user, testPassword, s.Addr(), mode)
+}
+
+func query(c *pgconn.PgConn, sql string) (string, error) {
+	r := c.Exec(context.Background(), sql)
+	var tag string
+	for r.NextResult() {
+		t, _ := r.ResultReader().Close()
+		tag = t.String()
+	}
+	return tag, r.Close()
+}
+
+func sqlState(err error) string {
+	var pe *pgconn.PgError
+	if errors.As(err, &pe) {
+		return pe.Code
+	}
+	return ""
+}
+
+func await(t testing.TB, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatal("condition did not come true")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// readError reads raw messages up to an error and returns its SQLSTATE.
+func readError(t testing.TB, nc net.Conn) string {
+	t.Helper()
+	assert.NilError(t, nc.SetReadDeadline(time.Now().Add(5*time.Second)))
+	return receiveError(t, pgproto3.NewFrontend(nc, nc))
+}
+
+func receiveError(t testing.TB, fe *pgproto3.Frontend) string {
+	t.Helper()
+	for {
+		msg, err := fe.Receive()
+		assert.NilError(t, err)
+		if e, ok := msg.(*pgproto3.ErrorResponse); ok {
+			return e.Code
+		}
+	}
+}
+
+func TestUnknownUserAndWrongPasswordLookTheSame(t *testing.T) {
+	s := startServer(t, newFakeExecutor(t), Options{})
+	_, err1 := pgconn.Connect(context.Background(), url(s, "nobody", "disable"))
+	_, err2 := pgconn.Connect(context.Background(), strings.Replace(url(s, testUser, "disable"), testPassword, "wrong", 1))
+	assert.Equal(t, sqlState(err1), "28P01")
+	assert.Equal(t, sqlState(err2), "28P01")
+}
+
+func TestTLS(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	assert.NilError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	roots := x509.NewCertPool()
+	roots.AddCert(cert)
+	s := startServer(t, newFakeExecutor(t), Options{TLS: &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+	}})
+	cfg, err := pgconn.ParseConfig(url(s, testUser, "verify-full"))
+	assert.NilError(t, err)
+	cfg.TLSConfig.RootCAs = roots
+	c, err := pgconn.ConnectConfig(context.Background(), cfg)
+	assert.NilError(t, err)
+	defer c.Conn().Close()
+	_, isTLS := c.Conn().(*tls.Conn)
+	assert.Assert(t, isTLS)
+	for i := range 3 {
+		sql := fmt.Sprintf("q%d%s", i, strings.Repeat("x", i*3000))
+		tag, err := query(c, sql)
+		assert.NilError(t, err)
+		assert.Equal(t, tag, sql)
+	}
+}
+
+func TestBytesBeforeTheHandshakeEndTheConnection(t *testing.T) {
+	s := startServer(t, newFakeExecutor(t), Options{TLS: &tls.Config{}})
+	nc, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer nc.Close()
+	request, err := (&pgproto3.SSLRequest{}).Encode(nil)
+	assert.NilError(t, err)
+	startup, err := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "x"}}).Encode(request)
+	assert.NilError(t, err)
+	_, err = nc.Write(startup)
+	assert.NilError(t, err)
+	assert.NilError(t, nc.SetReadDeadline(time.Now().Add(5*time.Second)))
+	got, _ := io.ReadAll(nc)
+	assert.Equal(t, len(got), 0)
+}
+
+func TestStartupThatDoesNotEndIsClosed(t *testing.T) {
+	s := startServer(t, newFakeExecutor(t), Options{StartupTimeout: 20 * time.Millisecond})
+	nc, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer nc.Close()
+	_, err = nc.Write([]byte{0, 0})
+	assert.NilError(t, err)
+	assert.NilError(t, nc.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.ReadAll(nc)
+	var netErr net.Error
+	assert.Assert(t, !errors.As(err, &netErr) || !netErr.Timeout())
+}
+
+func TestBadFramesGetAnErrorAndAClosedConnection(t *testing.T) {
+	oversize := binary.BigEndian.AppendUint32([]byte{'Q'}, 1<<30)
+	short := binary.BigEndian.AppendUint32([]byte{'Q'}, 2)
+	body := append(binary.BigEndian.AppendUint32([]byte{'B'}, 6), 'x', 'y')
+	cases := []struct {
+		name  string
+		frame []byte
+		state string
+	}{
+		{"unknown kind", []byte{'?', 0, 0, 0, 4}, "08P01"},
+		{"oversize", oversize, "54000"},
+		{"length below its own size", short, "08P01"},
+		{"body", body, "08P01"},
+		{"copy data", []byte{'d', 0, 0, 0, 4}, "0A000"},
+		{"query inside a batch", []byte{'C', 0, 0, 0, 6, 'S', 0, 'Q', 0, 0, 0, 5, 0}, "08P01"},
+	}
+	e := newFakeExecutor(t)
+	s := startServer(t, e, Options{})
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			nc := connect(t, s).Conn()
+			_, err := nc.Write(c.frame)
+			assert.NilError(t, err)
+			assert.Equal(t, readError(t, nc), c.state)
+			_, err = nc.Read(make([]byte, 1))
+			assert.Assert(t, err != nil)
+		})
+	}
+	assert.Equal(t, e.started.Load(), int64(0))
+	await(t, func() bool { return s.Open() == 0 })
+}
+
+func TestPipelinedBatchIsBounded(t *testing.T) {
+	s := startServer(t, newFakeExecutor(t), Options{MaxFrame: 10_000})
+	nc := connect(t, s).Conn()
+	parse, err := (&pgproto3.Parse{Query: strings.Repeat("x", 900)}).Encode(nil)
+	assert.NilError(t, err)
+	go func() {
+		for range 20 {
+			if _, err := nc.Write(parse); err != nil {
+				return
+			}
+		}
+	}()
+	assert.Equal(t, readError(t, nc), "54000")
+}
+
+func TestFlushAnswersWithoutASync(t *testing.T) {
+	s := startServer(t, newFakeExecutor(t), Options{})
+	c := connect(t, s)
+	fe := c.Frontend()
+	fe.Send(&pgproto3.Parse{Query: "q"})
+	fe.Send(&pgproto3.Flush{})
+	assert.NilError(t, fe.Flush())
+	msg, err := fe.Receive()
+	assert.NilError(t, err)
+	assert.Assert(t, isParseComplete(msg))
+	fe.Send(&pgproto3.Sync{})
+	assert.NilError(t, fe.Flush())
+	for {
+		msg, err := fe.Receive()
+		assert.NilError(t, err)
+		if _, ok := msg.(*pgproto3.ReadyForQuery); ok {
+			return
+		}
+	}
+}
+
+func isParseComplete(m pgproto3.BackendMessage) bool {
+	_, ok := m.(*pgproto3.ParseComplete)
+	return ok
+}
+
+func TestCallerThatStaysIdleInATransactionIsClosed(t *testing.T) {
+	e := newFakeExecutor(t)
+	s := startServer(t, e, Options{IdleInTransaction: 20 * time.Millisecond})
+	idle, open := connect(t, s), connect(t, s)
+	_, err := query(open, "BEGIN")
+	assert.NilError(t, err)
+	assert.Equal(t, readError(t, open.Conn()), "57014")
+	await(t, func() bool { return e.closed.Load() == 1 })
+	_, err = query(idle, "still here")
+	assert.NilError(t, err)
+}
+
+func TestCallerThatVanishesInATransactionIsClosed(t *testing.T) {
+	e := newFakeExecutor(t)
+	s := startServer(t, e, Options{})
+	c := connect(t, s)
+	_, err := query(c, "BEGIN")
+	assert.NilError(t, err)
+	assert.NilError(t, c.Conn().Close())
+	await(t, func() bool { return e.closed.Load() == 1 })
+}
+
+func TestCancelReachesARequestThatRuns(t *testing.T) {
+	e := newFakeExecutor(t)
+	s := startServer(t, e, Options{})
+	c := connect(t, s)
+	answered := make(chan error)
+	go func() {
+		_, err := query(c, "wait")
+		answered <- err
+	}()
+	await(t, func() bool { return e.started.Load() == 1 })
+	assert.NilError(t, c.CancelRequest(context.Background()))
+	<-e.cancel
+	close(e.release)
+	assert.NilError(t, <-answered)
+}
+
+func TestTooManyCallers(t *testing.T) {
+	s := startServer(t, newFakeExecutor(t), Options{MaxCallers: 1})
+	connect(t, s)
+	_, err := pgconn.Connect(context.Background(), url(s, testUser, "disable"))
+	assert.Equal(t, sqlState(err), "53300")
+}
+
+func TestShutdownCutsNoRequestAndNoTransaction(t *testing.T) {
+	e := newFakeExecutor(t)
+	s := startServer(t, e, Options{})
+	const each = 20
+	var idle, running, open []*pgconn.PgConn
+	for range each {
+		idle, running, open = append(idle, connect(t, s)), append(running, connect(t, s)), append(open, connect(t, s))
+	}
+	for _, c := range open {
+		_, err := query(c, "BEGIN")
+		assert.NilError(t, err)
+	}
+	var wg sync.WaitGroup
+	failures := make(chan error, each)
+	for _, c := range running {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if tag, err := query(c, "wait"); err != nil || tag != "wait" {
+				failures <- errors.Errorf("cut: %q %v", tag, err)
+			}
+		}()
+	}
+	await(t, func() bool { return e.started.Load() == 2*each })
+	ended := make(chan error)
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	for _, c := range idle {
+		assert.Equal(t, readError(t, c.Conn()), "57P01")
+	}
+	close(e.release)
+	wg.Wait()
+	close(failures)
+	for err := range failures {
+		t.Error(err)
+	}
+	for _, c := range open {
+		tag, err := query(c, "in transaction")
+		assert.NilError(t, err)
+		assert.Equal(t, tag, "in transaction")
+		_, err = query(c, "COMMIT")
+		assert.NilError(t, err)
+		assert.Equal(t, receiveError(t, c.Frontend()), "57P01")
+	}
+	assert.NilError(t, <-ended)
+	assert.Equal(t, e.started.Load(), e.finished.Load())
+	assert.Equal(t, e.closed.Load(), int64(3*each))
+}
+
+// TestShutdownUnderLoad checks that under a shutdown at any moment each request
+// is either answered whole or refused as not run.
+func TestShutdownUnderLoad(t *testing.T) {
+	e := newFakeExecutor(t)
+	s := startServer(t, e, Options{})
+	const callers = 30
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	for range callers {
+		c := connect(t, s)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				_, err := query(c, "q")
+				if err == nil {
+					answered.Add(1)
+					continue
+				}
+				if sqlState(err) != "57P01" {
+					t.Errorf("got %v", err)
+				}
+				return
+			}
+		}()
+	}
+	await(t, func() bool { return answered.Load() > 500 })
+	assert.NilError(t, s.Shutdown(context.Background()))
+	wg.Wait()
+	assert.Equal(t, e.finished.Load(), answered.Load(), "a request ran whose caller got no answer")
+}
--- /dev/null
+++ b/internal/exec/pipeline_test.go
@@ -0,0 +1,133 @@
+package exec
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/cranberrystage/cranberrystage/internal/callers"
+	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+)
+
+// run returns the messages that run one unnamed statement.
+func run(sql string) []pgproto3.FrontendMessage {
+	return []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{},
+	}
+}
+
+// flush sends messages that end with a Flush.
+func (c *testCaller) flush(messages ...pgproto3.FrontendMessage) reply {
+	return c.run(context.Background(), &callers.Batch{Messages: messages, Partial: true})
+}
+
+func (c *testCaller) count(table, value string) string {
+	c.t.Helper()
+	r := c.query(fmt.Sprintf("SELECT count(*) FROM %s WHERE v = '%s'", table, value)).ok(c.t)
+	return r.rows[0]
+}
+
+func TestFlushAnswersBeforeTheCommit(t *testing.T) {
+	rig := newEmulatorRig(t, 3)
+	a, b := rig.open(nil), rig.open(nil)
+	r := a.flush(run("INSERT INTO orders (v) VALUES ('x')")...).ok(t)
+	assert.DeepEqual(t, r.tags, []string{"INSERT 0 1"})
+	assert.Equal(t, b.count("orders", "x"), "0")
+	a.flush(run("INSERT INTO orders (v) VALUES ('x')")...).ok(t)
+	a.batch().ok(t)
+	assert.Equal(t, b.count("orders", "x"), "2")
+	assert.Assert(t, a.s.pinned == nil)
+}
+
+func TestErrorInAPipelineSkipsToTheSync(t *testing.T) {
+	rig := newEmulatorRig(t, 3)
+	a := rig.open(nil)
+	a.flush(run("INSERT INTO orders (v) VALUES ('x')")...).ok(t)
+	assert.Equal(t, a.flush(run("nonsense")...).sqlState, "42601")
+	assert.Equal(t, a.flush(run("INSERT INTO orders (v) VALUES ('x')")...).ok(t).kinds, "")
+	r := a.batch(run("INSERT INTO orders (v) VALUES ('x')")...).ok(t)
+	assert.Equal(t, r.kinds, "")
+	assert.Equal(t, r.status, statusIdle)
+	assert.Equal(t, a.count("orders", "x"), "0")
+}
+
+func TestRefusalInAPipelineRollsItBack(t *testing.T) {
+	rig := newEmulatorRig(t, 1)
+	a := rig.open(nil)
+	a.flush(run("INSERT INTO orders (v) VALUES ('x')")...).ok(t)
+	assert.Equal(t, code(a.flush(run("LISTEN x")...).err), codes.SessionState)
+	a.batch(run("INSERT INTO orders (v) VALUES ('x')")...).ok(t)
+	assert.Equal(t, a.count("orders", "x"), "0")
+}
+
+func TestSettingOfAFailedPipelineIsNotRecorded(t *testing.T) {
+	rig := newEmulatorRig(t, 1)
+	a := rig.open(nil)
+	a.flush(run("SET work_mem = '1'")...).ok(t)
+	assert.Equal(t, a.flush(run("nonsense")...).sqlState, "42601")
+	a.batch().ok(t)
+	assert.Equal(t, a.show("work_mem"), "")
+}
+
+func TestPreparedStatementsOverPooledConnections(t *testing.T) {
+	rig := newEmulatorRig(t, 2)
+	a, b := rig.open(nil), rig.open(nil)
+	a.batch(&pgproto3.Parse{Name: "s", Query: "SELECT 1"}, &pgproto3.Describe{ObjectType: 'S', Name: "s"}).ok(t)
+	b.batch(&pgproto3.Parse{Name: "s", Query: "SELECT 2"}).ok(t)
+	b.query("BEGIN").ok(t)
+	for range 5 {
+		bind := []pgproto3.FrontendMessage{&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{}}
+		r := a.batch(bind...).ok(t)
+		assert.DeepEqual(t, r.rows, []string{"1"})
+		assert.Equal(t, r.kinds, "2C")
+		assert.DeepEqual(t, b.batch(bind...).ok(t).rows, []string{"2"})
+	}
+	b.query("COMMIT").ok(t)
+	// An error in the middle of a batch leaves the statements usable.
+	r := a.batch(&pgproto3.Parse{Name: "t", Query: "SELECT 3"}, &pgproto3.Parse{Name: "u", Query: "nonsense"}, &pgproto3.Parse{Name: "v", Query: "SELECT 4"})
+	assert.Equal(t, r.sqlState, "42601")
+	assert.Equal(t, r.kinds, "1E")
+	r = a.batch(&pgproto3.Bind{PreparedStatement: "t"}, &pgproto3.Execute{}, &pgproto3.Close{ObjectType: 'S', Name: "t"}).ok(t)
+	assert.Equal(t, r.kinds, "2C3")
+	r = a.batch(&pgproto3.Bind{PreparedStatement: "t"}, &pgproto3.Execute{})
+	assert.Equal(t, r.sqlState, "26000")
+}
+
+func TestManyPreparedStatementsStayWithinTheBound(t *testing.T) {
+	rig := newEmulatorRig(t, 1)
+	a := rig.open(nil)
+	for i := range 600 {
+		name := fmt.Sprintf("s%d", i)
+		a.batch(&pgproto3.Parse{Name: name, Query: fmt.Sprintf("SELECT %d", i)}).ok(t)
+	}
+	r := a.batch(&pgproto3.Bind{PreparedStatement: "s0"}, &pgproto3.Execute{}).ok(t)
+	assert.DeepEqual(t, r.rows, []string{"0"})
+	assert.Equal(t, r.kinds, "2C")
+	c, err := rig.core.pool.Acquire(context.Background(), 1)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Prepared.Len(), 256)
+	rig.core.pool.Release(c)
+}
+
+func TestLostTransactionIsRolledBackOverEitherProtocol(t *testing.T) {
+	for _, extended := range []bool{false, true} {
+		rig := newEmulatorRig(t, 1)
+		a := rig.open(nil)
+		a.query("BEGIN").ok(t)
+		assert.Equal(t, code(a.query("LISTEN x").err), codes.SessionState)
+		assert.Equal(t, a.s.status, statusFailed)
+		assert.Equal(t, code(a.query("ROLLBACK; SELECT 1").err), codes.UpstreamLost)
+		r := reply{}
+		if extended {
+			r = a.batch(run("ROLLBACK")...)
+			assert.Equal(t, r.kinds, "12nC")
+		} else {
+			r = a.query("ROLLBACK")
+		}
+		assert.DeepEqual(t, r.ok(t).tags, []string{"ROLLBACK"})
+		assert.Equal(t, r.status, statusIdle)
+		a.query("SELECT 1").ok(t)
+	}
+}
--- a/internal/standin/dbserver/conn.go
+++ b/internal/standin/dbserver/conn.go
@@ -202,7 +202,11 @@
 // handle answers one message; false ends the connection.
 func (c *conn) handle(ctx context.Context, msg pgproto3.FrontendMessage) bool {
 	if c.skipping {
-		if _, ok := msg.(*pgproto3.Sync); !ok {
+		switch msg.(type) {
+		case *pgproto3.Sync:
+		case *pgproto3.Flush:
+			return c.be.Flush() == nil
+		default:
 			return true
 		}
 	}
