--- a/internal/exec/harness_test.go
+++ b/internal/exec/harness_test.go
@@ -106,6 +106,8 @@
 	t    testing.TB
 	core *fakeCore
 	exec *Executor
+	// server is the emulated server, if there is one.
+	server *dbserver.Server
 }
 
 func newRig(t testing.TB, address string, limits upstream.Limits) *rig {
@@ -133,7 +135,9 @@
 		stop()
 		<-done
 	})
-	return newRig(t, s.Addr(), upstream.Limits{Connections: connections, Slots: 3})
+	r := newRig(t, s.Addr(), upstream.Limits{Connections: connections, Slots: 3})
+	r.server = s
+	return r
 }
 
 func (r *rig) open(params map[string]string) *testCaller {
--- a/internal/exec/pipeline_test.go
+++ b/internal/exec/pipeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
@@ -111,6 +112,19 @@
 	rig.core.pool.Release(c)
 }
 
+func TestPreparedStatementsOfACallerAreBounded(t *testing.T) {
+	p := prepared{}
+	for i := range maxNamed {
+		m := &pgproto3.Parse{Name: fmt.Sprint(i)}
+		assert.NilError(t, p.admits([]pgproto3.FrontendMessage{m}))
+		p[m.Name] = newStatement(m)
+	}
+	assert.ErrorContains(t, p.admits([]pgproto3.FrontendMessage{&pgproto3.Parse{Name: "x"}}), "too many")
+	assert.NilError(t, p.admits([]pgproto3.FrontendMessage{&pgproto3.Parse{}}))
+	large := &pgproto3.Parse{Name: "x", Query: strings.Repeat("x", maxNamedBytes+1)}
+	assert.ErrorContains(t, prepared{}.admits([]pgproto3.FrontendMessage{large}), "too many")
+}
+
 func TestLostTransactionIsRolledBackOverEitherProtocol(t *testing.T) {
 	for _, extended := range []bool{false, true} {
 		rig := newEmulatorRig(t, 1)
--- a/internal/exec/prepared.go
+++ b/internal/exec/prepared.go
@@ -40,6 +40,33 @@
 // the empty name.
 type prepared map[string]statement
 
+// Bounds of the named statements of one caller.
+const (
+	maxNamed      = 1000
+	maxNamedBytes = 4 << 20
+)
+
+// admits refuses a batch whose named statements would exceed the bounds.
+func (p prepared) admits(messages []pgproto3.FrontendMessage) error {
+	n, size := 0, 0
+	for _, m := range messages {
+		if parse, ok := m.(*pgproto3.Parse); ok && parse.Name != "" {
+			n++
+			size += len(parse.Query)
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	for _, s := range p {
+		size += len(s.query)
+	}
+	if n+len(p) > maxNamed || size > maxNamedBytes {
+		return refuseState("too many prepared statements")
+	}
+	return nil
+}
+
 // outgoing is a batch as it goes to one upstream connection.
 type outgoing struct {
 	messages []pgproto3.FrontendMessage
--- a/internal/exec/session.go
+++ b/internal/exec/session.go
@@ -81,6 +81,9 @@
 }
 
 func (s *callerSession) serve(ctx context.Context, b *callers.Batch, a *callers.Answer) error {
+	if err := s.prepared.admits(b.Messages); err != nil {
+		return err
+	}
 	if done, err := s.local(b, a); done {
 		return err
 	}
