--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -28,6 +29,31 @@
 // NewAnswer returns an answer that is written to out.
 func NewAnswer(out io.Writer) *Answer { return &Answer{out: out} }
 
+const (
+	// answerBytes is the size of a buffer at its first use; one that grew over
+	// maxPooledBytes is not kept.
+	answerBytes    = 2 << 10
+	maxPooledBytes = 64 << 10
+)
+
+var answers = sync.Pool{New: func() any { return &Answer{buf: make([]byte, 0, answerBytes)} }}
+
+// borrowAnswer returns an empty answer that is written to out; giveBack ends
+// its use.
+func borrowAnswer(out io.Writer) *Answer {
+	a := answers.Get().(*Answer)
+	*a = Answer{out: out, buf: a.buf[:0]}
+	return a
+}
+
+func (a *Answer) giveBack() {
+	if cap(a.buf) > maxPooledBytes {
+		return
+	}
+	a.out = nil
+	answers.Put(a)
+}
+
 // Send appends a message. Large answers go out in parts unless they are held.
 func (a *Answer) Send(m pgproto3.BackendMessage) error {
 	b, err := m.Encode(a.buf)
--- a/internal/callers/session.go
+++ b/internal/callers/session.go
@@ -130,7 +130,8 @@
 
 // request runs one batch and ends its answer; false means that the connection is over.
 func (c *session) request(ctx context.Context, b *Batch) bool {
-	a := NewAnswer(boundedWriter{conn: c.net, timeout: c.server.opts.WriteTimeout})
+	a := borrowAnswer(c)
+	defer a.giveBack()
 	status, err := c.exec.Run(ctx, b, a)
 	if err != nil {
 		a.Drop()
@@ -146,18 +147,12 @@
 	return a.Flush() == nil
 }
 
-// boundedWriter gives a caller a bounded time to accept each write.
-type boundedWriter struct {
-	conn    net.Conn
-	timeout time.Duration
-}
-
-// Write implements io.Writer.
-func (w boundedWriter) Write(b []byte) (int, error) {
-	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+// Write implements io.Writer: the caller has a bounded time to accept it.
+func (c *session) Write(b []byte) (int, error) {
+	if err := c.net.SetWriteDeadline(time.Now().Add(c.server.opts.WriteTimeout)); err != nil {
 		return 0, errors.Wrap(err, "bound a write")
 	}
-	return w.conn.Write(b)
+	return c.net.Write(b)
 }
 
 // leave reports whether the session ends because the proxy is shutting down.
--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -36,6 +36,11 @@
 	tags  tags.Tags
 	seen  inspection
 
+	// query and single are the message of a simple query on its way.
+	query  pgproto3.Query
+	single [1]pgproto3.FrontendMessage
+
+	ctx      requestContext
 	arrived  tables.Time
 	route    route.Request
 	attempt  int
@@ -281,12 +286,9 @@
 		return exchangeResult{stage: retry.StageWaiting}, errCancelled
 	}
 	defer r.s.setRunning(nil)
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	deadline, _ := ctx.Deadline()
+	c.SetDeadline(deadline)
 	res, err := exchange(c, r.outgoing(c), r.a, onResult)
-	if !stop() && err == nil {
-		// The deadline passed just now; the connection is not reused.
-		c.SetDeadline(time.Time{})
-	}
 	if err != nil && ctx.Err() != nil {
 		go cancelQuietly(c)
 	}
@@ -301,7 +303,9 @@
 
 func (r *request) outgoing(c *upstream.Conn) outgoing {
 	if r.batch.Simple {
-		return outgoing{messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: r.batch.Query}}}
+		r.query.String = r.batch.Query
+		r.single[0] = &r.query
+		return outgoing{messages: r.single[:]}
 	}
 	return r.s.prepared.translate(r.batch.Messages, r.batch.Partial, c.Prepared)
 }
--- a/internal/exec/session.go
+++ b/internal/exec/session.go
@@ -53,10 +53,10 @@
 	// to roll back.
 	lost bool
 
-	mu          sync.Mutex
-	running     *upstream.Conn
-	stopWaiting context.CancelFunc
-	cancelled   bool
+	mu        sync.Mutex
+	running   *upstream.Conn
+	waiting   *requestContext
+	cancelled bool
 }
 
 var _ callers.Session = (*callerSession)(nil)
@@ -91,11 +91,12 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.tags.Deadline)
-	defer cancel()
-	s.setWaiting(cancel)
+	r.ctx.parent = ctx
+	r.ctx.deadline = time.Now().Add(r.tags.Deadline)
+	defer r.ctx.release()
+	s.setWaiting(&r.ctx)
 	defer s.setWaiting(nil)
-	err = r.run(ctx)
+	err = r.run(&r.ctx)
 	r.observe(err)
 	return err
 }
@@ -145,9 +146,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running == nil {
-		if s.stopWaiting != nil {
+		if s.waiting != nil {
 			s.cancelled = true
-			s.stopWaiting()
+			s.waiting.stop()
 		}
 		return
 	}
@@ -174,10 +175,10 @@
 }
 
 // setWaiting says how to end the wait of the request that begins now.
-func (s *callerSession) setWaiting(stop context.CancelFunc) {
+func (s *callerSession) setWaiting(ctx *requestContext) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopWaiting = stop
+	s.waiting = ctx
 	s.cancelled = false
 }
 
--- a/internal/exec/state.go
+++ b/internal/exec/state.go
@@ -76,7 +76,7 @@
 }
 
 func has(sql, word string) bool {
-	return sqltext.HasWord(sql, func(w string) bool { return w == word })
+	return sqltext.HasWord(sql, func(w string) bool { return strings.EqualFold(w, word) })
 }
 
 func makesTemporary(sql string) bool {
@@ -102,6 +102,10 @@
 }
 
 func isSessionLock(word string) bool {
+	if len(word) < 3 || !strings.EqualFold(word[:3], "pg_") {
+		return false
+	}
+	word = strings.ToLower(word)
 	return strings.HasPrefix(word, "pg_") && strings.Contains(word, "advisory_") && !strings.Contains(word, "_xact_")
 }
 
--- a/internal/sqltext/sqltext.go
+++ b/internal/sqltext/sqltext.go
@@ -8,7 +8,7 @@
 // and comments. Statements without a keyword are left out.
 func Split(sql string) []string {
 	if !strings.Contains(sql, ";") {
-		if len(Words(sql, 1)) == 0 {
+		if FirstWord(sql) == "" {
 			return nil
 		}
 		return []string{sql}
@@ -17,7 +17,7 @@
 	start := 0
 	for i := 0; i <= len(sql); {
 		if i == len(sql) || sql[i] == ';' {
-			if part := sql[start:i]; len(Words(part, 1)) > 0 {
+			if part := sql[start:i]; FirstWord(part) != "" {
 				parts = append(parts, part)
 			}
 			i++
@@ -138,23 +138,38 @@
 	return words
 }
 
+// common are first words that are returned without an allocation.
+var common = []string{
+	"select", "insert", "update", "delete", "begin", "commit", "rollback",
+	"with", "set", "start", "end", "show", "fetch", "call",
+}
+
+func lower(word string) string {
+	for _, w := range common {
+		if len(w) == len(word) && strings.EqualFold(w, word) {
+			return w
+		}
+	}
+	return strings.ToLower(word)
+}
+
 // FirstWord returns the first unquoted word of a statement in lower case.
 func FirstWord(sql string) string {
 	for i := 0; i < len(sql); {
 		next := skip(sql, i)
 		if isWord(sql[i]) {
-			return strings.ToLower(sql[i:next])
+			return lower(sql[i:next])
 		}
 		i = next
 	}
 	return ""
 }
 
-// HasWord reports whether one of the unquoted words of sql fits.
+// HasWord reports whether one of the unquoted words of sql, in any case, fits.
 func HasWord(sql string, fits func(word string) bool) bool {
 	for i := 0; i < len(sql); {
 		next := skip(sql, i)
-		if isWord(sql[i]) && fits(strings.ToLower(sql[i:next])) {
+		if isWord(sql[i]) && fits(sql[i:next]) {
 			return true
 		}
 		i = next
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -165,12 +165,9 @@
 	if !c.settingsUnknown && c.settings == text {
 		return nil
 	}
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	_, err := c.simple("RESET ALL;" + text)
-	if !stop() && err == nil {
-		err = ctx.Err()
-	}
-	if err != nil {
+	deadline, _ := ctx.Deadline()
+	c.SetDeadline(deadline)
+	if _, err := c.simple("RESET ALL;" + text); err != nil {
 		return errors.Wrap(err, "set up the session's settings")
 	}
 	c.settings = text
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -99,7 +99,7 @@
 }
 
 // Acquire returns a connection opened under term that holds one of the
-// server's slots. It waits until ctx ends and then returns ctx's error; other
+// server's slots; its deadline is the caller's to set. It waits until ctx ends and then returns ctx's error; other
 // errors come from connecting. A refusal for the server's connection limit is
 // no error: the request goes on waiting.
 func (p *Pool) Acquire(ctx context.Context, term tables.Term) (*Conn, error) {
@@ -175,7 +175,6 @@
 		return
 	}
 	c.lastUsed = time.Now()
-	c.SetDeadline(time.Time{})
 	if c.slot != noSlot && c.lastUsed.Sub(c.slotAt) > p.currentQuantum() {
 		go p.yieldSlot(c)
 		return
--- a/internal/upstream/slot.go
+++ b/internal/upstream/slot.go
@@ -75,11 +75,7 @@
 
 func (c *Conn) lockStatement(sql string) (string, error) {
 	c.SetDeadline(time.Now().Add(slotTimeout))
-	v, err := c.simple(sql)
-	if err == nil {
-		c.SetDeadline(time.Time{})
-	}
-	return v, err
+	return c.simple(sql)
 }
 
 func lockName(slot int) string { return strconv.Itoa(slotLockBase + slot) }
