--- a/internal/systems/event/event.go
+++ b/internal/systems/event/event.go
@@ -51,6 +51,13 @@
 	Cause tables.Cause
 }
 
+// GroupUsed says that a caller's request needs a group that is not watched, or
+// was watched for long.
+type GroupUsed struct {
+	// Group is the group.
+	Group tables.GroupID
+}
+
 // ControlDone ends a Fence, Promote or Follow.
 type ControlDone struct {
 	// Group is the server's group.
@@ -124,6 +131,7 @@
 
 func (ProbeDone) event()       {}
 func (StatementFailed) event() {}
+func (GroupUsed) event()       {}
 func (ControlDone) event()     {}
 func (PeerMessage) event()     {}
 func (GroupRowRead) event()    {}
--- /dev/null
+++ b/internal/systems/watch/watch.go
@@ -0,0 +1,186 @@
+// Package watch keeps in the tables only the groups that this process needs:
+// those for which it may coordinate a failover and those that its callers used
+// lately. All other systems run over the tables, so their cost follows the
+// number of watched groups and not the number of declared ones.
+package watch
+
+import (
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// Options are the settings of a System.
+type Options struct {
+	// IdleAfter is how long a group stays watched after its last use.
+	IdleAfter time.Duration
+	// ReviewInterval is the time between reviews of the candidates.
+	ReviewInterval time.Duration
+	// WatchAll watches every declared group while there are at most this many.
+	WatchAll int
+	// Candidates returns the VMs that may coordinate a failover of a group.
+	Candidates func(w *tables.World, group tables.GroupID) []tables.VMID
+}
+
+// DefaultOptions returns the settings used in production.
+func DefaultOptions(candidates func(*tables.World, tables.GroupID) []tables.VMID) Options {
+	return Options{
+		IdleAfter:      10 * time.Minute,
+		ReviewInterval: 5 * time.Second,
+		WatchAll:       32,
+		Candidates:     candidates,
+	}
+}
+
+// System decides which groups stand in the tables. It is not safe for
+// concurrent use.
+type System struct {
+	options  Options
+	declared *tables.Table[tables.GroupID, config.Group]
+	usedAt   *tables.Table[tables.GroupID, tables.Time]
+	reviewAt tables.Time
+}
+
+// New returns a system that knows no groups until Apply.
+func New(options Options) *System {
+	return &System{
+		options:  options,
+		declared: tables.NewTable[tables.GroupID, config.Group](),
+		usedAt:   tables.NewTable[tables.GroupID, tables.Time](),
+	}
+}
+
+// Apply takes a new document. Watched groups keep what was observed of them;
+// groups and upstreams that are no longer declared leave the tables.
+func (s *System) Apply(now tables.Time, w *tables.World, doc config.Document) {
+	s.declared = tables.NewTable[tables.GroupID, config.Group]()
+	for _, g := range doc.Groups {
+		s.declared.Put(g.ID, g)
+	}
+	for _, id := range w.Groups.Keys() {
+		g, ok := s.declared.Get(id)
+		if !ok {
+			forget(w, id)
+			continue
+		}
+		fill(w, g)
+	}
+	s.review(now, w)
+}
+
+// Handle takes one event.
+func (s *System) Handle(now tables.Time, w *tables.World, ev event.Event) []action.Action {
+	used, ok := ev.(event.GroupUsed)
+	if !ok {
+		return nil
+	}
+	g, ok := s.declared.Get(used.Group)
+	if !ok {
+		return nil
+	}
+	s.usedAt.Put(used.Group, now)
+	if _, ok := w.Groups.Get(used.Group); !ok {
+		fill(w, g)
+	}
+	return nil
+}
+
+// Tick reviews the watched groups when it is due.
+func (s *System) Tick(now tables.Time, w *tables.World) []action.Action {
+	if now >= s.reviewAt {
+		s.review(now, w)
+	}
+	return nil
+}
+
+func (s *System) review(now tables.Time, w *tables.World) {
+	s.reviewAt = now.Add(s.options.ReviewInterval)
+	for id, g := range s.declared.All() {
+		_, watched := w.Groups.Get(id)
+		needed := s.needed(now, w, id)
+		switch {
+		case needed && !watched:
+			fill(w, g)
+		case !needed && watched:
+			forget(w, id)
+		}
+	}
+}
+
+func (s *System) needed(now tables.Time, w *tables.World, id tables.GroupID) bool {
+	if s.declared.Len() <= s.options.WatchAll {
+		return true
+	}
+	if at, ok := s.usedAt.Get(id); ok && now.Sub(at) <= s.options.IdleAfter {
+		return true
+	}
+	for _, vm := range s.options.Candidates(w, id) {
+		if vm == w.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// fill puts a declared group and its upstreams into the tables, keeping what
+// was observed of them. A group that is new here starts with its first primary
+// at term 1, which the first status of any of its servers corrects.
+func fill(w *tables.World, declared config.Group) {
+	g, ok := w.Groups.Get(declared.ID)
+	if !ok {
+		g = tables.Group{ID: declared.ID, Term: 1, Primary: declared.FirstPrimary}
+	}
+	old := g.Members
+	g.Members = make([]tables.UpstreamID, 0, len(declared.Upstreams))
+	kept := make(map[tables.UpstreamID]bool)
+	for _, u := range declared.Upstreams {
+		kept[u.ID] = true
+		g.Members = append(g.Members, u.ID)
+		putUpstream(w, declared.ID, u)
+	}
+	for _, id := range old {
+		if !kept[id] {
+			w.Upstreams.Delete(id)
+		}
+	}
+	w.Groups.Put(declared.ID, g)
+}
+
+func putUpstream(w *tables.World, group tables.GroupID, declared config.Upstream) {
+	u, ok := w.Upstreams.Get(declared.ID)
+	if ok && u.Address != declared.Address {
+		u = tables.Upstream{}
+	}
+	u.ID = declared.ID
+	u.Group = group
+	u.DataCentre = declared.DataCentre
+	u.Address = declared.Address
+	u.Slots = declared.Slots
+	u.Connections = declared.Connections
+	u.Leaving = declared.Leaving
+	w.Upstreams.Put(declared.ID, u)
+}
+
+// forget removes a group with everything that hangs on it.
+func forget(w *tables.World, id tables.GroupID) {
+	g, ok := w.Groups.Get(id)
+	if !ok {
+		return
+	}
+	members := make(map[tables.UpstreamID]bool, len(g.Members))
+	for _, u := range g.Members {
+		members[u] = true
+		w.Upstreams.Delete(u)
+	}
+	for _, k := range w.Observations.Keys() {
+		if o, _ := w.Observations.Get(k); members[o.Upstream] {
+			w.Observations.Delete(k)
+		}
+	}
+	w.Coordinations.Delete(id)
+	w.Rows.Delete(id)
+	w.Groups.Delete(id)
+}
