Add the operators' command line

A drain goes the same way as every change, through a plan and a confirm; a direct write of the intent was ruled out, since it would bypass the base version. The rule that a majority must stay moves to config.Group, where declarations and plans share it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -67,6 +67,17 @@
 	Upstreams []Upstream `json:"upstreams"`
 }
 
+// KeepsMajority reports whether a majority of g's upstreams is not leaving.
+func (g Group) KeepsMajority() bool {
+	staying := 0
+	for _, u := range g.Upstreams {
+		if !u.Leaving {
+			staying++
+		}
+	}
+	return staying >= tables.Majority(len(g.Upstreams))
+}
+
 // Intent is a named declaration that callers refer to by the tag "intent".
 type Intent struct {
 	// Name is what callers write.
--- /dev/null
+++ b/internal/ctl/drain.go
@@ -0,0 +1,70 @@
+package ctl
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+)
+
+// What can be drained.
+const (
+	kindUpstream = "upstream"
+	kindVM       = "vm"
+)
+
+func (c *command) drain(ctx context.Context) error   { return c.setLeaving(ctx, true) }
+func (c *command) undrain(ctx context.Context) error { return c.setLeaving(ctx, false) }
+
+// setLeaving plans a change of what is in force; the declaration files stay as
+// they are and differ until they say the same.
+func (c *command) setLeaving(ctx context.Context, leaving bool) error {
+	s, store, err := c.connect()
+	if err != nil {
+		return err
+	}
+	cur, err := store.Current(ctx)
+	if err != nil {
+		return err
+	}
+	doc, err := withLeaving(cur.Document, c.kind, c.id, leaving)
+	if err != nil {
+		return err
+	}
+	p, err := c.propose(ctx, s, store, cur, doc)
+	if err != nil || !c.confirmNow {
+		return err
+	}
+	return c.confirmPlan(ctx, s, store, p.ID)
+}
+
+// withLeaving returns a copy of doc in which one upstream or VM is leaving or not.
+func withLeaving(doc config.Document, kind, id string, leaving bool) (config.Document, error) {
+	if kind == kindVM {
+		doc.LeavingVMs = withVM(doc.LeavingVMs, tables.VMID(id), leaving)
+		return doc, nil
+	}
+	doc.Groups = slices.Clone(doc.Groups)
+	for g := range doc.Groups {
+		ups := slices.Clone(doc.Groups[g].Upstreams)
+		i := slices.IndexFunc(ups, func(u config.Upstream) bool { return string(u.ID) == id })
+		if i < 0 {
+			continue
+		}
+		ups[i].Leaving = leaving
+		doc.Groups[g].Upstreams = ups
+		return doc, nil
+	}
+	return config.Document{}, errors.Errorf("no upstream %q is in force", id)
+}
+
+func withVM(vms []tables.VMID, id tables.VMID, leaving bool) []tables.VMID {
+	rest := slices.DeleteFunc(slices.Clone(vms), func(v tables.VMID) bool { return v == id })
+	if leaving {
+		rest = append(rest, id)
+	}
+	slices.Sort(rest)
+	return rest
+}
--- a/internal/declare/declare.go
+++ b/internal/declare/declare.go
@@ -39,6 +39,7 @@
 func Load(dirs ...string) (config.Document, error) {
 	files, problems := readDirs(dirs)
 	if len(problems) == 0 {
+		markLeaving(files)
 		problems = validate(files)
 	}
 	if err := problems.Err(); err != nil {
@@ -81,31 +82,34 @@
 	return paths, nil
 }
 
+// markLeaving sets Leaving on every upstream that some file lists as leaving.
+func markLeaving(files []file) {
+	var leaving []tables.UpstreamID
+	for _, f := range files {
+		leaving = append(leaving, f.LeavingUpstreams...)
+	}
+	for _, f := range files {
+		for _, g := range f.Groups {
+			for i, u := range g.Upstreams {
+				g.Upstreams[i].Leaving = u.Leaving || slices.Contains(leaving, u.ID)
+			}
+		}
+	}
+}
+
 func merge(files []file) config.Document {
 	var doc config.Document
-	var leaving []tables.UpstreamID
 	for _, f := range files {
 		doc.Services = append(doc.Services, f.Services...)
 		doc.Groups = append(doc.Groups, f.Groups...)
 		doc.Users = append(doc.Users, f.Users...)
 		doc.Operators = append(doc.Operators, f.Operators...)
 		doc.LeavingVMs = append(doc.LeavingVMs, f.LeavingVMs...)
-		leaving = append(leaving, f.LeavingUpstreams...)
 	}
-	markLeaving(doc.Groups, leaving)
 	sortDocument(&doc)
 	return doc
 }
 
-func markLeaving(groups []config.Group, leaving []tables.UpstreamID) {
-	for g := range groups {
-		for u := range groups[g].Upstreams {
-			up := &groups[g].Upstreams[u]
-			up.Leaving = up.Leaving || slices.Contains(leaving, up.ID)
-		}
-	}
-}
-
 // sortDocument gives equal declarations equal content hashes.
 func sortDocument(doc *config.Document) {
 	slices.SortFunc(doc.Services, func(a, b config.Service) int { return compare(a.Name, b.Name) })
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -74,7 +74,7 @@
 		{"operators.jsonc", `"publicKey": "`, `"publicKey": "AA`, "operators[0].publicKey: want the base64"},
 		{"operators.jsonc", `{"name": "batbayar-demo"`, `// {`, "no file declares an operator"},
 		{"leaving.jsonc", `"leavingUpstreams": []`, `"leavingUpstreams": ["stock9"]`, `leavingUpstreams[0]: unknown upstream "stock9"`},
-		{"leaving.jsonc", `"leavingUpstreams": []`, `"leavingUpstreams": ["stock1-a", "stock1-b"]`, "groups[0].upstreams: 1 of 3 upstreams stay"},
+		{"leaving.jsonc", `"leavingUpstreams": []`, `"leavingUpstreams": ["stock1-a", "stock1-b"]`, "groups[0].upstreams: a majority of the group's upstreams must not be leaving"},
 	}
 	for _, c := range cases {
 		dir := copySample(t)
--- a/internal/declare/validate.go
+++ b/internal/declare/validate.go
@@ -19,7 +19,6 @@
 	problems  jsonc.Problems
 	declared  map[entity]jsonc.Problem
 	upstreams map[tables.UpstreamID]bool
-	leaving   map[tables.UpstreamID]bool
 	usedBy    map[tables.GroupID]string
 	addresses map[string]tables.UpstreamID
 }
@@ -44,7 +43,6 @@
 	v := &validator{
 		declared:  make(map[entity]jsonc.Problem),
 		upstreams: make(map[tables.UpstreamID]bool),
-		leaving:   make(map[tables.UpstreamID]bool),
 		usedBy:    make(map[tables.GroupID]string),
 		addresses: make(map[string]tables.UpstreamID),
 	}
@@ -88,9 +86,6 @@
 	for i, vm := range f.LeavingVMs {
 		v.declare(f, kindVM, string(vm), at("leavingVMs", i))
 	}
-	for _, u := range f.LeavingUpstreams {
-		v.leaving[u] = true
-	}
 }
 
 func (v *validator) declare(f file, kind, name, field string) {
--- a/internal/declare/validate_groups.go
+++ b/internal/declare/validate_groups.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
-	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
 // minUpstreams is the smallest group of which a majority survives one loss.
@@ -30,15 +29,8 @@
 	if !slices.ContainsFunc(g.Upstreams, isFirst) {
 		v.add(f, field+".firstPrimary", "%q is not an upstream of the group", g.FirstPrimary)
 	}
-	staying := 0
-	for _, u := range g.Upstreams {
-		if !u.Leaving && !v.leaving[u.ID] {
-			staying++
-		}
-	}
-	if staying < tables.Majority(len(g.Upstreams)) {
-		v.add(f, field+".upstreams", "%d of %d upstreams stay; a majority must not be leaving",
-			staying, len(g.Upstreams))
+	if len(g.Upstreams) > 0 && !g.KeepsMajority() {
+		v.add(f, field+".upstreams", "a majority of the group's upstreams must not be leaving")
 	}
 }
 
--- a/internal/plan/changes.go
+++ b/internal/plan/changes.go
@@ -38,7 +38,8 @@
 	Text string `json:"text"`
 }
 
-func compare(old, new config.Document, observed State) []Change {
+// Diff lists what leads from old to new.
+func Diff(old, new config.Document, observed State) []Change {
 	var out []Change
 	out = append(out, compareServices(old.Services, new.Services)...)
 	out = append(out, compareGroups(old, new, observed)...)
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -45,8 +45,8 @@
 }
 
 // Make returns the plan that leads from old, in force at version base, to new.
-// It refuses declarations that change nothing, and those that change two
-// servers of one group at once.
+// It refuses documents that change nothing, that change two servers of one
+// group at once, or that leave a group without a majority.
 func Make(base uint64, old, new config.Document, observed State) (Plan, error) {
 	_, oldHash, err := old.Encode()
 	if err != nil {
@@ -62,11 +62,14 @@
 	if err := checkMembership(old, new); err != nil {
 		return Plan{}, err
 	}
+	if err := checkMajorities(new); err != nil {
+		return Plan{}, err
+	}
 	p := Plan{Record: Record{BaseVersion: base, DocumentHash: newHash}}
 	if _, p.ID, err = p.encode(); err != nil {
 		return Plan{}, err
 	}
-	p.Changes = compare(old, new, observed)
+	p.Changes = Diff(old, new, observed)
 	p.Cost = estimate(old, new, observed, p.Changes)
 	return p, nil
 }
@@ -82,3 +85,13 @@
 	}
 	return nil
 }
+
+func checkMajorities(doc config.Document) error {
+	for _, g := range doc.Groups {
+		if !g.KeepsMajority() {
+			detail := fmt.Sprintf("group %s: a majority of its upstreams must not be leaving", g.ID)
+			return codes.New(codes.DeclarationBad, codes.NotRun, 0, detail)
+		}
+	}
+	return nil
+}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -102,6 +102,15 @@
 	wantCode(t, err, codes.NothingToChange)
 }
 
+func TestPlansKeepAMajority(t *testing.T) {
+	old, new := batbayar(t), batbayar(t)
+	old.Groups[0].Upstreams[0].Leaving = true
+	new.Groups[0].Upstreams[0].Leaving = true
+	new.Groups[0].Upstreams[1].Leaving = true
+	_, err := Make(1, old, new, State{})
+	wantCode(t, err, codes.DeclarationBad)
+}
+
 func TestTwoServersOfOneGroupAreRefused(t *testing.T) {
 	old, new := batbayar(t), batbayar(t)
 	new.Groups[0].Upstreams[1].ID = "stock1-d"
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -25,7 +25,7 @@
 	c.required("dataCentre", string(p.DataCentre))
 	c.address("peerAddress", p.PeerAddress)
 	c.address("adminAddress", p.AdminAddress)
-	c.seedPeers(p.SeedPeers)
+	c.addresses("seedPeers", p.SeedPeers)
 	c.callers(p.Callers)
 	c.platform(p.Platform)
 	c.objects(p.Objects)
@@ -69,9 +69,9 @@
 	}
 }
 
-func (c *checker) seedPeers(peers []string) {
-	for i, p := range peers {
-		c.address(fmt.Sprintf("seedPeers[%d]", i), p)
+func (c *checker) addresses(field string, values []string) {
+	for i, v := range values {
+		c.address(fmt.Sprintf("%s[%d]", field, i), v)
 	}
 }
 
@@ -79,9 +79,7 @@
 	if len(s.Addresses) == 0 {
 		c.add("callers.addresses", "is required")
 	}
-	for i, a := range s.Addresses {
-		c.address(fmt.Sprintf("callers.addresses[%d]", i), a)
-	}
+	c.addresses("callers.addresses", s.Addresses)
 	if (s.CertificateFile == "") != (s.KeyFile == "") {
 		c.add("callers.certificateFile", "certificateFile and keyFile go together")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,6 +104,14 @@
 	Timeout config.Duration `json:"timeout"`
 }
 
+// BaseURL returns the store's URL.
+func (o Objects) BaseURL() string {
+	if o.TLS {
+		return "https://" + o.Endpoint
+	}
+	return "http://" + o.Endpoint
+}
+
 // Credentials are a user and a password.
 type Credentials struct {
 	// User is the user name.
