Add the load tool, its command and the naive proxy

Cause: the promises and the two measures must be shown through an ordinary driver, with arrivals that do not wait for answers.

Ruled out: closed-loop callers for the loads, which hide the time that a failover costs; cost alone uses them, since it measures a way's capacity.

Conclusion: load, demo and cost run against an emulated server; a lost write and an unreachable server fail the verdict.

--- /dev/null
+++ b/cmd/cranberrystage-bench/main_test.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cranberrystage/cranberrystage/internal/history"
+	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
+	"gotest.tools/v3/assert"
+)
+
+func TestDemo(t *testing.T) {
+	s, err := dbserver.New(dbserver.Config{ID: "a", Listen: "127.0.0.1:0", Primary: true, Slots: 100, Connections: 100}, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	go func() { _ = s.Run(t.Context()) }()
+	file := filepath.Join(t.TempDir(), "history")
+	var out, progress bytes.Buffer
+	err = run(t.Context(), []string{"demo", "--proxy", s.Addr(), "--user", "u", "--duration", "300ms", "--connections", "4", "--history", file}, &out, &progress)
+	assert.NilError(t, err, out.String())
+	assert.Assert(t, strings.HasSuffix(out.String(), "16 passed, 0 failed\n"), out.String())
+	f, err := os.Open(file)
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	ops, err := history.Read(f)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.Check(ops).Violations), 0)
+	assert.Assert(t, len(ops) > 0)
+}
+
+func TestCommandLineErrors(t *testing.T) {
+	var out bytes.Buffer
+	assert.ErrorContains(t, run(t.Context(), []string{"load"}, &out, &out), "command line")
+	err := run(t.Context(), []string{"load", "--proxy", "127.0.0.1:1", "--user", "u", "--database", "d", "--rate", "0"}, &out, &out)
+	assert.ErrorContains(t, err, "rate")
+}
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,149 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/history"
+	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// server starts an emulated primary, which callers use like a proxy.
+func server(t *testing.T) *dbserver.Server {
+	t.Helper()
+	s, err := dbserver.New(dbserver.Config{ID: "a", Listen: "127.0.0.1:0", Primary: true, Slots: 100, Connections: 100}, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	go func() { _ = s.Run(t.Context()) }()
+	return s
+}
+
+func options(s *dbserver.Server) Options {
+	return Options{
+		Proxies: []string{s.Addr()}, Databases: []string{"x/1", "x/2"}, User: "u", Workload: Workloads[0],
+		Rate: 1000, Duration: 300 * time.Millisecond, Connections: 6, Timeout: 5 * time.Second, Roam: 0.1, Seed: 3, RunID: "t",
+	}
+}
+
+func TestLoadOnASoundServerPasses(t *testing.T) {
+	res, err := Load(t.Context(), options(server(t)))
+	assert.NilError(t, err)
+	var out bytes.Buffer
+	failed, err := WriteText(&out, []*Result{res})
+	assert.NilError(t, err)
+	assert.Equal(t, failed, 0, out.String())
+	assert.Assert(t, strings.HasSuffix(out.String(), "8 passed, 0 failed\n"), out.String())
+	assert.Assert(t, res.Report.Acknowledged > 0 && res.Report.Found == res.Report.Acknowledged)
+	assert.Equal(t, len(res.Gaps), 2)
+	failed, err = WriteJSON(&out, []*Result{res})
+	assert.NilError(t, err)
+	assert.Equal(t, failed, 0)
+}
+
+func TestLoadFindsWhatAServerLoses(t *testing.T) {
+	s := server(t)
+	opts := options(s)
+	assert.NilError(t, opts.check())
+	opts.started = time.Now()
+	r := newRecorder()
+	callers := runCallers(t.Context(), &opts, r)
+	for i := range r.ops {
+		if op := &r.ops[i]; op.Kind == history.KindInsert {
+			op.Key += "-lost"
+			break
+		}
+	}
+	res := newResult(&opts, r, verify(t.Context(), &opts, r.ops, callers), opts.Duration)
+	assert.Equal(t, res.Report.Count(history.LostWrite), 1)
+	var out bytes.Buffer
+	failed, err := WriteText(&out, []*Result{res})
+	assert.NilError(t, err)
+	assert.Equal(t, failed, 1)
+	assert.Assert(t, strings.Contains(out.String(), "7 passed, 1 failed"), out.String())
+}
+
+func TestNoServerMeansNothingProved(t *testing.T) {
+	opts := options(server(t))
+	opts.Proxies = []string{"127.0.0.1:1"}
+	opts.Duration = 20 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	res, err := Load(ctx, opts)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Report.Acknowledged, 0)
+	assert.Assert(t, res.Report.NotRunWrites > 0)
+	assert.Equal(t, res.Report.UnknownWrites, 0)
+	failed, err := WriteText(&bytes.Buffer{}, []*Result{res})
+	assert.NilError(t, err)
+	assert.Equal(t, failed, 2)
+}
+
+func TestClassify(t *testing.T) {
+	pg := func(message, state string) error {
+		return errors.Wrap(&pgconn.PgError{Message: message, Code: state}, "x")
+	}
+	for _, c := range []struct {
+		name string
+		err  error
+		want ending
+	}{
+		{"success", nil, ending{outcome: history.Acknowledged}},
+		{"not run", pg("code 201 NoPrimary (not run)", "57P03"), ending{outcome: history.NotRun, code: 201}},
+		{"unknown", pg("code 205 NotConfirmed (unknown): x", "08007"), ending{outcome: history.Unknown, code: 205}},
+		{"duplicate", pg("duplicate key", "23505"), ending{outcome: history.Unknown, duplicate: true}},
+		{"text of another error", pg("row says code 201 NoPrimary (not run)", "XX000"), ending{outcome: history.Unknown}},
+		{"no connection", &connectError{cause: errors.New("refused")}, ending{outcome: history.NotRun}},
+		{"refused at start", &connectError{cause: pg("code 401 ShuttingDown (not run)", "57P01")}, ending{outcome: history.NotRun, code: 401}},
+		{"reset", errors.New("connection reset"), ending{outcome: history.Unknown}},
+	} {
+		assert.Equal(t, classify(c.err), c.want, c.name)
+	}
+}
+
+func TestMixes(t *testing.T) {
+	for _, w := range Workloads {
+		rnd := rand.New(rand.NewPCG(1, 1))
+		n := make(map[class]int)
+		for range 10000 {
+			n[w.pick(rnd)]++
+		}
+		assert.Assert(t, n[classAged] > int(9800*w.AgedShare) && n[classAged] < int(10200*w.AgedShare))
+		assert.Assert(t, n[classOwn] > int(9400*w.OwnShare) && n[classOwn] < int(10600*w.OwnShare))
+	}
+	_, err := FindWorkload("none")
+	assert.ErrorContains(t, err, "none")
+}
+
+func TestWriteGap(t *testing.T) {
+	write := func(db string, outcome history.Outcome, end time.Duration) history.Op {
+		return history.Op{Kind: history.KindInsert, Database: db, Outcome: outcome, End: end}
+	}
+	ops := []history.Op{write("a", history.Acknowledged, 2), write("a", history.Unknown, 5), write("b", history.Acknowledged, 6), write("a", history.Acknowledged, 9)}
+	assert.Equal(t, writeGap(ops, "a", 10), time.Duration(7))
+	assert.Equal(t, writeGap(ops, "b", 20), time.Duration(14))
+	assert.Equal(t, writeGap(nil, "a", 20), time.Duration(20))
+}
+
+func TestCostMeasuresEveryWay(t *testing.T) {
+	s := server(t)
+	rows, err := Cost(t.Context(), CostOptions{
+		Direct: s.Addr(), DirectDatabase: "d", DirectUser: "u", Proxy: s.Addr(), Database: "d", User: "u",
+		Connections: 2, Duration: 30 * time.Millisecond, Rounds: 2,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 7)
+	for _, r := range rows {
+		assert.Assert(t, r.PerSecond > 0 && r.Failed == 0, "%+v", r)
+	}
+	var out bytes.Buffer
+	assert.NilError(t, WriteCostText(&out, rows))
+	assert.NilError(t, WriteCostJSON(&out, rows))
+	assert.Equal(t, strings.Count(out.String(), "naive proxy"), 4)
+}
--- /dev/null
+++ b/internal/bench/demo.go
@@ -0,0 +1,53 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Demo runs several loads at once and kills a process half-way.
+type Demo struct {
+	// Loads are the loads; all have the same duration.
+	Loads []Options
+	// KillPID is the process that gets SIGKILL half-way; 0 for none.
+	KillPID int
+}
+
+// Run returns the loads' results in order.
+func (d Demo) Run(ctx context.Context) ([]*Result, error) {
+	results := make([]*Result, len(d.Loads))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, opts := range d.Loads {
+		group.Go(func() error {
+			var err error
+			results[i], err = Load(ctx, opts)
+			return err
+		})
+	}
+	group.Go(func() error { return d.kill(ctx) })
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return results, nil
+}
+
+func (d Demo) kill(ctx context.Context) error {
+	if d.KillPID == 0 || len(d.Loads) == 0 {
+		return nil
+	}
+	first := d.Loads[0]
+	if !pause(ctx, first.Duration/2) {
+		return nil
+	}
+	if err := syscall.Kill(d.KillPID, syscall.SIGKILL); err != nil {
+		return errors.Wrapf(err, "kill process %d", d.KillPID)
+	}
+	if first.Progress != nil {
+		_, _ = fmt.Fprintf(first.Progress, "process %d killed at %s\n", d.KillPID, first.Duration/2)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/recorder.go
@@ -0,0 +1,130 @@
+package bench
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cranberrystage/cranberrystage/internal/history"
+)
+
+// Bounds of latency histograms.
+const (
+	histogramLowest  = int64(time.Microsecond)
+	histogramHighest = int64(5 * time.Minute)
+	histogramDigits  = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)
+}
+
+// figures are the counts of one class.
+type figures struct {
+	latency   *hdrhistogram.Histogram
+	succeeded int
+	notRun    int
+	unknown   int
+	replica   int
+}
+
+// codeCount is how often a numbered result was seen.
+type codeCount struct {
+	Code  int `json:"code"`
+	Count int `json:"count"`
+}
+
+// recorder collects what callers report. It is safe for concurrent use.
+type recorder struct {
+	mu      sync.Mutex
+	ops     []history.Op
+	byClass map[class]*figures
+	byCode  map[int]int
+	dropped int
+}
+
+func newRecorder() *recorder {
+	r := &recorder{byClass: make(map[class]*figures), byCode: make(map[int]int)}
+	for _, k := range classes {
+		r.byClass[k] = &figures{latency: newHistogram()}
+	}
+	return r
+}
+
+// add records an operation that was due at due.
+func (r *recorder) add(k class, op history.Op, due time.Duration) {
+	if op.IsWrite() {
+		k = classWrite
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, op)
+	f := r.byClass[k]
+	switch op.Outcome {
+	case history.Acknowledged:
+		f.succeeded++
+		_ = f.latency.RecordValue(min(int64(op.End-due), histogramHighest))
+		if op.ServedBy == "replica" {
+			f.replica++
+		}
+	case history.NotRun:
+		f.notRun++
+	default:
+		f.unknown++
+	}
+	if op.Code != 0 {
+		r.byCode[op.Code]++
+	}
+}
+
+func (r *recorder) drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropped++
+}
+
+// totals are running sums for progress lines.
+type totals struct {
+	succeeded, failed, replica, dropped int
+}
+
+func (r *recorder) totals() totals {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := totals{dropped: r.dropped}
+	for _, f := range r.byClass {
+		t.succeeded += f.succeeded
+		t.failed += f.notRun + f.unknown
+		t.replica += f.replica
+	}
+	return t
+}
+
+func (r *recorder) codes() []codeCount {
+	var out []codeCount
+	for code, n := range r.byCode {
+		out = append(out, codeCount{Code: code, Count: n})
+	}
+	slices.SortFunc(out, func(a, b codeCount) int { return cmp.Compare(a.Code, b.Code) })
+	return out
+}
+
+// writeGap returns the longest span of a load without a successful write to
+// database.
+func writeGap(ops []history.Op, database string, end time.Duration) time.Duration {
+	times := []time.Duration{0, end}
+	for i := range ops {
+		op := &ops[i]
+		if op.IsWrite() && op.Database == database && op.Outcome == history.Acknowledged && op.End < end {
+			times = append(times, op.End)
+		}
+	}
+	slices.Sort(times)
+	longest := time.Duration(0)
+	for i := 1; i < len(times); i++ {
+		longest = max(longest, times[i]-times[i-1])
+	}
+	return longest
+}
