--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,9 @@
 
 clean:
 	rm -rf $(BIN)
+
+demo: build
+	scripts/demo.sh
+
+run: build
+	scripts/run.sh
--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -38,8 +38,6 @@
 func (s *shared) register(c *kingpin.CmdClause) {
 	o := &s.opts
 	c.Flag("proxy", "IP:port of a proxy; repeat for each.").Required().StringsVar(&o.Proxies)
-	c.Flag("user", "User to log in as.").Required().StringVar(&o.User)
-	c.Flag("password", "Password of the user.").Envar("CRANBERRYSTAGE_PASSWORD").StringVar(&o.Password)
 	c.Flag("rate", "Operations per second, for each workload.").Default("200").Float64Var(&o.Rate)
 	c.Flag("duration", "How long operations arrive.").Default("20s").DurationVar(&o.Duration)
 	c.Flag("connections", "Sessions, each with one connection, for each workload.").Default("30").IntVar(&o.Connections)
@@ -62,6 +60,8 @@
 	var ls shared
 	load := app.Command("load", "Run one workload.")
 	ls.register(load)
+	load.Flag("user", "User to log in as.").Required().StringVar(&ls.opts.User)
+	load.Flag("password", "Password of the user.").Envar("CRANBERRYSTAGE_PASSWORD").StringVar(&ls.opts.Password)
 	workload := load.Flag("workload", "Mix of operations.").Default("agency").Enum("batbayar", "agency")
 	databases := load.Flag("database", "Database as service/database; repeat for several.").Required().Strings()
 
@@ -69,8 +69,10 @@
 	demo := app.Command("demo", "Run both deployments' workloads, kill a process half-way and verify.")
 	ds.register(demo)
 	killPID := demo.Flag("kill-pid", "Process that gets SIGKILL half-way.").Int()
-	batbayar := demo.Flag("batbayar-database", "Database of the batbayar workload; repeat for several.").Default("stock-ledger").Strings()
-	agency := demo.Flag("agency-database", "Database of the agency workload; repeat for several.").Default("chantiers-db").Strings()
+	logins := make([]login, len(bench.Workloads))
+	for i, w := range bench.Workloads {
+		logins[i].register(demo, w.Name)
+	}
 
 	var co bench.CostOptions
 	cost := app.Command("cost", "Compare direct access, the proxy and a naive proxy.")
@@ -98,7 +100,7 @@
 		}
 		return ls.run(ctx, out, bench.Demo{Loads: []bench.Options{ls.options(w, *databases, progress)}})
 	case demo.FullCommand():
-		return ds.run(ctx, out, ds.demo(*killPID, *batbayar, *agency, progress))
+		return ds.run(ctx, out, ds.demo(*killPID, logins, progress))
 	default:
 		return runCost(ctx, out, co, *costJSON)
 	}
@@ -111,14 +113,25 @@
 	return o
 }
 
-func (s *shared) demo(killPID int, batbayar, agency []string, progress io.Writer) bench.Demo {
+// login says where one workload of the demo runs and as whom.
+type login struct {
+	databases      []string
+	user, password string
+}
+
+func (l *login) register(c *kingpin.CmdClause, workload string) {
+	c.Flag(workload+"-database", "Database of the "+workload+" workload; repeat for several.").Required().StringsVar(&l.databases)
+	c.Flag(workload+"-user", "User of the "+workload+" workload.").Required().StringVar(&l.user)
+	c.Flag(workload+"-password", "Password of that user.").Required().StringVar(&l.password)
+}
+
+// demo returns the loads of all workloads, each with its login.
+func (s *shared) demo(killPID int, logins []login, progress io.Writer) bench.Demo {
 	d := bench.Demo{KillPID: killPID}
-	for _, w := range bench.Workloads {
-		databases := agency
-		if w.Name == "batbayar" {
-			databases = batbayar
-		}
-		d.Loads = append(d.Loads, s.options(w, databases, progress))
+	for i, w := range bench.Workloads {
+		o := s.options(w, logins[i].databases, progress)
+		o.User, o.Password = logins[i].user, logins[i].password
+		d.Loads = append(d.Loads, o)
 	}
 	return d
 }
--- a/cmd/cranberrystage-standin/main.go
+++ b/cmd/cranberrystage-standin/main.go
@@ -27,6 +27,8 @@
 	out := layoutCmd.Flag("out", "Directory for the files.").Required().String()
 	dcs := layoutCmd.Flag("data-centres", "Data centres, one proxy for each, separated by commas.").Default("ub-east,tunis,ub-east").String()
 	level := layoutCmd.Flag("log-level", "Log level of the proxies.").Default("INFO").String()
+	operator := layoutCmd.Flag("operator", "Who confirms plans.").Default("batbayar-demo").String()
+	key := layoutCmd.Flag("key", "Key file of the operator.").Default("deploy/demo-keys/demo-operator-key.pem").String()
 	dirs := layoutCmd.Arg("declarations", "Directories of declarations.").Required().ExistingDirs()
 
 	var err error
@@ -34,7 +36,7 @@
 	case serveCmd.FullCommand():
 		err = serve(*path)
 	case layoutCmd.FullCommand():
-		err = writeLayout(*dirs, *out, *dcs, *level)
+		err = writeLayout(*dirs, *dcs, layout.Options{Directory: *out, LogLevel: *level, Operator: *operator, KeyFile: *key})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -52,12 +54,11 @@
 	return run.Serve(ctx, s, logging.New(os.Stderr, slog.LevelInfo))
 }
 
-func writeLayout(dirs []string, out, dataCentres, level string) error {
+func writeLayout(dirs []string, dataCentres string, o layout.Options) error {
 	doc, err := declare.Load(dirs...)
 	if err != nil {
 		return err
 	}
-	o := layout.Options{Directory: out, LogLevel: level}
 	for _, dc := range strings.Split(dataCentres, ",") {
 		o.DataCentres = append(o.DataCentres, tables.DataCentreID(strings.TrimSpace(dc)))
 	}
--- a/internal/standin/layout/layout.go
+++ b/internal/standin/layout/layout.go
@@ -45,10 +45,14 @@
 	DataCentres []tables.DataCentreID
 	// LogLevel is the proxies' log level.
 	LogLevel string
+	// Operator is who confirms plans.
+	Operator string
+	// KeyFile is the operator's key file.
+	KeyFile string
 }
 
 // Write writes one settings file per process: platform.jsonc,
-// server-ID.jsonc and proxy-N.jsonc, N from 1.
+// server-ID.jsonc, proxy-N.jsonc with N from 1, and ctl.jsonc for operators.
 func Write(doc config.Document, o Options) error {
 	if err := os.MkdirAll(o.Directory, 0o755); err != nil {
 		return errors.Wrap(err, "make the directory")
@@ -66,7 +70,7 @@
 			return err
 		}
 	}
-	return nil
+	return o.write("ctl", o.control())
 }
 
 func (o Options) write(name string, v any) error {
@@ -165,6 +169,37 @@
 	SecretKey string `json:"secretKey"`
 }
 
+func objects() proxyObjects {
+	return proxyObjects{
+		Endpoint:  local(platformPort),
+		Bucket:    settings.DefaultBucket,
+		AccessKey: "demo",
+		SecretKey: "demo-secret",
+	}
+}
+
+// controlFile is the settings of the operators' tool.
+type controlFile struct {
+	Platform proxyPlatform `json:"platform"`
+	Objects  proxyObjects  `json:"objects"`
+	Operator string        `json:"operator"`
+	KeyFile  string        `json:"keyFile"`
+	Proxies  []string      `json:"proxies"`
+}
+
+func (o Options) control() controlFile {
+	c := controlFile{
+		Platform: proxyPlatform{URL: "http://" + local(platformPort)},
+		Objects:  objects(),
+		Operator: o.Operator,
+		KeyFile:  o.KeyFile,
+	}
+	for i := range o.DataCentres {
+		c.Proxies = append(c.Proxies, local(adminBase+i))
+	}
+	return c
+}
+
 type credential struct {
 	User string `json:"user"`
 }
@@ -177,12 +212,9 @@
 		PeerAddress:  local(peerBase + i),
 		AdminAddress: local(adminBase + i),
 		Platform:     proxyPlatform{URL: "http://" + local(platformPort)},
-		Objects: proxyObjects{
-			Endpoint: local(platformPort), Bucket: settings.DefaultBucket,
-			AccessKey: "demo", SecretKey: "demo-secret",
-		},
-		Upstreams: map[string]credential{"control": {User: "control"}, "pool": {User: "pool"}},
-		LogLevel:  o.LogLevel,
+		Objects:      objects(),
+		Upstreams:    map[string]credential{"control": {User: "control"}, "pool": {User: "pool"}},
+		LogLevel:     o.LogLevel,
 	}
 	for j := range o.DataCentres {
 		if j != i {
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Starts the whole set-up, runs both deployments' workloads, kills a primary
+# half-way and checks every promise. Usage: scripts/demo.sh [duration]
+set -eu
+cd "$(dirname "$0")/.."
+. scripts/setup.sh
+trap stop_all EXIT
+set_up
+"$bin/cranberrystage-bench" demo \
+  --proxy 127.0.0.1:6432 --proxy 127.0.0.1:6433 --proxy 127.0.0.1:6434 \
+  --batbayar-user shop --batbayar-password shop-demo \
+  --batbayar-database stock-ledger/stock1 --batbayar-database stock-ledger/stock2 --batbayar-database stock-ledger/stock3 \
+  --agency-user crew --agency-password crew-demo \
+  --agency-database chantiers-db/chantiers1 --agency-database chantiers-db/chantiers2 --agency-database chantiers-db/chantiers3 \
+  --duration "${1:-20s}" --kill-pid "$(pid server-stock1-a)"
--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,71 @@
+# Functions that start the whole set-up on this machine: the emulated platform,
+# one process per database server, three proxies, and the sample declarations
+# put in force by an operator's plan and confirm. Sourced by other scripts.
+
+# Where settings, logs and process ids of the set-up go.
+run_dir=${RUN_DIR:-$(mktemp -d)}
+bin=${BIN:-bin}
+declarations="deploy/batbayar deploy/agency"
+
+# start NAME COMMAND...: runs a command in the background, its output in a log.
+start() {
+  local name=$1
+  shift
+  "$@" >"$run_dir/$name.log" 2>&1 &
+  echo $! >"$run_dir/$name.pid"
+}
+
+# pid NAME: prints the process id of a started command.
+pid() { cat "$run_dir/$1.pid"; }
+
+# stop_all: ends every process that this script started, by its id.
+stop_all() {
+  local f
+  for f in "$run_dir"/*.pid; do
+    [ -e "$f" ] && kill "$(cat "$f")" 2>/dev/null
+  done
+  wait 2>/dev/null || true
+}
+
+# ask PORT PATH: prints the status line of an HTTP answer on this machine.
+ask() {
+  local line
+  exec 3<>"/dev/tcp/127.0.0.1/$1" || return 1
+  printf 'GET %s HTTP/1.0\r\n\r\n' "$2" >&3
+  read -r -t 1 line <&3 || line=""
+  exec 3>&-
+  printf '%s\n' "$line"
+}
+
+# await PORT PATH: waits until an HTTP address on this machine answers with success.
+await() {
+  local i
+  for i in $(seq 1 200); do
+    case "$(ask "$1" "$2" 2>/dev/null)" in *" 200 "*) return 0 ;; esac
+    sleep 0.05
+  done
+  echo "no answer from port $1" >&2
+  return 1
+}
+
+# set_up: starts everything and returns once all proxies are ready.
+set_up() {
+  "$bin/cranberrystage-standin" layout --out "$run_dir" $declarations
+  local f name
+  start platform "$bin/cranberrystage-standin" serve "$run_dir/platform.jsonc"
+  for f in "$run_dir"/server-*.jsonc; do
+    name=$(basename "$f" .jsonc)
+    start "$name" "$bin/cranberrystage-standin" serve "$f"
+  done
+  await 7001 /vms
+  local id
+  id=$("$bin/cranberrystage-ctl" --settings "$run_dir/ctl.jsonc" --json plan $declarations | sed -n 's/.*"id": *"\([0-9a-f]*\)".*/\1/p' | head -n 1)
+  "$bin/cranberrystage-ctl" --settings "$run_dir/ctl.jsonc" confirm "$id" >"$run_dir/confirm.log"
+  for f in "$run_dir"/proxy-*.jsonc; do
+    name=$(basename "$f" .jsonc)
+    start "$name" "$bin/cranberrystage-proxy" "$f"
+  done
+  for port in 6632 6633 6634; do
+    await "$port" /readyz
+  done
+}
