Add membership and the spread of configuration as systems of the core

Heartbeats go to everyone among few VMs, else to a bounded neighbourhood on a hashed ring; changes flood along the same links with ages as durations. Adds tables.VM.Live, DeclaredLeaving and ListedLeaving of upstreams, World.LeavingVMs and the peer message Members. Ruled out: full digests with ages, which cost more bytes the more VMs there are.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,8 @@
 	TopicObservation = "observation"
 	// TopicGroup carries GroupState.
 	TopicGroup = "group"
+	// TopicMembers carries Members.
+	TopicMembers = "members"
 	// TopicConfig carries Config.
 	TopicConfig = "config"
 )
@@ -35,6 +37,30 @@
 	Leaving bool `msgpack:"l"`
 }
 
+// Member is what the sender knows of a VM that changed.
+type Member struct {
+	// VM names the VM, or an upstream that the platform's list has leaving.
+	VM tables.VMID `msgpack:"v"`
+	// DataCentre is where it runs.
+	DataCentre tables.DataCentreID `msgpack:"d,omitempty"`
+	// PeerAddress is its IP:port for frames; empty for an upstream.
+	PeerAddress string `msgpack:"a,omitempty"`
+	// HeardMillis is how long ago the VM was last heard by anyone, in milliseconds; -1 means never.
+	HeardMillis int64 `msgpack:"m"`
+	// Silent says that a VM which should have heard it since did not.
+	Silent bool `msgpack:"s,omitempty"`
+	// Leaving says that the VM announced its shutdown.
+	Leaving bool `msgpack:"l,omitempty"`
+	// ListedLeaving says that the platform's list has it leaving.
+	ListedLeaving bool `msgpack:"x,omitempty"`
+}
+
+// Members spreads changes among VMs that send each other no heartbeats.
+type Members struct {
+	// Members are the VMs that changed.
+	Members []Member `msgpack:"m"`
+}
+
 // Observation is what one proxy saw of one upstream.
 type Observation struct {
 	// From names the observer.
--- a/internal/peer/tcpbus/codec.go
+++ b/internal/peer/tcpbus/codec.go
@@ -7,14 +7,25 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// maxHeardMillis is the longest silence that a message may report, in milliseconds.
+const maxHeardMillis = 366 * 24 * 60 * 60 * 1000
+
 // topics are the topics that Run subscribes to.
-var topics = []string{peer.TopicHeartbeat, peer.TopicObservation, peer.TopicGroup, peer.TopicConfig}
+var topics = []string{
+	peer.TopicHeartbeat,
+	peer.TopicMembers,
+	peer.TopicObservation,
+	peer.TopicGroup,
+	peer.TopicConfig,
+}
 
 // decode returns the message of topic by value.
 func decode(topic string, payload []byte) (any, error) {
 	switch topic {
 	case peer.TopicHeartbeat:
 		return decodeAs(payload, checkHeartbeat)
+	case peer.TopicMembers:
+		return decodeAs(payload, checkMembers)
 	case peer.TopicObservation:
 		return decodeAs(payload, checkObservation)
 	case peer.TopicGroup:
@@ -44,6 +55,18 @@
 	return nil
 }
 
+func checkMembers(m peer.Members) error {
+	for _, member := range m.Members {
+		if member.VM == "" {
+			return errors.New("member without name")
+		}
+		if member.HeardMillis < -1 || member.HeardMillis > maxHeardMillis {
+			return errors.Errorf("member %s heard %d ms ago", member.VM, member.HeardMillis)
+		}
+	}
+	return nil
+}
+
 func checkObservation(o peer.Observation) error {
 	if o.From == "" {
 		return errors.New("no sender")
--- a/internal/peer/tcpbus/tcpbus_test.go
+++ b/internal/peer/tcpbus/tcpbus_test.go
@@ -57,6 +57,7 @@
 		msg   any
 	}{
 		{peer.TopicHeartbeat, peer.Heartbeat{From: "vm-1", DataCentre: "ub-east", ConfigVersion: 7, Leaving: true}},
+		{peer.TopicMembers, peer.Members{Members: []peer.Member{{VM: "vm-2", HeardMillis: -1, Silent: true}}}},
 		{peer.TopicObservation, peer.Observation{From: "vm-1", Upstream: "u", Cause: tables.CauseSilent, FailingMillis: 9}},
 		{peer.TopicGroup, peer.GroupState{Group: "g", Term: 3, Primary: "u"}},
 		{peer.TopicConfig, peer.Config{Version: 4, Document: make([]byte, 1<<16)}},
@@ -65,7 +66,7 @@
 		a.Send(b.Addr(), m.topic, m.msg)
 		assert.DeepEqual(t, <-in, m.msg)
 	}
-	assert.Equal(t, a.Stats().FramesSent, uint64(4))
+	assert.Equal(t, a.Stats().FramesSent, uint64(5))
 	assert.Equal(t, a.Stats().BytesSent, b.Stats().BytesReceived)
 	assert.Equal(t, a.Stats().Dropped, uint64(0))
 }
--- /dev/null
+++ b/internal/systems/configure/configure.go
@@ -0,0 +1,179 @@
+// Package configure brings the configuration in force on this VM and spreads
+// it. A few pollers of each data centre read the platform's head row; a VM
+// that learns of a newer version from a peer's heartbeat asks that peer for the
+// document by a heartbeat of its own. Versions only grow.
+package configure
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/peer"
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/systems/membership"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+const (
+	// pollInterval is the time between two reads of the head by one poller.
+	pollInterval = time.Second
+	// pollJitter is the largest deviation of pollInterval either way.
+	pollJitter = 200 * time.Millisecond
+	// readTimeout is how long a read of the head or a document may stay unanswered.
+	readTimeout = 5 * time.Second
+	// pullTimeout is how long a peer that was asked for a document may stay silent.
+	pullTimeout = 500 * time.Millisecond
+	// sendInterval is the shortest time between two documents to one peer.
+	sendInterval = time.Second
+)
+
+// System keeps the configuration of one world. It is not safe for concurrent use.
+type System struct {
+	rng *rand.Rand
+
+	nextPoll    tables.Time
+	reading     bool
+	readBy      tables.Time
+	loading     uint64
+	loadBy      tables.Time
+	pulling     uint64
+	pullBy      tables.Time
+	allowSendAt *tables.Table[tables.VMID, tables.Time]
+}
+
+// New returns a system that draws its jitter from rng.
+func New(rng *rand.Rand) *System {
+	return &System{rng: rng, allowSendAt: tables.NewTable[tables.VMID, tables.Time]()}
+}
+
+// Handle takes the head, documents and peers' heartbeats.
+func (s *System) Handle(now tables.Time, w *tables.World, ev event.Event) []action.Action {
+	switch e := ev.(type) {
+	case event.HeadRead:
+		return s.handleHead(now, w, e)
+	case event.DocumentLoaded:
+		return s.handleDocument(w, e)
+	case event.PeerMessage:
+		return s.handleMessage(now, w, e.Message)
+	}
+	return nil
+}
+
+// Tick reads the head when it is due: always on a poller, and on any VM that
+// has no configuration yet.
+func (s *System) Tick(now tables.Time, w *tables.World) []action.Action {
+	if s.reading && now >= s.readBy {
+		s.reading = false
+	}
+	if s.reading || now < s.nextPoll {
+		return nil
+	}
+	s.nextPoll = now.Add(s.interval())
+	if w.ConfigVersion != 0 && !membership.IsPoller(w) {
+		return nil
+	}
+	s.reading = true
+	s.readBy = now.Add(readTimeout)
+	return []action.Action{action.ReadHead{}}
+}
+
+// interval is pollInterval, jittered.
+func (s *System) interval() time.Duration {
+	return pollInterval - pollJitter + time.Duration(s.rng.Int64N(int64(2*pollJitter)))
+}
+
+func (s *System) handleHead(now tables.Time, w *tables.World, e event.HeadRead) []action.Action {
+	s.reading = false
+	if e.Outcome != event.OutcomeOK || e.Head.Version <= w.ConfigVersion {
+		return nil
+	}
+	if e.Head.Version <= s.loading && now < s.loadBy {
+		return nil
+	}
+	s.loading = e.Head.Version
+	s.loadBy = now.Add(readTimeout)
+	return []action.Action{action.LoadDocument{Version: e.Head.Version, Hash: e.Head.Hash}}
+}
+
+func (s *System) handleDocument(w *tables.World, e event.DocumentLoaded) []action.Action {
+	if e.Version == s.loading {
+		s.loading = 0
+	}
+	if e.Outcome != event.OutcomeOK {
+		return nil
+	}
+	return put(w, e.Version, e.Document)
+}
+
+func (s *System) handleMessage(now tables.Time, w *tables.World, message any) []action.Action {
+	switch m := message.(type) {
+	case peer.Heartbeat:
+		return s.handleHeartbeat(now, w, m)
+	case peer.Config:
+		return handleConfig(w, m)
+	}
+	return nil
+}
+
+// handleHeartbeat sends the document to a peer that has an older one and asks
+// a peer that has a newer one.
+func (s *System) handleHeartbeat(now tables.Time, w *tables.World, h peer.Heartbeat) []action.Action {
+	switch {
+	case h.From == w.Self:
+		return nil
+	case h.ConfigVersion < w.ConfigVersion:
+		return s.send(now, h.From)
+	case h.ConfigVersion > w.ConfigVersion:
+		return s.pull(now, w, h)
+	default:
+		return nil
+	}
+}
+
+func (s *System) send(now tables.Time, to tables.VMID) []action.Action {
+	if at, ok := s.allowSendAt.Get(to); ok && now < at {
+		return nil
+	}
+	s.allowSendAt.Put(to, now.Add(sendInterval))
+	return []action.Action{action.SendDocument{To: to}}
+}
+
+// pull asks one peer at a time for a version.
+func (s *System) pull(now tables.Time, w *tables.World, h peer.Heartbeat) []action.Action {
+	if h.ConfigVersion <= s.pulling && now < s.pullBy {
+		return nil
+	}
+	s.pulling = h.ConfigVersion
+	s.pullBy = now.Add(pullTimeout)
+	self, _ := w.VMs.Get(w.Self)
+	request := peer.Heartbeat{
+		From:          w.Self,
+		DataCentre:    w.DataCentre,
+		PeerAddress:   w.PeerAddress,
+		ConfigVersion: w.ConfigVersion,
+		Leaving:       self.Leaving,
+	}
+	return []action.Action{action.Publish{To: []tables.VMID{h.From}, Topic: peer.TopicHeartbeat, Message: request}}
+}
+
+func handleConfig(w *tables.World, m peer.Config) []action.Action {
+	if m.Version <= w.ConfigVersion {
+		return nil
+	}
+	doc, err := config.Decode(m.Document)
+	if err != nil {
+		return nil
+	}
+	return put(w, m.Version, doc)
+}
+
+// put brings doc in force if its version is newer.
+func put(w *tables.World, version uint64, doc config.Document) []action.Action {
+	if version <= w.ConfigVersion {
+		return nil
+	}
+	Apply(w, version, doc)
+	return []action.Action{action.ApplyDocument{Version: version, Document: doc}}
+}
--- a/internal/systems/event/event.go
+++ b/internal/systems/event/event.go
@@ -67,8 +67,8 @@
 	Status tables.Status
 }
 
-// PeerMessage is a message from another proxy: a peer.Heartbeat, peer.Observation,
-// peer.GroupState or peer.Config.
+// PeerMessage is a message from another proxy: a peer.Heartbeat, peer.Members,
+// peer.Observation, peer.GroupState or peer.Config.
 type PeerMessage struct {
 	// Message is the typed message by value.
 	Message any
--- /dev/null
+++ b/internal/systems/membership/changes.go
@@ -0,0 +1,66 @@
+package membership
+
+import (
+	"github.com/cranberrystage/cranberrystage/internal/peer"
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// changes queues the VMs whose state is to be passed on, each once, and bounds
+// how many leave in a second.
+type changes struct {
+	ids     []tables.VMID
+	queued  map[tables.VMID]bool
+	rate    float64
+	credit  float64
+	updated tables.Time
+}
+
+// newChanges returns an empty queue that lets rate changes a second pass.
+func newChanges(rate int) changes {
+	return changes{queued: make(map[tables.VMID]bool), rate: float64(rate), credit: float64(rate)}
+}
+
+func (c *changes) add(id tables.VMID) {
+	if c.queued[id] {
+		return
+	}
+	c.queued[id] = true
+	c.ids = append(c.ids, id)
+}
+
+// take removes the oldest entries that may leave by now.
+func (c *changes) take(now tables.Time) []tables.VMID {
+	c.credit = min(c.rate, c.credit+c.rate*now.Sub(c.updated).Seconds())
+	c.updated = now
+	n := min(len(c.ids), int(c.credit))
+	taken := c.ids[:n]
+	c.ids = c.ids[n:]
+	c.credit -= float64(n)
+	for _, id := range taken {
+		delete(c.queued, id)
+	}
+	return taken
+}
+
+// flush passes queued changes on to the neighbours.
+func (s *System) flush(now tables.Time, w *tables.World) []action.Action {
+	if len(s.view.neighbours) == 0 {
+		return nil
+	}
+	var members []peer.Member
+	for _, id := range s.queue.take(now) {
+		if row, ok := w.VMs.Get(id); ok {
+			members = append(members, s.member(now, row))
+			continue
+		}
+		if row, ok := w.Upstreams.Get(tables.UpstreamID(id)); ok {
+			members = append(members, peer.Member{VM: id, ListedLeaving: row.ListedLeaving, HeardMillis: -1})
+		}
+	}
+	if len(members) == 0 {
+		return nil
+	}
+	message := peer.Members{Members: members}
+	return []action.Action{action.Publish{To: s.view.neighbours, Topic: peer.TopicMembers, Message: message}}
+}
--- /dev/null
+++ b/internal/systems/membership/membership_test.go
@@ -0,0 +1,284 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/peer"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const second = tables.Time(time.Second)
+
+// fixture is the system of vm-0 in dc-0.
+type fixture struct {
+	*System
+	w *tables.World
+}
+
+func newFixture() fixture {
+	f := fixture{
+		System: New(DefaultOptions(), rand.New(rand.NewPCG(1, 1))),
+		w:      tables.NewWorld("vm-0", "dc-0", "10.0.0.1:1"),
+	}
+	f.Tick(0, f.w)
+	return f
+}
+
+func (f fixture) hear(now tables.Time, id tables.VMID, leaving bool) []action.Action {
+	h := peer.Heartbeat{From: id, DataCentre: "dc-1", PeerAddress: "10.0.0.2:1", Leaving: leaving}
+	return f.Handle(now, f.w, event.PeerMessage{Message: h})
+}
+
+func (f fixture) told(now tables.Time, m peer.Member) {
+	f.Handle(now, f.w, event.PeerMessage{Message: peer.Members{Members: []peer.Member{m}}})
+}
+
+func (f fixture) list(now tables.Time, vms ...platform.ListedVM) {
+	f.Handle(now, f.w, event.VMsListed{Outcome: event.OutcomeOK, VMs: vms})
+}
+
+func (f fixture) vm(id tables.VMID) tables.VM {
+	row, _ := f.w.VMs.Get(id)
+	return row
+}
+
+// tickTo ticks every 100 ms and returns the members that were passed on.
+func (f fixture) tickTo(from, to tables.Time) []peer.Member {
+	var members []peer.Member
+	for now := from; now <= to; now = now.Add(100 * time.Millisecond) {
+		for _, a := range f.Tick(now, f.w) {
+			if p, ok := a.(action.Publish); ok && p.Topic == peer.TopicMembers {
+				members = append(members, p.Message.(peer.Members).Members...)
+			}
+		}
+	}
+	return members
+}
+
+func listed(id string) platform.ListedVM {
+	return platform.ListedVM{ID: id, DataCentre: "dc-1", PeerAddress: "10.0.0.2:1"}
+}
+
+func TestUnlistedVMIsLiveWhenHeard(t *testing.T) {
+	f := newFixture()
+	f.list(second)
+	answer := f.hear(2*second, "vm-1", false)
+	assert.Equal(t, len(answer), 2)
+	assert.Assert(t, f.vm("vm-1").Live)
+	assert.Assert(t, !f.vm("vm-1").Listed)
+	assert.Equal(t, len(f.hear(3*second, "vm-1", false)), 0)
+}
+
+func TestListedVMThatIsSilentIsNotLive(t *testing.T) {
+	f := newFixture()
+	f.list(second, listed("vm-1"))
+	assert.Assert(t, f.vm("vm-1").Live)
+	f.tickTo(2*second, 6*second)
+	assert.Assert(t, f.vm("vm-1").Live)
+	f.tickTo(6*second, 8*second)
+	assert.Assert(t, !f.vm("vm-1").Live)
+	assert.Assert(t, f.vm("vm-1").Listed)
+}
+
+func TestSilenceIsToldUnlessCutOff(t *testing.T) {
+	cases := []struct {
+		name    string
+		talking int
+		told    bool
+	}{
+		{"most are heard", 3, true},
+		{"nobody is heard", 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			ids := []tables.VMID{"vm-2", "vm-3", "vm-4"}
+			for _, id := range append(ids, "vm-1") {
+				f.hear(0, id, false)
+			}
+			f.tickTo(0, 2*second)
+			told := false
+			for now := 2 * second; now < 10*second; now += second {
+				for _, id := range ids[:c.talking] {
+					f.hear(now, id, false)
+				}
+				for _, m := range f.tickTo(now, now+second) {
+					told = told || m.Silent && m.VM == "vm-1"
+				}
+			}
+			assert.Assert(t, !f.vm("vm-1").Live)
+			assert.Equal(t, told, c.told)
+		})
+	}
+}
+
+func TestLeavingByAnyWord(t *testing.T) {
+	leaving := listed("vm-1")
+	leaving.Leaving = true
+	cases := []struct {
+		name string
+		word func(f fixture)
+	}{
+		{"own word", func(f fixture) { f.hear(second, "vm-1", true) }},
+		{"the list's", func(f fixture) { f.list(second, leaving) }},
+		{"the list's, passed on", func(f fixture) {
+			f.told(second, peer.Member{VM: "vm-1", PeerAddress: "10.0.0.2:1", HeardMillis: -1, ListedLeaving: true})
+		}},
+		{"the configuration's", func(f fixture) {
+			f.w.LeavingVMs = []tables.VMID{"vm-1"}
+			f.w.ConfigVersion = 1
+			f.Tick(second, f.w)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			f.hear(0, "vm-1", false)
+			c.word(f)
+			assert.Assert(t, f.vm("vm-1").Leaving)
+			assert.Assert(t, f.vm("vm-1").Live)
+		})
+	}
+}
+
+func TestOwnWordEndsWithRestart(t *testing.T) {
+	f := newFixture()
+	f.hear(second, "vm-1", true)
+	f.hear(2*second, "vm-1", false)
+	assert.Assert(t, !f.vm("vm-1").Leaving)
+}
+
+func TestUpstreamLeavingByList(t *testing.T) {
+	f := newFixture()
+	f.w.Upstreams.Put("u", tables.Upstream{ID: "u"})
+	f.hear(0, "vm-1", false)
+	f.list(second, platform.ListedVM{ID: "u", Leaving: true})
+	row, _ := f.w.Upstreams.Get("u")
+	assert.Assert(t, row.Leaving)
+	passed := f.tickTo(second, 2*second)
+	assert.Assert(t, slices.ContainsFunc(passed, func(m peer.Member) bool { return m.VM == "u" && m.ListedLeaving }))
+	f.list(3*second, platform.ListedVM{ID: "u"})
+	row, _ = f.w.Upstreams.Get("u")
+	assert.Assert(t, !row.Leaving)
+}
+
+func TestYoungerEvidenceWins(t *testing.T) {
+	member := func(heard int64, silent bool) peer.Member {
+		return peer.Member{VM: "vm-1", DataCentre: "dc-1", PeerAddress: "10.0.0.2:1", HeardMillis: heard, Silent: silent}
+	}
+	f := newFixture()
+	f.hear(10*second, "vm-1", false)
+	f.told(14*second, member(9000, true))
+	assert.Assert(t, f.vm("vm-1").Live)
+	f.told(20*second, member(6000, true))
+	assert.Assert(t, !f.vm("vm-1").Live)
+	f.told(20*second, member(8000, false))
+	assert.Assert(t, !f.vm("vm-1").Live)
+	f.told(20*second, member(100, false))
+	assert.Assert(t, f.vm("vm-1").Live)
+}
+
+func TestReportOfOwnSilenceIsRefuted(t *testing.T) {
+	f := newFixture()
+	f.hear(0, "vm-1", false)
+	f.tickTo(0, second)
+	f.told(2*second, peer.Member{VM: "vm-0", PeerAddress: "10.0.0.1:1", HeardMillis: 6000, Silent: true})
+	assert.Assert(t, f.vm("vm-0").Live)
+	passed := f.tickTo(2*second, 3*second)
+	assert.Equal(t, len(passed), 1)
+	assert.Equal(t, passed[0].VM, tables.VMID("vm-0"))
+	assert.Assert(t, !passed[0].Silent)
+	assert.Equal(t, passed[0].HeardMillis, int64(0))
+}
+
+func TestFailedListChangesNothing(t *testing.T) {
+	f := newFixture()
+	f.list(second, listed("vm-1"))
+	f.Handle(2*second, f.w, event.VMsListed{Outcome: event.OutcomeFailed})
+	assert.Assert(t, f.vm("vm-1").Listed)
+	f.list(3 * second)
+	assert.Assert(t, !f.vm("vm-1").Listed)
+}
+
+func TestForgetUnlistedSilentVM(t *testing.T) {
+	f := newFixture()
+	f.hear(0, "vm-1", false)
+	f.tickTo(0, 5*second)
+	f.tickTo(600*second, 610*second)
+	_, known := f.w.VMs.Get("vm-1")
+	assert.Assert(t, !known)
+}
+
+func TestSeedIsGreeted(t *testing.T) {
+	opts := DefaultOptions()
+	opts.Seeds = []tables.VM{{ID: "vm-9", DataCentre: "dc-1", PeerAddress: "10.0.0.9:1"}}
+	s := New(opts, rand.New(rand.NewPCG(1, 1)))
+	w := tables.NewWorld("vm-0", "dc-0", "10.0.0.1:1")
+	for _, a := range s.Tick(0, w) {
+		if p, ok := a.(action.Publish); ok {
+			assert.DeepEqual(t, p.To, []tables.VMID{"vm-9"})
+			return
+		}
+	}
+	t.Fatal("nobody was greeted")
+}
+
+func putVM(w *tables.World, id tables.VMID, dc tables.DataCentreID) {
+	w.VMs.Put(id, tables.VM{ID: id, DataCentre: dc, Live: true, Listed: true})
+}
+
+func TestCandidates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := tables.NewWorld("vm-a", "dc-0", "")
+		dcs := rapid.IntRange(1, 6).Draw(t, "data centres")
+		for i := range rapid.IntRange(1, 30).Draw(t, "VMs") {
+			id := tables.VMID(rune('a' + i))
+			putVM(w, id, tables.DataCentreID(rune('0'+i%dcs)))
+			row, _ := w.VMs.Get(id)
+			row.Live = rapid.Bool().Draw(t, "live")
+			row.Leaving = rapid.Bool().Draw(t, "leaving")
+			w.VMs.Put(id, row)
+		}
+		candidates := Candidates(w, "g")
+		assert.DeepEqual(t, candidates, Candidates(w, "g"))
+		perDC := make(map[tables.DataCentreID]int)
+		for i, id := range candidates {
+			row, _ := w.VMs.Get(id)
+			assert.Assert(t, row.Live && !row.Leaving)
+			assert.Equal(t, Rank(w, "g", id), i)
+			perDC[row.DataCentre]++
+		}
+		assert.Equal(t, Rank(w, "g", "none"), -1)
+		for _, row := range w.VMs.All() {
+			left := row.Live && !row.Leaving && !slices.Contains(candidates, row.ID)
+			fair := perDC[row.DataCentre] >= len(candidates)/(dcs+1)
+			assert.Assert(t, !left || len(candidates) == candidateLimit && fair)
+		}
+	})
+}
+
+func TestConnectionShare(t *testing.T) {
+	w := tables.NewWorld("vm-0", "dc-0", "")
+	w.Upstreams.Put("u", tables.Upstream{ID: "u", Connections: 20})
+	for _, id := range []tables.VMID{"vm-0", "vm-1", "vm-2", "vm-3", "vm-4"} {
+		putVM(w, id, "dc-0")
+	}
+	assert.Equal(t, ConnectionShare(w, "u", second), 1)
+	assert.Equal(t, ConnectionShare(w, "u", 10*second), 3)
+	row, _ := w.VMs.Get("vm-4")
+	row.Live = false
+	w.VMs.Put("vm-4", row)
+	assert.Equal(t, ConnectionShare(w, "u", 10*second), 3)
+	row.Listed = false
+	w.VMs.Put("vm-4", row)
+	assert.Equal(t, ConnectionShare(w, "u", 10*second), 4)
+	assert.Equal(t, ConnectionShare(w, "none", 10*second), 1)
+}
--- /dev/null
+++ b/internal/systems/membership/rank.go
@@ -0,0 +1,112 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+const (
+	// candidateLimit is how many candidates a group has.
+	candidateLimit = 5
+	// pollersPerDataCentre is how many VMs of a data centre read the platform on its behalf.
+	pollersPerDataCentre = 2
+	// controlConnections is how many connections of an upstream stay free for control.
+	controlConnections = 2
+	// joinDelay is how long a process takes only one connection of each
+	// upstream, until the others have counted it in.
+	joinDelay = 5 * time.Second
+)
+
+// pollerKey is hashed with VM names to choose the pollers.
+const pollerKey = "poller"
+
+// scored is a VM with its rendezvous score.
+type scored struct {
+	id    tables.VMID
+	dc    tables.DataCentreID
+	score uint64
+}
+
+// Candidates returns the VMs that may coordinate a failover of group, best
+// first: live VMs that are not leaving, ordered by rendezvous hashing so that
+// each data centre comes once before any comes twice.
+func Candidates(w *tables.World, group tables.GroupID) []tables.VMID {
+	var all []scored
+	for id, row := range w.VMs.All() {
+		if row.Live && !row.Leaving {
+			all = append(all, scored{id: id, dc: row.DataCentre, score: score(string(group), id)})
+		}
+	}
+	slices.SortFunc(all, byScore)
+	return spread(all, candidateLimit)
+}
+
+// Rank returns vm's place among the candidates of group from 0, or -1.
+func Rank(w *tables.World, group tables.GroupID, vm tables.VMID) int {
+	return slices.Index(Candidates(w, group), vm)
+}
+
+// IsPoller reports whether this VM reads the platform on behalf of its data centre.
+func IsPoller(w *tables.World) bool {
+	own := score(pollerKey, w.Self)
+	better := 0
+	for id, row := range w.VMs.All() {
+		if id == w.Self || !row.Live || row.Leaving || row.DataCentre != w.DataCentre {
+			continue
+		}
+		if score(pollerKey, id) > own {
+			better++
+		}
+	}
+	return better < pollersPerDataCentre
+}
+
+// ConnectionShare returns how many connections to upstream this VM may open.
+// A VM counts until it is off the platform's list and silent, so that shares
+// do not sum over the limit while views differ. It is at least 1.
+func ConnectionShare(w *tables.World, upstream tables.UpstreamID, now tables.Time) int {
+	row, ok := w.Upstreams.Get(upstream)
+	if !ok || now < tables.Time(joinDelay) {
+		return 1
+	}
+	holders := 0
+	for _, vm := range w.VMs.All() {
+		if vm.Live || vm.Listed {
+			holders++
+		}
+	}
+	return max(1, (row.Connections-controlConnections)/max(1, holders))
+}
+
+func score(key string, vm tables.VMID) uint64 {
+	return xxhash.Sum64String(key + "/" + string(vm))
+}
+
+// byScore orders the higher score first.
+func byScore(a, b scored) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+}
+
+// spread takes the best VM of each data centre in turn, then the second best
+// of each, until limit are taken.
+func spread(sorted []scored, limit int) []tables.VMID {
+	var taken []tables.VMID
+	for len(sorted) > 0 && len(taken) < limit {
+		var rest []scored
+		used := make(map[tables.DataCentreID]bool)
+		for _, vm := range sorted {
+			if used[vm.dc] || len(taken) == limit {
+				rest = append(rest, vm)
+				continue
+			}
+			used[vm.dc] = true
+			taken = append(taken, vm.id)
+		}
+		sorted = rest
+	}
+	return taken
+}
--- /dev/null
+++ b/internal/systems/membership/view.go
@@ -0,0 +1,102 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// view is who sends heartbeats to whom, as far as this VM is concerned.
+type view struct {
+	// neighbours are the VMs that this one sends to, in ascending order.
+	neighbours []tables.VMID
+	// watched are the VMs that send to this one, in ascending order.
+	watched []tables.VMID
+}
+
+// ring is the live VMs of a data centre in the order of their hashes.
+type ring struct {
+	dc  tables.DataCentreID
+	vms []ringVM
+}
+
+type ringVM struct {
+	id   tables.VMID
+	hash uint64
+}
+
+// buildView derives the view from the live VMs.
+func buildView(w *tables.World, opts Options) view {
+	rings, total := buildRings(w)
+	if total <= opts.FullMesh {
+		others := liveOthers(w)
+		return view{neighbours: others, watched: others}
+	}
+	var v view
+	for d, r := range rings {
+		for i, vm := range r.vms {
+			to := receivers(rings, d, i, opts)
+			if vm.id == w.Self {
+				v.neighbours = to
+			} else if slices.Contains(to, w.Self) {
+				v.watched = append(v.watched, vm.id)
+			}
+		}
+	}
+	slices.Sort(v.neighbours)
+	slices.Sort(v.watched)
+	return v
+}
+
+func liveOthers(w *tables.World) []tables.VMID {
+	var others []tables.VMID
+	for id, row := range w.VMs.All() {
+		if row.Live && id != w.Self {
+			others = append(others, id)
+		}
+	}
+	return others
+}
+
+// buildRings returns the rings in ascending order of data centre and the number of live VMs.
+func buildRings(w *tables.World) (rings []ring, total int) {
+	byDC := tables.NewTable[tables.DataCentreID, ring]()
+	for id, row := range w.VMs.All() {
+		if !row.Live {
+			continue
+		}
+		total++
+		r, _ := byDC.Get(row.DataCentre)
+		r.dc = row.DataCentre
+		r.vms = append(r.vms, ringVM{id: id, hash: xxhash.Sum64String(string(id))})
+		byDC.Put(row.DataCentre, r)
+	}
+	for _, r := range byDC.All() {
+		slices.SortFunc(r.vms, func(a, b ringVM) int {
+			return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
+		})
+		rings = append(rings, r)
+	}
+	return rings, total
+}
+
+// receivers returns whom the VM at index i of ring d sends to: successors at
+// the offsets, and VMs of other data centres chosen by its index, so that each
+// pair of data centres is joined by about equally many links.
+func receivers(rings []ring, d, i int, opts Options) []tables.VMID {
+	own := rings[d].vms
+	to := make([]tables.VMID, 0, len(opts.Offsets)+opts.RemoteVMs)
+	for _, offset := range opts.Offsets {
+		if offset < len(own) {
+			to = append(to, own[(i+offset)%len(own)].id)
+		}
+	}
+	others := len(rings) - 1
+	for k := range min(opts.RemoteVMs, others) {
+		remote := rings[(d+1+(i*opts.RemoteVMs+k)%others)%len(rings)].vms
+		to = append(to, remote[i%len(remote)].id)
+	}
+	return to
+}
--- /dev/null
+++ b/internal/systems/systemstest/cluster.go
@@ -0,0 +1,273 @@
+// Package systemstest runs systems of many VMs against each other in virtual
+// time, with message loss, partitions and platform outages. It is for tests.
+package systemstest
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/peer"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// TickInterval is the time between two ticks of a VM.
+	TickInterval = 100 * time.Millisecond
+	// frameOverhead is the size of a frame beside its payload, in bytes.
+	frameOverhead = 40
+	// maxLatency bounds the delay of a message and of a platform answer.
+	maxLatency = 5 * time.Millisecond
+)
+
+// System is a system of the decision core.
+type System interface {
+	Handle(now tables.Time, w *tables.World, ev event.Event) []action.Action
+	Tick(now tables.Time, w *tables.World) []action.Action
+}
+
+// VM is one simulated VM.
+type VM struct {
+	// World is its tables.
+	World *tables.World
+	// Running says that it ticks and receives.
+	Running bool
+	// BytesSent counts its messages with frame overhead, in bytes.
+	BytesSent int
+	// Versions are the configuration versions it brought in force, in order.
+	Versions []uint64
+
+	systems  []System
+	started  time.Duration
+	document config.Document
+	epoch    int
+}
+
+// Cluster is many VMs and their platform. Its fields may change between runs.
+type Cluster struct {
+	// VMs are in ascending order of ID.
+	VMs []*VM
+	// Loss is the share of messages lost, between 0 and 1.
+	Loss float64
+	// Cut says that two data centres cannot reach each other; nil means none.
+	Cut func(a, b tables.DataCentreID) bool
+	// PlatformDown says that a data centre cannot reach the platform; nil means none.
+	PlatformDown func(dc tables.DataCentreID) bool
+	// List is the platform's VM list.
+	List []platform.ListedVM
+	// Head is the configuration head; version 0 means that there is none.
+	Head config.Head
+	// Document is the document of Head.
+	Document config.Document
+	// Now is the virtual time.
+	Now time.Duration
+
+	rng   *rand.Rand
+	build func(*rand.Rand) []System
+	byID  map[tables.VMID]*VM
+	queue schedule
+	seq   int
+}
+
+// NewCluster returns vms VMs spread over dcs data centres, all listed and
+// running; build returns the systems of one VM.
+func NewCluster(seed uint64, vms, dcs int, build func(*rand.Rand) []System) *Cluster {
+	c := &Cluster{
+		rng:   rand.New(rand.NewPCG(seed, 0)),
+		build: build,
+		byID:  make(map[tables.VMID]*VM),
+	}
+	for i := range vms {
+		id := tables.VMID(fmt.Sprintf("vm-%04d", i))
+		dc := tables.DataCentreID(fmt.Sprintf("dc-%02d", i%dcs))
+		address := fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)
+		vm := &VM{World: tables.NewWorld(id, dc, address)}
+		c.VMs = append(c.VMs, vm)
+		c.byID[id] = vm
+		c.List = append(c.List, platform.ListedVM{ID: string(id), DataCentre: string(dc), PeerAddress: address})
+		c.Start(vm)
+	}
+	return c
+}
+
+// Start starts vm with empty tables.
+func (c *Cluster) Start(vm *VM) {
+	old := vm.World
+	vm.World = tables.NewWorld(old.Self, old.DataCentre, old.PeerAddress)
+	vm.systems = c.build(rand.New(rand.NewPCG(c.rng.Uint64(), 0)))
+	vm.started = c.Now
+	vm.Running = true
+	vm.Versions = nil
+	vm.epoch++
+	c.after(time.Duration(c.rng.Int64N(int64(TickInterval))), vm, func() { c.tick(vm) })
+}
+
+// Stop stops vm at once.
+func (c *Cluster) Stop(vm *VM) {
+	vm.Running = false
+	vm.epoch++
+}
+
+// Run lets d pass.
+func (c *Cluster) Run(d time.Duration) {
+	end := c.Now + d
+	for len(c.queue) > 0 && c.queue[0].at <= end {
+		e := heap.Pop(&c.queue).(entry)
+		c.Now = e.at
+		if e.vm.epoch == e.epoch {
+			e.do()
+		}
+	}
+	c.Now = end
+}
+
+// RunUntil lets time pass in steps of a tick until done or limit; it returns
+// the time that passed.
+func (c *Cluster) RunUntil(limit time.Duration, done func() bool) time.Duration {
+	start := c.Now
+	for c.Now-start < limit && !done() {
+		c.Run(TickInterval)
+	}
+	return c.Now - start
+}
+
+// All reports whether ok holds for every running VM.
+func (c *Cluster) All(ok func(*VM) bool) bool {
+	for _, vm := range c.VMs {
+		if vm.Running && !ok(vm) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Cluster) after(d time.Duration, vm *VM, do func()) {
+	c.seq++
+	heap.Push(&c.queue, entry{at: c.Now + d, seq: c.seq, vm: vm, epoch: vm.epoch, do: do})
+}
+
+func (c *Cluster) latency() time.Duration {
+	return time.Duration(c.rng.Int64N(int64(maxLatency)))
+}
+
+func (c *Cluster) tick(vm *VM) {
+	now := tables.Time(c.Now - vm.started)
+	for _, s := range vm.systems {
+		c.perform(vm, s.Tick(now, vm.World))
+	}
+	c.after(TickInterval, vm, func() { c.tick(vm) })
+}
+
+func (c *Cluster) handle(vm *VM, ev event.Event) {
+	now := tables.Time(c.Now - vm.started)
+	for _, s := range vm.systems {
+		c.perform(vm, s.Handle(now, vm.World, ev))
+	}
+}
+
+// reply hands vm an event after the latency.
+func (c *Cluster) reply(vm *VM, ev event.Event) {
+	c.after(c.latency(), vm, func() { c.handle(vm, ev) })
+}
+
+func (c *Cluster) perform(vm *VM, actions []action.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case action.Publish:
+			c.publish(vm, a.To, a.Message)
+		case action.SendDocument:
+			c.sendDocument(vm, a.To)
+		case action.ApplyDocument:
+			vm.document = a.Document
+			vm.Versions = append(vm.Versions, a.Version)
+		case action.ListVMs:
+			c.reply(vm, event.VMsListed{Outcome: c.outcome(vm), VMs: c.List})
+		case action.ReadHead:
+			c.reply(vm, c.readHead(vm))
+		case action.LoadDocument:
+			c.reply(vm, event.DocumentLoaded{Version: a.Version, Outcome: c.outcome(vm), Document: c.Document})
+		}
+	}
+}
+
+func (c *Cluster) outcome(vm *VM) event.Outcome {
+	if c.PlatformDown != nil && c.PlatformDown(vm.World.DataCentre) {
+		return event.OutcomeFailed
+	}
+	return event.OutcomeOK
+}
+
+func (c *Cluster) readHead(vm *VM) event.HeadRead {
+	outcome := c.outcome(vm)
+	if outcome == event.OutcomeOK && c.Head.Version == 0 {
+		outcome = event.OutcomeNotFound
+	}
+	return event.HeadRead{Outcome: outcome, Head: c.Head}
+}
+
+func (c *Cluster) sendDocument(vm *VM, to tables.VMID) {
+	body, _, err := vm.document.Encode()
+	if err != nil {
+		panic(err)
+	}
+	c.publish(vm, []tables.VMID{to}, peer.Config{Version: vm.World.ConfigVersion, Document: body})
+}
+
+func (c *Cluster) publish(vm *VM, to []tables.VMID, message any) {
+	payload, err := msgpack.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	for _, id := range to {
+		vm.BytesSent += frameOverhead + len(payload)
+		receiver := c.byID[id]
+		if receiver.Running && c.reaches(vm, receiver) {
+			c.reply(receiver, event.PeerMessage{Message: message})
+		}
+	}
+}
+
+func (c *Cluster) reaches(from, to *VM) bool {
+	if c.Cut != nil && c.Cut(from.World.DataCentre, to.World.DataCentre) {
+		return false
+	}
+	return c.rng.Float64() >= c.Loss
+}
+
+// entry is something that happens to a VM at a time.
+type entry struct {
+	at    time.Duration
+	seq   int
+	vm    *VM
+	epoch int
+	do    func()
+}
+
+// schedule is a heap of entries in order of time.
+type schedule []entry
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	if s[i].at != s[j].at {
+		return s[i].at < s[j].at
+	}
+	return s[i].seq < s[j].seq
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+// Push implements heap.Interface.
+func (s *schedule) Push(x any) { *s = append(*s, x.(entry)) }
+
+// Pop implements heap.Interface.
+func (s *schedule) Pop() any {
+	last := len(*s) - 1
+	e := (*s)[last]
+	*s = (*s)[:last]
+	return e
+}
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -112,7 +112,9 @@
 	LastHeard Time
 	// Listed says that the platform's list has the VM as live.
 	Listed bool
-	// Leaving says that the VM is shutting down, by its own word or the list's.
+	// Live says that the VM is taken for running: heard, or listed and not found silent.
+	Live bool
+	// Leaving says that the VM is shutting down, by its own word, the list's or the configuration's.
 	Leaving bool
 	// ConfigVersion is the configuration version the VM last reported.
 	ConfigVersion uint64
@@ -132,8 +134,12 @@
 	Slots int
 	// Connections is how many connections it accepts, over all proxies.
 	Connections int
-	// Leaving says that it must receive no new work.
+	// Leaving says that it must receive no new work, by the configuration's word or the list's.
 	Leaving bool
+	// DeclaredLeaving says that the configuration has it leaving.
+	DeclaredLeaving bool
+	// ListedLeaving says that the platform's list has it leaving.
+	ListedLeaving bool
 
 	// Status is its last account of itself; valid when HasStatus.
 	Status Status
--- a/internal/tables/world.go
+++ b/internal/tables/world.go
@@ -107,6 +107,8 @@
 	Rows *Table[GroupID, StoredGroupRow]
 	// ConfigVersion is the version of the configuration in force here.
 	ConfigVersion uint64
+	// LeavingVMs are the VMs that the configuration has leaving, in ascending order.
+	LeavingVMs []VMID
 }
 
 // StoredGroupRow is a GroupRow with its platform version.
