Test membership and configuration spread over simulated VMs

Sixty VMs in six data centres exchange the systems' own messages in virtual time, with loss, partitions and platform outages. Candidates no longer sorts all VMs.

--- /dev/null
+++ b/internal/systems/configure/cluster_test.go
@@ -0,0 +1,154 @@
+package configure_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/systems/configure"
+	"github.com/cranberrystage/cranberrystage/internal/systems/membership"
+	"github.com/cranberrystage/cranberrystage/internal/systems/systemstest"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"gotest.tools/v3/assert"
+)
+
+// limit is how long a configuration may take to be in force everywhere.
+const limit = 6 * time.Second
+
+func newCluster(seed uint64, vms, dcs int) *systemstest.Cluster {
+	return systemstest.NewCluster(seed, vms, dcs, func(rng *rand.Rand) []systemstest.System {
+		return []systemstest.System{
+			membership.New(membership.DefaultOptions(), rng),
+			configure.New(rng),
+		}
+	})
+}
+
+// confirm puts the next version in the platform's head.
+func confirm(c *systemstest.Cluster) {
+	c.Head = config.Head{Version: c.Head.Version + 1, Hash: fmt.Sprint(c.Head.Version + 1)}
+	c.Document = config.Document{Groups: []config.Group{{
+		ID:        tables.GroupID("group-" + c.Head.Hash),
+		Upstreams: []config.Upstream{{ID: "u", Address: "10.1.0.1:5432", Slots: 3, Connections: 20}},
+	}}}
+}
+
+func inForce(c *systemstest.Cluster) func() bool {
+	version := c.Head.Version
+	return func() bool {
+		return c.All(func(vm *systemstest.VM) bool { return vm.World.ConfigVersion >= version })
+	}
+}
+
+func checkNoRevert(t *testing.T, c *systemstest.Cluster) {
+	t.Helper()
+	for _, vm := range c.VMs {
+		for i := 1; i < len(vm.Versions); i++ {
+			assert.Assert(t, vm.Versions[i] > vm.Versions[i-1], "%s: %v", vm.World.Self, vm.Versions)
+		}
+	}
+}
+
+func TestInForceEverywhereInTime(t *testing.T) {
+	up := func(tables.DataCentreID) bool { return false }
+	cases := []struct {
+		name string
+		loss float64
+		down func(tables.DataCentreID) bool
+	}{
+		{"quiet", 0, up},
+		{"1% loss", 0.01, up},
+		{"five of six data centres cut from the platform", 0.01, func(dc tables.DataCentreID) bool { return dc != "dc-03" }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				c := newCluster(seed, 60, 6)
+				c.Loss = tc.loss
+				c.Run(5 * time.Second)
+				c.PlatformDown = tc.down
+				for range 5 {
+					confirm(c)
+					took := c.RunUntil(time.Minute, inForce(c))
+					assert.Assert(t, took <= limit, "seed %d: in force after %v", seed, took)
+				}
+				checkNoRevert(t, c)
+			}
+		})
+	}
+}
+
+func TestOutageAfterOnePollerSawIt(t *testing.T) {
+	c := newCluster(11, 60, 6)
+	c.Run(5 * time.Second)
+	confirm(c)
+	c.RunUntil(time.Minute, func() bool {
+		return !c.All(func(vm *systemstest.VM) bool { return vm.World.ConfigVersion == 0 })
+	})
+	c.PlatformDown = func(tables.DataCentreID) bool { return true }
+	took := c.RunUntil(time.Minute, inForce(c))
+	assert.Assert(t, took <= limit, "in force after %v", took)
+	checkNoRevert(t, c)
+}
+
+func TestPartitionedSidesConvergeOnTheNewest(t *testing.T) {
+	c := newCluster(12, 60, 6)
+	confirm(c)
+	c.Run(10 * time.Second)
+	east := func(dc tables.DataCentreID) bool { return dc < "dc-02" }
+	c.Cut = func(a, b tables.DataCentreID) bool { return east(a) != east(b) }
+	c.PlatformDown = east
+	confirm(c)
+	c.Run(30 * time.Second)
+	assert.Equal(t, c.VMs[0].World.ConfigVersion, uint64(1))
+	assert.Equal(t, c.VMs[2].World.ConfigVersion, uint64(2))
+	c.Cut = nil
+	took := c.RunUntil(time.Minute, inForce(c))
+	assert.Assert(t, took <= limit, "in force after %v", took)
+	checkNoRevert(t, c)
+}
+
+func TestRestartDuringOutageTakesNewestFromPeers(t *testing.T) {
+	seed := tables.VM{ID: "vm-0001", DataCentre: "dc-01", PeerAddress: "10.0.0.1:7000"}
+	opts := membership.DefaultOptions()
+	opts.Seeds = []tables.VM{seed}
+	c := systemstest.NewCluster(13, 60, 6, func(rng *rand.Rand) []systemstest.System {
+		return []systemstest.System{membership.New(opts, rng), configure.New(rng)}
+	})
+	confirm(c)
+	c.Run(10 * time.Second)
+	c.PlatformDown = func(tables.DataCentreID) bool { return true }
+	c.Stop(c.VMs[20])
+	c.Run(20 * time.Second)
+	c.Start(c.VMs[20])
+	took := c.RunUntil(time.Minute, inForce(c))
+	assert.Assert(t, took <= limit, "in force after %v", took)
+}
+
+// BenchmarkSpread reports how long a version takes to be in force everywhere
+// and the documents that were sent between peers for each VM.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{5, 60, 250, 1000, 2100} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				c := newCluster(1, n, max(1, min(26, n/5)))
+				c.Run(5 * time.Second)
+				confirm(c)
+				before := documents(c)
+				took := c.RunUntil(time.Minute, inForce(c))
+				b.ReportMetric(took.Seconds(), "s-to-force")
+				b.ReportMetric(float64(documents(c)-before)/float64(n), "documents/vm")
+			}
+		})
+	}
+}
+
+func documents(c *systemstest.Cluster) int {
+	total := 0
+	for _, vm := range c.VMs {
+		total += vm.DocumentsSent
+	}
+	return total
+}
--- a/internal/systems/membership/cluster_test.go
+++ b/internal/systems/membership/cluster_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/peer"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/membership"
 	"github.com/cranberrystage/cranberrystage/internal/systems/systemstest"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -98,17 +100,42 @@
 // dataCentres returns how many data centres vms VMs have.
 func dataCentres(vms int) int { return max(1, min(26, vms/5)) }
 
+// BenchmarkTick runs at the interval of the process shell; one tick in ten
+// sends heartbeats.
 func BenchmarkTick(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
 			c := newCluster(1, n, dataCentres(n))
 			c.Run(5 * time.Second)
 			w := c.VMs[0].World
-			s := membership.New(membership.DefaultOptions(), rand.New(rand.NewPCG(1, 1)))
-			now := tables.Time(time.Hour)
+			opts := membership.DefaultOptions()
+			opts.SilenceTimeout = 365 * 24 * time.Hour
+			s := membership.New(opts, rand.New(rand.NewPCG(1, 1)))
+			now := tables.Time(0)
 			b.ReportAllocs()
 			for b.Loop() {
-				now = now.Add(time.Millisecond)
+				now = now.Add(systemstest.TickInterval)
+				s.Tick(now, w)
+			}
+		})
+	}
+}
+
+// BenchmarkChange is a tick after a VM restarted, which derives the
+// neighbourhood again.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			c := newCluster(1, n, dataCentres(n))
+			c.Run(5 * time.Second)
+			w := c.VMs[0].World
+			s := membership.New(membership.DefaultOptions(), rand.New(rand.NewPCG(1, 1)))
+			now := tables.Time(0)
+			for b.Loop() {
+				now = now.Add(2 * time.Second)
+				w.VMs.Delete(c.VMs[1].World.Self)
+				h := peer.Heartbeat{From: c.VMs[1].World.Self, DataCentre: c.VMs[1].World.DataCentre, PeerAddress: "10.0.0.1:1"}
+				s.Handle(now, w, event.PeerMessage{Message: h})
 				s.Tick(now, w)
 			}
 		})
--- a/internal/systems/membership/rank.go
+++ b/internal/systems/membership/rank.go
@@ -35,16 +35,31 @@
 // first: live VMs that are not leaving, ordered by rendezvous hashing so that
 // each data centre comes once before any comes twice.
 func Candidates(w *tables.World, group tables.GroupID) []tables.VMID {
-	var all []scored
+	best := make(map[tables.DataCentreID][]scored)
 	for id, row := range w.VMs.All() {
 		if row.Live && !row.Leaving {
-			all = append(all, scored{id: id, dc: row.DataCentre, score: score(string(group), id)})
+			vm := scored{id: id, dc: row.DataCentre, score: score(string(group), id)}
+			best[row.DataCentre] = insert(best[row.DataCentre], vm)
 		}
 	}
+	var all []scored
+	for _, vms := range best {
+		all = append(all, vms...)
+	}
 	slices.SortFunc(all, byScore)
 	return spread(all, candidateLimit)
 }
 
+// insert adds vm to best, which holds the first candidateLimit in order.
+func insert(best []scored, vm scored) []scored {
+	if len(best) == candidateLimit && byScore(best[candidateLimit-1], vm) < 0 {
+		return best
+	}
+	i, _ := slices.BinarySearchFunc(best, vm, byScore)
+	best = slices.Insert(best, i, vm)
+	return best[:min(len(best), candidateLimit)]
+}
+
 // Rank returns vm's place among the candidates of group from 0, or -1.
 func Rank(w *tables.World, group tables.GroupID, vm tables.VMID) int {
 	return slices.Index(Candidates(w, group), vm)
@@ -83,7 +98,11 @@
 }
 
 func score(key string, vm tables.VMID) uint64 {
-	return xxhash.Sum64String(key + "/" + string(vm))
+	var buf [64]byte
+	joined := append(buf[:0], key...)
+	joined = append(joined, '/')
+	joined = append(joined, vm...)
+	return xxhash.Sum64(joined)
 }
 
 // byScore orders the higher score first.
--- a/internal/systems/systemstest/cluster.go
+++ b/internal/systems/systemstest/cluster.go
@@ -40,6 +40,8 @@
 	Running bool
 	// BytesSent counts its messages with frame overhead, in bytes.
 	BytesSent int
+	// DocumentsSent counts the documents that it sent to peers.
+	DocumentsSent int
 	// Versions are the configuration versions it brought in force, in order.
 	Versions []uint64
 
@@ -216,6 +218,7 @@
 	if err != nil {
 		panic(err)
 	}
+	vm.DocumentsSent++
 	c.publish(vm, []tables.VMID{to}, peer.Config{Version: vm.World.ConfigVersion, Document: body})
 }
 
