Prove failover and acknowledgement by a fault matrix over the real core

The matrix runs five proxies' cores against fakes of servers, platform and network on a virtual clock, every fault at every step, single and in pairs. A trigger now belongs to one term. - a data centre promoted at the moment its cut healed, before its own probes reached the primary again. A majority must now have been reached all the while that the primary failed.

A round of status requests waited 300 ms for a frozen replica although the other one only lagged; Tracker.Retry asks the lagging one again.

--- /dev/null
+++ b/internal/faults/checker_test.go
@@ -0,0 +1,151 @@
+package faults
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// promise names what a checker watches.
+type promise string
+
+const (
+	promiseDurable   promise = "nothing acknowledged is lost"
+	promiseInOffice  promise = "nothing acknowledged by a replaced primary"
+	promiseOne       promise = "one acknowledging primary at a time"
+	promiseTerm      promise = "one primary a term"
+	promiseConfirmed promise = "confirmed point not behind an acknowledged write"
+	promiseRow       promise = "row never goes back"
+	promiseAvailable promise = "writes succeed within 20 s"
+	promiseNoNeed    promise = "no promotion without need"
+)
+
+// acknowledgement is a write that a proxy acknowledged.
+type acknowledgement struct {
+	pendingWrite
+	by tables.VMID
+	// evidenceAt is when the last replica that counted gave its answer.
+	evidenceAt tables.Time
+	decidedAt  tables.Time
+	// highest is the highest position acknowledged so far, this one included.
+	highest tables.Position
+}
+
+// promotion is a server's change to primary.
+type promotion struct {
+	term tables.Term
+	id   tables.UpstreamID
+	at   tables.Time
+}
+
+// violation is a broken promise.
+type violation struct {
+	promise promise
+	detail  string
+}
+
+// checker watches the promises from outside the core.
+type checker struct {
+	acks       []acknowledgement
+	promotions []promotion
+	violations []violation
+	evidence   tables.Time
+	term       tables.Term
+}
+
+func newChecker() *checker {
+	return &checker{promotions: []promotion{{term: 1, id: "a"}}, term: 1}
+}
+
+func (c *checker) fail(p promise, format string, args ...any) {
+	c.violations = append(c.violations, violation{promise: p, detail: fmt.Sprintf(format, args...)})
+}
+
+// broken reports whether p was violated.
+func (c *checker) broken(p promise) bool {
+	for _, v := range c.violations {
+		if v.promise == p {
+			return true
+		}
+	}
+	return false
+}
+
+// newest returns the promotion of the highest term.
+func (c *checker) newest() promotion {
+	best := c.promotions[0]
+	for _, p := range c.promotions {
+		if p.term > best.term {
+			best = p
+		}
+	}
+	return best
+}
+
+func (c *checker) promoted(s *simulation, srv *server, term tables.Term) {
+	for _, p := range c.promotions {
+		if p.term == term && p.id != srv.id {
+			c.fail(promiseTerm, "%s and %s at term %d", p.id, srv.id, term)
+		}
+	}
+	c.promotions = append(c.promotions, promotion{term: term, id: srv.id, at: s.now})
+	if c.newest().term == term {
+		c.checkDurable(srv)
+	}
+}
+
+// checkDurable compares the log of the newest primary with all acknowledgements.
+func (c *checker) checkDurable(srv *server) {
+	for _, a := range c.acks {
+		at := a.commit.Position.Index
+		if at > uint64(srv.state.Len()) || srv.state.At(at).Body != a.body {
+			c.fail(promiseDurable, "write %s at %v not on %s", a.body, a.commit.Position, srv.id)
+			return
+		}
+	}
+}
+
+func (c *checker) acknowledged(p *proxy, w pendingWrite, now tables.Time) {
+	a := acknowledgement{pendingWrite: w, by: p.world.Self, evidenceAt: p.evidenceAt, decidedAt: now, highest: w.commit.Position}
+	if n := len(c.acks); n > 0 && c.acks[n-1].highest.AtLeast(a.highest) {
+		a.highest = c.acks[n-1].highest
+	}
+	c.acks = append(c.acks, a)
+	for _, q := range c.promotions {
+		if q.term > w.commit.Term && q.at < a.evidenceAt {
+			c.fail(promiseInOffice, "write %s of term %d, while %s led at %d", w.body, w.commit.Term, q.id, q.term)
+		}
+	}
+	if w.commit.Term < c.term && a.evidenceAt > c.evidence {
+		c.fail(promiseOne, "write %s of term %d after one of term %d", w.body, w.commit.Term, c.term)
+	}
+	if w.commit.Term >= c.term {
+		c.term = w.commit.Term
+		c.evidence = max(c.evidence, a.evidenceAt)
+	}
+}
+
+// confirmed compares a confirmed point with the writes acknowledged before its poll.
+func (c *checker) confirmed(point tables.ConfirmedPoint) {
+	n := sort.Search(len(c.acks), func(i int) bool { return c.acks[i].decidedAt >= point.SentAt })
+	if n > 0 && !point.Position.AtLeast(c.acks[n-1].highest) {
+		c.fail(promiseConfirmed, "confirmed %v, acknowledged before %v", point.Position, c.acks[n-1].highest)
+	}
+}
+
+func (c *checker) rowWritten(old, row tables.GroupRow) {
+	if row.Term < old.Term || row.Next < old.Next {
+		c.fail(promiseRow, "%d, %d after %d, %d", row.Term, row.Next, old.Term, old.Next)
+	}
+}
+
+// firstSince returns when the first write that was sent at or after t was acknowledged.
+func (c *checker) firstSince(t tables.Time, by tables.VMID) (tables.Time, bool) {
+	for _, a := range c.acks {
+		if a.sentAt >= t && (by == "" || by == a.by) {
+			return a.decidedAt, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/faults/matrix_test.go
@@ -0,0 +1,379 @@
+package faults
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+var matrixSeeds = flag.Int("matrix-seeds", 1, "runs of each cell")
+
+const (
+	matrixPage = "../../docs/FAULT-MATRIX.md"
+	// warmUp lets grants be taken before a fault.
+	warmUp = 3 * time.Second
+	// recovery is within what time writes succeed again.
+	recovery = 20 * time.Second
+	// maxPromotions bounds the promotions of one run.
+	maxPromotions = 6
+)
+
+const (
+	promiseReached promise = "the step is reached"
+	promiseInLine  promise = "every server follows the newest primary in the end"
+	promiseRowNew  promise = "row names the newest primary in the end"
+	promisePlanned promise = "a planned change completes"
+	promiseBounded promise = "promotions come to an end"
+)
+
+func allSteps() []step {
+	return []step{
+		stepIdle, stepWriteSent, stepWriteCommitted, stepWriteRecheck, stepReadPolled,
+		stepFence, stepPromote, stepFollow, stepRow,
+		stepPlannedFence, stepPlannedPromote, stepPlannedFollow,
+	}
+}
+
+// scenario is one cell's run.
+type scenario struct {
+	at     step
+	faults []fault
+	seed   uint64
+	set    settings
+	// nth is at which occurrence of the step the first fault is injected.
+	nth int
+	// between is the time between two faults.
+	between time.Duration
+}
+
+// result is what a run showed.
+type result struct {
+	checked    int
+	violations []violation
+	seed       uint64
+}
+
+// runScenario injects the faults at the step, holds them, heals everything and checks the promises.
+func runScenario(sc scenario) result {
+	sc.set.seed = sc.seed
+	s := newSimulation(sc.set)
+	s.runUntil(at(warmUp).Add(s.jitter(100 * time.Millisecond)))
+	affected, injectedAt, ok := injectAt(s, sc)
+	if !ok {
+		s.checks.fail(promiseReached, "%s", sc.at)
+		return result{violations: s.checks.violations, seed: sc.seed}
+	}
+	hold(s, injectedAt)
+	healAll(s, sc.faults, affected)
+	healedAt := s.now
+	s.runWhile(healedAt.Add(recovery), func() bool { return !settled(s, healedAt) })
+	s.runUntil(s.now.Add(time.Second))
+	checked := checkEnd(s, sc, healedAt)
+	return result{checked: checked, violations: s.checks.violations, seed: sc.seed}
+}
+
+// injectAt starts the flow, waits for its step and injects the faults.
+func injectAt(s *simulation, sc scenario) (affected *proxy, injectedAt tables.Time, ok bool) {
+	seen := 0
+	inject := func(p *proxy) {
+		ok = true
+		affected = p
+		injectedAt = s.now
+		s.onStep = nil
+		sc.faults[0].inject(s, p)
+		for _, f := range sc.faults[1:] {
+			s.after(sc.between, func() { f.inject(s, p) })
+		}
+	}
+	s.onStep = func(reached step, p *proxy) {
+		if reached != sc.at {
+			return
+		}
+		seen++
+		if seen == sc.nth {
+			inject(p)
+		}
+	}
+	switch {
+	case sc.at == stepIdle:
+		inject(s.proxies[s.random.IntN(len(s.proxies))])
+	case slices.Contains([]step{stepFence, stepPromote, stepFollow, stepRow}, sc.at):
+		kill(s.primary())
+	case slices.Contains([]step{stepPlannedFence, stepPlannedPromote, stepPlannedFollow}, sc.at):
+		planChange(s)
+	}
+	s.runWhile(s.now.Add(recovery), func() bool { return !ok })
+	s.runUntil(s.now.Add(sc.between))
+	return affected, injectedAt, ok
+}
+
+// hold keeps the faults for some seconds. With a majority in reach, writes must
+// succeed while they last.
+func hold(s *simulation, injectedAt tables.Time) {
+	if !majorityInReach(s) {
+		s.runUntil(s.now.Add(6 * time.Second))
+		return
+	}
+	start := s.now
+	back := func() bool {
+		_, ok := s.checks.firstSince(start, "")
+		return ok
+	}
+	s.runWhile(start.Add(recovery), func() bool { return !back() })
+	if !back() {
+		s.checks.fail(promiseAvailable, "none since the fault at %v", time.Duration(injectedAt))
+	}
+	s.runUntil(s.now.Add(3 * time.Second))
+}
+
+// majorityInReach reports whether some running proxy reaches a majority of
+// running servers that reach one another.
+func majorityInReach(s *simulation) bool {
+	for _, p := range s.proxies {
+		var reached []*server
+		for _, r := range s.servers {
+			if !r.down && !r.frozen && !s.cut(&p.host, &r.host) {
+				reached = append(reached, r)
+			}
+		}
+		if !p.down && len(reached) >= tables.Majority(len(s.servers)) && connected(s, reached) {
+			return true
+		}
+	}
+	return false
+}
+
+func connected(s *simulation, servers []*server) bool {
+	for _, r := range servers[1:] {
+		if s.cut(&servers[0].host, &r.host) {
+			return false
+		}
+	}
+	return true
+}
+
+func healAll(s *simulation, faults []fault, affected *proxy) {
+	for _, f := range faults {
+		f.heal(s, affected)
+	}
+	restartServers(s, affected)
+}
+
+// settled reports whether every running proxy writes again and the servers,
+// the row and a planned change have come to rest.
+func settled(s *simulation, since tables.Time) bool {
+	return allBack(s, running(s), since) && inLine(s) && rowIsNew(s) && plannedDone(s)
+}
+
+func running(s *simulation) []*proxy {
+	return slices.DeleteFunc(slices.Clone(s.proxies), func(p *proxy) bool { return p.down })
+}
+
+func inLine(s *simulation) bool {
+	newest := s.checks.newest()
+	for _, r := range s.servers {
+		st := r.state.Status()
+		if st.Fenced != newest.term || r.id != newest.id && st.Following != newest.id {
+			return false
+		}
+	}
+	return true
+}
+
+func rowIsNew(s *simulation) bool {
+	newest := s.checks.newest()
+	return s.platform.row.Term == newest.term && s.platform.row.Primary == newest.id
+}
+
+// plannedDone reports whether the server that leaves has handed over. It may
+// lead again only where the proxies that know of the change are gone.
+func plannedDone(s *simulation) bool {
+	return !s.planned || len(s.checks.promotions) > 1 && s.checks.newest().id != "a"
+}
+
+// checkEnd checks what must hold in the end and returns how many promises the run checked.
+func checkEnd(s *simulation, sc scenario, healedAt tables.Time) int {
+	c := s.checks
+	c.checkDurable(s.primary())
+	checked := 7
+	ends := []struct {
+		promise promise
+		applies bool
+		holds   bool
+	}{
+		{promiseAvailable, true, allBack(s, running(s), healedAt)},
+		{promiseInLine, true, inLine(s)},
+		{promiseRowNew, true, rowIsNew(s)},
+		{promiseBounded, true, len(c.promotions)-1 <= maxPromotions},
+		{promisePlanned, s.planned, plannedDone(s)},
+		{promiseNoNeed, !needsPromotion(s, sc), len(c.promotions) == 1},
+	}
+	for _, e := range ends {
+		if !e.applies {
+			continue
+		}
+		checked++
+		if !e.holds {
+			c.fail(e.promise, "promotions %v", c.promotions)
+		}
+	}
+	return checked
+}
+
+func needsPromotion(s *simulation, sc scenario) bool {
+	flow := slices.Index(allSteps(), sc.at) >= slices.Index(allSteps(), stepFence)
+	return flow || slices.ContainsFunc(sc.faults, func(f fault) bool { return f.needsPromotion })
+}
+
+// newScenario derives the details of a cell from its seed.
+func newScenario(at step, seed uint64, faults ...fault) scenario {
+	r := rand.New(rand.NewPCG(seed, 99))
+	sc := scenario{at: at, faults: faults, seed: seed, nth: 1 + r.IntN(2)}
+	if slices.Contains([]step{stepPromote, stepPlannedPromote, stepRow}, at) {
+		sc.nth = 1
+	}
+	if len(faults) > 1 {
+		sc.between = time.Duration(r.Int64N(int64(1500 * time.Millisecond)))
+	}
+	return sc
+}
+
+// table is a printed matrix.
+type table struct {
+	title   string
+	columns []string
+	rows    []string
+	cells   [][]string
+}
+
+// cell runs a scenario for each seed and returns the cell's text.
+func cell(t *testing.T, base uint64, run func(seed uint64) result) (text string, passed bool) {
+	t.Helper()
+	least := 1 << 30
+	for i := range *matrixSeeds {
+		r := run(base + uint64(i)*100_000)
+		if len(r.violations) > 0 {
+			t.Errorf("seed %d: %s: %s", r.seed, r.violations[0].promise, r.violations[0].detail)
+			return "FAIL seed " + strconv.FormatUint(r.seed, 10), false
+		}
+		least = min(least, r.checked)
+	}
+	return strconv.Itoa(least), true
+}
+
+// TestMatrix runs every fault at every step, single and in pairs.
+func TestMatrix(t *testing.T) {
+	passed, failed := 0, 0
+	var page strings.Builder
+	for _, m := range []table{singles(t, &passed, &failed), pairs(t, &passed, &failed)} {
+		page.WriteString(m.markdown())
+	}
+	total := fmt.Sprintf("%d passed, %d failed", passed, failed)
+	fmt.Print(page.String())
+	fmt.Println(total)
+	if golden.FlagUpdate() {
+		assert.NilError(t, os.WriteFile(matrixPage, []byte(pageHead+page.String()+total+"\n"), 0o644))
+	}
+}
+
+const pageHead = `# Fault matrix
+
+Written by ` + "`go test ./internal/faults -run TestMatrix -update`" + `. A cell is the number
+of promises that its run checked, or FAIL with the seed. Columns of the first
+table are the steps at which the fault is injected; the second table injects the
+row's fault and then the column's, at a step that changes from cell to cell.
+
+`
+
+func singles(t *testing.T, passed, failed *int) table {
+	t.Helper()
+	m := table{title: "One fault"}
+	for _, at := range allSteps() {
+		m.columns = append(m.columns, string(at))
+	}
+	faults := allFaults()
+	steps := allSteps()
+	type outcome struct {
+		text string
+		ok   bool
+	}
+	all := parallel(len(faults)*len(steps), func(i int) outcome {
+		f, at := faults[i/len(steps)], steps[i%len(steps)]
+		text, ok := cell(t, uint64(i+1), func(seed uint64) result { return runScenario(newScenario(at, seed, f)) })
+		return outcome{text, ok}
+	})
+	for i, f := range faults {
+		m.rows = append(m.rows, f.name)
+		var line []string
+		for j := range steps {
+			o := all[i*len(steps)+j]
+			line = append(line, o.text)
+			count(o.ok, passed, failed)
+		}
+		m.cells = append(m.cells, line)
+	}
+	return m
+}
+
+func pairs(t *testing.T, passed, failed *int) table {
+	t.Helper()
+	faults := allFaults()[1:]
+	steps := allSteps()
+	m := table{title: "Two faults"}
+	for i, f := range faults {
+		m.columns = append(m.columns, strconv.Itoa(i+1))
+		m.rows = append(m.rows, strconv.Itoa(i+1)+" "+f.name)
+	}
+	n := len(faults)
+	type outcome struct {
+		text string
+		ok   bool
+	}
+	all := parallel(n*n, func(i int) outcome {
+		first, second := i/n, i%n
+		at := steps[(first*7+second*5)%len(steps)]
+		text, ok := cell(t, uint64(i+1001), func(seed uint64) result {
+			return runScenario(newScenario(at, seed, faults[first], faults[second]))
+		})
+		return outcome{text, ok}
+	})
+	for i := range faults {
+		var line []string
+		for j := range faults {
+			o := all[i*n+j]
+			line = append(line, o.text)
+			count(o.ok, passed, failed)
+		}
+		m.cells = append(m.cells, line)
+	}
+	return m
+}
+
+func count(ok bool, passed, failed *int) {
+	if ok {
+		*passed++
+	} else {
+		*failed++
+	}
+}
+
+// markdown returns the matrix as a table.
+func (m table) markdown() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n\n| fault | %s |\n|%s\n", m.title, strings.Join(m.columns, " | "), strings.Repeat(" --- |", len(m.columns)+1))
+	for i, row := range m.rows {
+		fmt.Fprintf(&b, "| %s | %s |\n", row, strings.Join(m.cells[i], " | "))
+	}
+	b.WriteString("\n")
+	return b.String()
+}
--- a/internal/systems/ack/ack_test.go
+++ b/internal/systems/ack/ack_test.go
@@ -120,6 +120,19 @@
 	assert.Equal(t, tr.Waiting(), 1)
 }
 
+func TestTrackerAsksAReplicaThatLagsAgain(t *testing.T) {
+	tr := NewTracker(members)
+	assert.Assert(t, tr.Retry() == nil)
+	tr.Commit(commit(1, 3, 9))
+	tr.Start()
+	assert.Equal(t, len(tr.Retry()), 0)
+	tr.Answer(1, "b", replica(3, 3, 8))
+	assert.DeepEqual(t, tr.Retry(), []Ask{{1, "b"}})
+	assert.Equal(t, len(tr.Retry()), 0)
+	assert.DeepEqual(t, tr.Answer(1, "b", replica(3, 3, 9)), []Ask{{1, "a"}})
+	assert.Assert(t, tr.Retry() == nil)
+}
+
 func TestTrackerIgnoresAnswersOfEarlierRounds(t *testing.T) {
 	tr := NewTracker(members)
 	tr.Commit(commit(1, 3, 9))
--- a/internal/systems/ack/tracker.go
+++ b/internal/systems/ack/tracker.go
@@ -130,6 +130,23 @@
 	return t.asks(t.round.asked)
 }
 
+// Retry asks the replicas again whose answers covered nothing, so that a round
+// does not wait for a replica that never answers. The caller paces the calls.
+func (t *Tracker) Retry() []Ask {
+	if t.round.phase != phaseReplicas {
+		return nil
+	}
+	var again []tables.UpstreamID
+	for _, p := range t.round.reports {
+		if !slices.Contains(t.round.asked, p.Upstream) {
+			again = append(again, p.Upstream)
+		}
+	}
+	t.round.reports = nil
+	t.round.asked = append(t.round.asked, again...)
+	return t.asks(again)
+}
+
 // Abort ends the round under way without a decision.
 func (t *Tracker) Abort() { t.round.phase = phaseIdle }
 
--- a/internal/systems/failover/decide.go
+++ b/internal/systems/failover/decide.go
@@ -44,7 +44,7 @@
 	Rank int
 	// Trigger is the reason.
 	Trigger Trigger
-	// For is how long the reason has been present.
+	// For is how long the reason has been present and a majority reached all the while.
 	For time.Duration
 	// Members is the size of the group.
 	Members int
--- a/internal/systems/failover/system.go
+++ b/internal/systems/failover/system.go
@@ -20,8 +20,13 @@
 
 // state is what the system keeps of one group.
 type state struct {
+	// term is the group's term to which trigger belongs.
+	term      tables.Term
 	trigger   Trigger
 	triggerAt tables.Time
+	// quorum says that since quorumAt a majority is reached without a failing primary.
+	quorum   bool
+	quorumAt tables.Time
 	// ownTerm is the term of this process's last attempt.
 	ownTerm tables.Term
 	// contended is the highest term of another coordinator that was seen, first at contendedAt.
@@ -82,10 +87,16 @@
 // watch keeps since when the present trigger and another coordinator's term are seen.
 func (s *System) watch(now tables.Time, w *tables.World, g tables.Group) {
 	st := s.state(g.ID)
-	if t := diagnose(now, w, g); t != st.trigger {
+	if t := diagnose(now, w, g); t != st.trigger || g.Term != st.term {
 		st.trigger = t
 		st.triggerAt = now
+		st.term = g.Term
 	}
+	quorum := detect.CountReached(now, w, g, exceptFailing(g, st.trigger)) >= tables.Majority(len(g.Members))
+	if quorum && !st.quorum {
+		st.quorumAt = now
+	}
+	st.quorum = quorum
 	high := highestFenced(w, g)
 	if high > g.Term && high > st.contended && high != st.ownTerm {
 		st.contended = high
@@ -125,16 +136,23 @@
 		Contended:    st.contended > g.Term,
 		ContendedFor: now.Sub(st.contendedAt),
 	}
-	except := tables.UpstreamID("")
 	if p, ok := w.Upstreams.Get(g.Primary); ok && st.trigger.failing() {
-		except = g.Primary
 		e.For = now.Sub(p.FailingSince)
 		countObservers(now, w, p, s.options, &e)
 	}
-	e.Reached = detect.CountReached(now, w, g, except)
+	e.For = min(e.For, now.Sub(st.quorumAt))
+	e.Reached = detect.CountReached(now, w, g, exceptFailing(g, st.trigger))
 	return e
 }
 
+// exceptFailing returns the primary if the trigger is that it fails.
+func exceptFailing(g tables.Group, t Trigger) tables.UpstreamID {
+	if t.failing() {
+		return g.Primary
+	}
+	return ""
+}
+
 func (s *System) state(id tables.GroupID) state {
 	st, _ := s.groups.Get(id)
 	return st
--- a/internal/systems/failover/system_test.go
+++ b/internal/systems/failover/system_test.go
@@ -319,3 +319,46 @@
 	g, _ := w.Groups.Get("g")
 	assert.Equal(t, g.Primary, tables.UpstreamID("b"))
 }
+
+func TestATriggerBelongsToOnePrimary(t *testing.T) {
+	w := newWorld()
+	s := withGrants(w, 5, 9)
+	a, _ := w.Upstreams.Get("a")
+	a.Status = status(tables.RoleReplica, 3, "")
+	w.Upstreams.Put("a", a)
+	s.Tick(at(0), w)
+	s.Tick(at(990), w)
+	g, _ := w.Groups.Get("g")
+	g.Term, g.Primary = 3, "b"
+	w.Groups.Put("g", g)
+	s.Tick(at(995), w)
+	s.Tick(at(1000), w)
+	assert.Equal(t, w.Coordinations.Len(), 0)
+}
+
+func TestAMajorityMustBeReachedAllTheWhile(t *testing.T) {
+	w := newWorld()
+	s := withGrants(w, 5)
+	for _, id := range []tables.UpstreamID{"a", "b"} {
+		u, _ := w.Upstreams.Get(id)
+		u.Cause = tables.CauseSilent
+		w.Upstreams.Put(id, u)
+	}
+	s.Tick(at(0), w)
+	observe := func(ms int) {
+		w.Observations.Put("vm2/a", tables.Observation{From: "vm2", Upstream: "a", Cause: tables.CauseSilent, ReceivedAt: at(ms)})
+		for _, id := range []tables.UpstreamID{"b", "c"} {
+			u, _ := w.Upstreams.Get(id)
+			u.Cause, u.StatusAt = tables.CauseNone, at(ms)
+			w.Upstreams.Put(id, u)
+		}
+	}
+	observe(5000)
+	s.Tick(at(5000), w)
+	assert.Equal(t, w.Coordinations.Len(), 0)
+	observe(5790)
+	s.Tick(at(5790), w)
+	assert.Equal(t, w.Coordinations.Len(), 0)
+	s.Tick(at(5800), w)
+	assert.Equal(t, w.Coordinations.Len(), 1)
+}
