--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -38,8 +38,6 @@
 func (s *shared) register(c *kingpin.CmdClause) {
 	o := &s.opts
 	c.Flag("proxy", "IP:port of a proxy; repeat for each.").Required().StringsVar(&o.Proxies)
-	c.Flag("user", "User to log in as.").Required().StringVar(&o.User)
-	c.Flag("password", "Password of the user.").Envar("CRANBERRYSTAGE_PASSWORD").StringVar(&o.Password)
 	c.Flag("rate", "Operations per second, for each workload.").Default("200").Float64Var(&o.Rate)
 	c.Flag("duration", "How long operations arrive.").Default("20s").DurationVar(&o.Duration)
 	c.Flag("connections", "Sessions, each with one connection, for each workload.").Default("30").IntVar(&o.Connections)
@@ -63,14 +61,17 @@
 	load := app.Command("load", "Run one workload.")
 	ls.register(load)
 	workload := load.Flag("workload", "Mix of operations.").Default("agency").Enum("batbayar", "agency")
-	databases := load.Flag("database", "Database as service/database; repeat for several.").Required().Strings()
+	var as access
+	load.Flag("database", "Database as service/database; repeat for several.").Required().StringsVar(&as.databases)
+	load.Flag("user", "User to log in as.").Required().StringVar(&as.user)
+	load.Flag("password", "Password of the user.").Envar("CRANBERRYSTAGE_PASSWORD").StringVar(&as.password)
 
 	var ds shared
 	demo := app.Command("demo", "Run both deployments' workloads, kill a process half-way and verify.")
 	ds.register(demo)
 	killPID := demo.Flag("kill-pid", "Process that gets SIGKILL half-way.").Int()
-	batbayar := demo.Flag("batbayar-database", "Database of the batbayar workload; repeat for several.").Default("stock-ledger").Strings()
-	agency := demo.Flag("agency-database", "Database of the agency workload; repeat for several.").Default("chantiers-db").Strings()
+	batbayar := registerAccess(demo, "batbayar", "shop", "stock-ledger/stock")
+	agency := registerAccess(demo, "agency", "crew", "chantiers-db/chantiers")
 
 	var co bench.CostOptions
 	cost := app.Command("cost", "Compare direct access, the proxy and a naive proxy.")
@@ -96,29 +97,47 @@
 		if err != nil {
 			return err
 		}
-		return ls.run(ctx, out, bench.Demo{Loads: []bench.Options{ls.options(w, *databases, progress)}})
+		return ls.run(ctx, out, bench.Demo{Loads: []bench.Options{ls.options(w, &as, progress)}})
 	case demo.FullCommand():
-		return ds.run(ctx, out, ds.demo(*killPID, *batbayar, *agency, progress))
+		return ds.run(ctx, out, ds.demo(*killPID, batbayar, agency, progress))
 	default:
 		return runCost(ctx, out, co, *costJSON)
 	}
 }
 
-func (s *shared) options(w bench.Workload, databases []string, progress io.Writer) bench.Options {
+// access is how one workload reaches its databases.
+type access struct {
+	user, password string
+	databases      []string
+}
+
+// registerAccess adds the flags of one deployment. Its databases are called
+// database1 to database3 by default.
+func registerAccess(c *kingpin.CmdClause, deployment, user, database string) *access {
+	a := &access{}
+	c.Flag(deployment+"-user", "User of the "+deployment+" workload.").Default(user).StringVar(&a.user)
+	c.Flag(deployment+"-password", "Password of that user.").StringVar(&a.password)
+	c.Flag(deployment+"-database", "Database of the "+deployment+" workload; repeat for several.").
+		Default(database+"1", database+"2", database+"3").StringsVar(&a.databases)
+	return a
+}
+
+func (s *shared) options(w bench.Workload, a *access, progress io.Writer) bench.Options {
 	o := s.opts
-	o.Workload, o.Databases, o.Progress = w, databases, progress
+	o.Workload, o.Progress = w, progress
+	o.User, o.Password, o.Databases = a.user, a.password, a.databases
 	o.RunID = w.Name + "-" + runID()
 	return o
 }
 
-func (s *shared) demo(killPID int, batbayar, agency []string, progress io.Writer) bench.Demo {
+func (s *shared) demo(killPID int, batbayar, agency *access, progress io.Writer) bench.Demo {
 	d := bench.Demo{KillPID: killPID}
 	for _, w := range bench.Workloads {
-		databases := agency
+		a := agency
 		if w.Name == "batbayar" {
-			databases = batbayar
+			a = batbayar
 		}
-		d.Loads = append(d.Loads, s.options(w, databases, progress))
+		d.Loads = append(d.Loads, s.options(w, a, progress))
 	}
 	return d
 }
