Add the service-level burn report

Ruled out: asking a metrics server, which the proxies' own text format makes unnecessary, and a plotting library, since a polyline is all that the page needs.

--- /dev/null
+++ b/cmd/cranberrystage-report/main.go
@@ -0,0 +1,39 @@
+// Command cranberrystage-report reports how fast services use up the error
+// budgets of their objectives.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/reportcmd"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return reportcmd.Run(ctx, os.Args[1:], reportcmd.Env{
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+		Now:    time.Now,
+		Wait:   wait,
+	})
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
