--- a/cmd/cranberrystage-bench/main_test.go
+++ b/cmd/cranberrystage-bench/main_test.go
@@ -19,7 +19,11 @@
 	go func() { _ = s.Run(t.Context()) }()
 	file := filepath.Join(t.TempDir(), "history")
 	var out, progress bytes.Buffer
-	err = run(t.Context(), []string{"demo", "--proxy", s.Addr(), "--user", "u", "--duration", "300ms", "--connections", "4", "--history", file}, &out, &progress)
+	args := []string{"demo", "--proxy", s.Addr(), "--duration", "300ms", "--connections", "4", "--history", file}
+	for _, w := range []string{"batbayar", "agency"} {
+		args = append(args, "--"+w+"-user", "u", "--"+w+"-password", "p", "--"+w+"-database", w)
+	}
+	err = run(t.Context(), args, &out, &progress)
 	assert.NilError(t, err, out.String())
 	assert.Assert(t, strings.HasSuffix(out.String(), "16 passed, 0 failed\n"), out.String())
 	f, err := os.Open(file)
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,8 @@
 	metrics   *metrics.Metrics
 	directory atomic.Pointer[Directory]
 	budgets   budgets
+	// touched holds, by tables.GroupID, when the core was last told of a group's use.
+	touched sync.Map
 }
 
 var _ callers.Executor = (*Executor)(nil)
@@ -65,6 +68,19 @@
 	e.directory.Store(NewDirectory(doc))
 }
 
+// touchInterval is the time between two reports that a group is in use.
+const touchInterval = time.Minute
+
+// touch reports now and then that a group is in use, so that it stays watched.
+func (e *Executor) touch(g tables.GroupID) {
+	now := e.core.Now()
+	if at, ok := e.touched.Load(g); ok && now.Sub(at.(tables.Time)) < touchInterval {
+		return
+	}
+	e.touched.Store(g, now)
+	e.core.Report(event.GroupUsed{Group: g})
+}
+
 // User implements callers.Executor.
 func (e *Executor) User(name string) (config.User, bool) {
 	u, ok := e.directory.Load().users[name]
--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -58,6 +58,7 @@
 		return nil, err
 	}
 	core := s.exec.core
+	s.exec.touch(place.group)
 	r := &request{
 		s: s, core: core, batch: b, a: a, place: place, tags: merged,
 		arrived: core.Now(), servedBy: metrics.ServedByNone,
@@ -139,6 +140,9 @@
 		case route.KindWaitReplica:
 			r.core.Confirm(r.place.group)
 		case route.KindRefuse:
+			if d.Err.Code == codes.UnknownService {
+				r.core.Report(event.GroupUsed{Group: r.place.group})
+			}
 			if !r.worthWaiting(now, d) {
 				return d, d.Err
 			}
@@ -150,10 +154,11 @@
 	}
 }
 
-// worthWaiting reports whether a refused request may wait for a primary: for a
-// part of its deadline, so that the answer comes well before it.
+// worthWaiting reports whether a refused request may wait for a primary, or
+// for its group to be watched: for a part of its deadline, so that the answer
+// comes well before it.
 func (r *request) worthWaiting(now tables.Time, d route.Decision) bool {
-	if d.Err.Code != codes.NoPrimary {
+	if d.Err.Code != codes.NoPrimary && d.Err.Code != codes.UnknownService {
 		return false
 	}
 	patience := min(primaryPatience, r.tags.Deadline/2)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,11 +15,16 @@
 	"github.com/cranberrystage/cranberrystage/internal/exec"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
+	"github.com/cranberrystage/cranberrystage/internal/systems/configure"
 	"github.com/cranberrystage/cranberrystage/internal/systems/detect"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/failover"
+	"github.com/cranberrystage/cranberrystage/internal/systems/membership"
+	"github.com/cranberrystage/cranberrystage/internal/systems/watch"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/internal/upstream"
 	"github.com/pkg/errors"
@@ -44,6 +49,7 @@
 	registry   *prometheus.Registry
 	metrics    *metrics.Metrics
 	core       *core
+	bus        *tcpbus.Bus
 	upstreams  *upstreams
 	confirmers *confirmers
 	performer  *performer
@@ -52,7 +58,6 @@
 	callers    []*callers.Server
 	admin      net.Listener
 	ready      atomic.Bool
-	leaving    atomic.Bool
 	cancel     context.CancelFunc
 }
 
@@ -64,8 +69,14 @@
 	p := &Proxy{settings: s, log: log, registry: prometheus.NewRegistry(), cancel: cancel}
 	p.metrics = metrics.New(p.registry)
 	p.upstreams = newUpstreams(s.Upstreams, s.VM, s.DataCentre)
+	bus, err := tcpbus.New(s.PeerAddress, tcpbus.Options{Logger: logging.For(log, "peers")})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	p.bus = bus
 	p.performer = &performer{
-		ctx: ctx, upstreams: p.upstreams, bus: noBus{},
+		ctx: ctx, upstreams: p.upstreams, bus: bus,
 		tables: pl.Tables, objects: pl.Objects, vms: pl.VMs,
 		probe: time.Duration(s.Timeouts.Probe),
 		log:   logging.For(log, "control"), applied: p.applied,
@@ -83,15 +94,28 @@
 	return p, nil
 }
 
+// systems returns the decision core in the order in which it runs.
 func (p *Proxy) systems() []system {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	candidates := membership.NewRanking().Candidates
+	members := membership.DefaultOptions()
+	for _, address := range p.settings.SeedPeers {
+		id := tables.VMID(seedPrefix + address)
+		members.Seeds = append(members.Seeds, tables.VM{ID: id, PeerAddress: address})
+	}
+	watched := watch.New(watch.DefaultOptions(candidates))
 	return []system{
-		&pollHead{},
-		detect.New(detect.DefaultOptions(selfOnly), random),
-		failover.New(failover.DefaultOptions(selfOnly), random),
+		membership.New(members, random),
+		configure.New(watched.Apply, random),
+		watched,
+		detect.New(detect.DefaultOptions(candidates), random),
+		failover.New(failover.DefaultOptions(candidates), random),
 	}
 }
 
+// seedPrefix starts the names of peers of which only the address is known.
+const seedPrefix = "seed "
+
 func (p *Proxy) listen() error {
 	opts := callers.Options{
 		MaxCallers:     p.settings.Callers.MaxCallers,
@@ -118,6 +142,7 @@
 }
 
 func (p *Proxy) closeListeners() {
+	_ = p.bus.Close()
 	for _, s := range p.callers {
 		s.Close()
 	}
@@ -130,20 +155,30 @@
 func (p *Proxy) applied(version uint64, doc config.Document) {
 	p.exec.SetDocument(doc)
 	p.metrics.SetConfigVersion(version)
-	for _, g := range doc.Groups {
-		for _, u := range g.Upstreams {
-			p.upstreams.limit(u.ID, max(1, u.Connections/defaultProxies-controlConnections))
-		}
-	}
 	p.ready.Store(true)
 }
 
-const (
-	// defaultProxies is how many proxies share an upstream until others are heard.
-	defaultProxies = 5
-	// controlConnections are kept free of pooled connections, per upstream.
-	controlConnections = 2
-)
+// shareInterval is the time between reviews of the shares of upstreams' connections.
+const shareInterval = time.Second
+
+// shareConnections keeps each pool's limit at this process's share.
+func (p *Proxy) shareConnections(ctx context.Context) {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		_ = p.core.inspect(ctx, func(w *tables.World) {
+			now := p.core.Now()
+			for _, id := range w.Upstreams.Keys() {
+				p.upstreams.limit(id, membership.ConnectionShare(w, id, now))
+			}
+		})
+	}
+}
 
 // Run serves until ctx ends, then shuts down: the proxy stops being ready,
 // takes no new callers, finishes what is in flight and closes idle callers.
@@ -157,6 +192,13 @@
 		return nil
 	})
 	g.Go(func() error { return p.serveAdmin(inner) })
+	g.Go(func() error {
+		return p.bus.Run(inner, func(msg any) { p.core.Report(event.PeerMessage{Message: msg}) })
+	})
+	g.Go(func() error {
+		p.shareConnections(inner)
+		return nil
+	})
 	for _, s := range p.callers {
 		g.Go(func() error { return s.Run(inner) })
 	}
@@ -171,6 +213,7 @@
 	})
 	p.log.Info("proxy: Serving.", "vm", p.settings.VM, "dataCentre", p.settings.DataCentre)
 	err := g.Wait()
+	_ = p.bus.Close()
 	p.upstreams.closeAll()
 	p.log.Info("proxy: Stopped.")
 	return err
@@ -179,9 +222,9 @@
 func (p *Proxy) shutdown() {
 	p.log.Info("proxy: Shutting down.")
 	p.ready.Store(false)
-	p.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.settings.ShutdownGrace))
 	defer cancel()
+	_ = p.core.inspect(ctx, func(w *tables.World) { w.Leaving = true })
 	var g errgroup.Group
 	for _, s := range p.callers {
 		g.Go(func() error { return s.Shutdown(ctx) })
--- a/internal/systems/configure/apply.go
+++ b/internal/systems/configure/apply.go
@@ -10,26 +10,73 @@
 // firstTerm is the term of a group's declared first primary.
 const firstTerm = 1
 
-// Apply fills the tables from doc: it enters what is declared, keeps what was
-// observed of upstreams and groups that stay, and drops those that are gone.
-// The caller checks that version is newer.
+// Apply fills the tables with everything that doc declares and drops what it
+// does not. The caller checks that version is newer.
 func Apply(w *tables.World, version uint64, doc config.Document) {
-	upstreams := make(map[tables.UpstreamID]bool)
-	groups := make(map[tables.GroupID]bool)
+	keep := make(map[tables.GroupID]bool)
 	for _, g := range doc.Groups {
-		groups[g.ID] = true
-		applyGroup(w, g)
-		for _, u := range g.Upstreams {
-			upstreams[u.ID] = true
-			applyUpstream(w, g.ID, u)
+		keep[g.ID] = true
+		Fill(w, g)
+	}
+	for _, id := range w.Groups.Keys() {
+		if !keep[id] {
+			Forget(w, id)
 		}
 	}
-	dropGroups(w, groups)
-	dropUpstreams(w, upstreams)
+	enterVersion(w, version, doc)
+}
+
+// enterVersion records the document's version and its word on leaving VMs.
+func enterVersion(w *tables.World, version uint64, doc config.Document) {
 	w.LeavingVMs = slices.Sorted(slices.Values(doc.LeavingVMs))
 	w.ConfigVersion = version
 }
 
+// Fill enters a declared group and its servers, keeps what was observed of
+// those that stay, and drops servers that the group no longer has. A new group
+// starts under its first primary, which the first status of any of its servers
+// corrects.
+func Fill(w *tables.World, g config.Group) {
+	old, _ := w.Groups.Get(g.ID)
+	applyGroup(w, g)
+	keep := make(map[tables.UpstreamID]bool)
+	for _, u := range g.Upstreams {
+		keep[u.ID] = true
+		applyUpstream(w, g.ID, u)
+	}
+	for _, id := range old.Members {
+		if !keep[id] {
+			dropUpstream(w, id)
+		}
+	}
+}
+
+// Forget removes a group with everything that hangs on it.
+func Forget(w *tables.World, id tables.GroupID) {
+	g, ok := w.Groups.Get(id)
+	if !ok {
+		return
+	}
+	for _, u := range g.Members {
+		dropUpstream(w, u)
+	}
+	w.Groups.Delete(id)
+	w.Coordinations.Delete(id)
+	w.Rows.Delete(id)
+}
+
+func dropUpstream(w *tables.World, id tables.UpstreamID) {
+	if u, ok := w.Upstreams.Get(id); !ok || u.ID != id {
+		return
+	}
+	w.Upstreams.Delete(id)
+	for _, key := range w.Observations.Keys() {
+		if seen, _ := w.Observations.Get(key); seen.Upstream == id {
+			w.Observations.Delete(key)
+		}
+	}
+}
+
 // applyGroup enters a group; a new one starts under its first primary.
 func applyGroup(w *tables.World, g config.Group) {
 	row, known := w.Groups.Get(g.ID)
@@ -61,28 +108,3 @@
 	row.Leaving = row.DeclaredLeaving || row.ListedLeaving
 	w.Upstreams.Put(u.ID, row)
 }
-
-func dropGroups(w *tables.World, keep map[tables.GroupID]bool) {
-	for _, id := range w.Groups.Keys() {
-		if keep[id] {
-			continue
-		}
-		w.Groups.Delete(id)
-		w.Coordinations.Delete(id)
-		w.Rows.Delete(id)
-	}
-}
-
-func dropUpstreams(w *tables.World, keep map[tables.UpstreamID]bool) {
-	for _, id := range w.Upstreams.Keys() {
-		if !keep[id] {
-			w.Upstreams.Delete(id)
-		}
-	}
-	for _, key := range w.Observations.Keys() {
-		seen, _ := w.Observations.Get(key)
-		if !keep[seen.Upstream] {
-			w.Observations.Delete(key)
-		}
-	}
-}
--- a/internal/systems/configure/cluster_test.go
+++ b/internal/systems/configure/cluster_test.go
@@ -21,7 +21,7 @@
 	return systemstest.NewCluster(seed, vms, dcs, func(rng *rand.Rand) []systemstest.System {
 		return []systemstest.System{
 			membership.New(membership.DefaultOptions(), rng),
-			configure.New(rng),
+			configure.New(configure.ApplyAll, rng),
 		}
 	})
 }
@@ -115,7 +115,7 @@
 	opts := membership.DefaultOptions()
 	opts.Seeds = []tables.VM{seed}
 	c := systemstest.NewCluster(13, 60, 6, func(rng *rand.Rand) []systemstest.System {
-		return []systemstest.System{membership.New(opts, rng), configure.New(rng)}
+		return []systemstest.System{membership.New(opts, rng), configure.New(configure.ApplyAll, rng)}
 	})
 	confirm(c)
 	c.Run(10 * time.Second)
--- a/internal/systems/configure/configure.go
+++ b/internal/systems/configure/configure.go
@@ -29,9 +29,18 @@
 	sendInterval = time.Second
 )
 
+// ApplyFunc fills the tables from a document whose version is newer.
+type ApplyFunc func(now tables.Time, w *tables.World, doc config.Document)
+
+// ApplyAll is the ApplyFunc that fills the tables with all declared groups.
+func ApplyAll(_ tables.Time, w *tables.World, doc config.Document) {
+	Apply(w, w.ConfigVersion, doc)
+}
+
 // System keeps the configuration of one world. It is not safe for concurrent use.
 type System struct {
-	rng *rand.Rand
+	rng   *rand.Rand
+	apply ApplyFunc
 
 	nextPoll    tables.Time
 	reading     bool
@@ -43,9 +52,9 @@
 	allowSendAt *tables.Table[tables.VMID, tables.Time]
 }
 
-// New returns a system that draws its jitter from rng.
-func New(rng *rand.Rand) *System {
-	return &System{rng: rng, allowSendAt: tables.NewTable[tables.VMID, tables.Time]()}
+// New returns a system that fills the tables by apply and draws its jitter from rng.
+func New(apply ApplyFunc, rng *rand.Rand) *System {
+	return &System{apply: apply, rng: rng, allowSendAt: tables.NewTable[tables.VMID, tables.Time]()}
 }
 
 // Handle takes the head, documents and peers' heartbeats.
@@ -54,7 +63,7 @@
 	case event.HeadRead:
 		return s.handleHead(now, w, e)
 	case event.DocumentLoaded:
-		return s.handleDocument(w, e)
+		return s.handleDocument(now, w, e)
 	case event.PeerMessage:
 		return s.handleMessage(now, w, e.Message)
 	}
@@ -97,14 +106,14 @@
 	return []action.Action{action.LoadDocument{Version: e.Head.Version, Hash: e.Head.Hash}}
 }
 
-func (s *System) handleDocument(w *tables.World, e event.DocumentLoaded) []action.Action {
+func (s *System) handleDocument(now tables.Time, w *tables.World, e event.DocumentLoaded) []action.Action {
 	if e.Version == s.loading {
 		s.loading = 0
 	}
 	if e.Outcome != event.OutcomeOK {
 		return nil
 	}
-	return put(w, e.Version, e.Document)
+	return s.put(now, w, e.Version, e.Document)
 }
 
 func (s *System) handleMessage(now tables.Time, w *tables.World, message any) []action.Action {
@@ -112,7 +121,7 @@
 	case peer.Heartbeat:
 		return s.handleHeartbeat(now, w, m)
 	case peer.Config:
-		return handleConfig(w, m)
+		return s.handleConfig(now, w, m)
 	}
 	return nil
 }
@@ -158,7 +167,7 @@
 	return []action.Action{action.Publish{To: []tables.VMID{h.From}, Topic: peer.TopicHeartbeat, Message: request}}
 }
 
-func handleConfig(w *tables.World, m peer.Config) []action.Action {
+func (s *System) handleConfig(now tables.Time, w *tables.World, m peer.Config) []action.Action {
 	if m.Version <= w.ConfigVersion {
 		return nil
 	}
@@ -166,14 +175,15 @@
 	if err != nil {
 		return nil
 	}
-	return put(w, m.Version, doc)
+	return s.put(now, w, m.Version, doc)
 }
 
 // put brings doc in force if its version is newer.
-func put(w *tables.World, version uint64, doc config.Document) []action.Action {
+func (s *System) put(now tables.Time, w *tables.World, version uint64, doc config.Document) []action.Action {
 	if version <= w.ConfigVersion {
 		return nil
 	}
-	Apply(w, version, doc)
+	enterVersion(w, version, doc)
+	s.apply(now, w, doc)
 	return []action.Action{action.ApplyDocument{Version: version, Document: doc}}
 }
--- a/internal/systems/configure/configure_test.go
+++ b/internal/systems/configure/configure_test.go
@@ -18,7 +18,7 @@
 const second = tables.Time(time.Second)
 
 func newFixture() (*System, *tables.World) {
-	return New(rand.New(rand.NewPCG(1, 1))), tables.NewWorld("vm-0", "dc-0", "10.0.0.1:1")
+	return New(ApplyAll, rand.New(rand.NewPCG(1, 1))), tables.NewWorld("vm-0", "dc-0", "10.0.0.1:1")
 }
 
 // document has groups with three upstreams each.
--- a/internal/systems/watch/watch.go
+++ b/internal/systems/watch/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/systems/configure"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
@@ -63,10 +64,10 @@
 	for _, id := range w.Groups.Keys() {
 		g, ok := s.declared.Get(id)
 		if !ok {
-			forget(w, id)
+			configure.Forget(w, id)
 			continue
 		}
-		fill(w, g)
+		configure.Fill(w, g)
 	}
 	s.review(now, w)
 }
@@ -83,7 +84,7 @@
 	}
 	s.usedAt.Put(used.Group, now)
 	if _, ok := w.Groups.Get(used.Group); !ok {
-		fill(w, g)
+		configure.Fill(w, g)
 	}
 	return nil
 }
@@ -103,9 +104,9 @@
 		needed := s.needed(now, w, id)
 		switch {
 		case needed && !watched:
-			fill(w, g)
+			configure.Fill(w, g)
 		case !needed && watched:
-			forget(w, id)
+			configure.Forget(w, id)
 		}
 	}
 }
@@ -124,63 +125,3 @@
 	}
 	return false
 }
-
-// fill puts a declared group and its upstreams into the tables, keeping what
-// was observed of them. A group that is new here starts with its first primary
-// at term 1, which the first status of any of its servers corrects.
-func fill(w *tables.World, declared config.Group) {
-	g, ok := w.Groups.Get(declared.ID)
-	if !ok {
-		g = tables.Group{ID: declared.ID, Term: 1, Primary: declared.FirstPrimary}
-	}
-	old := g.Members
-	g.Members = make([]tables.UpstreamID, 0, len(declared.Upstreams))
-	kept := make(map[tables.UpstreamID]bool)
-	for _, u := range declared.Upstreams {
-		kept[u.ID] = true
-		g.Members = append(g.Members, u.ID)
-		putUpstream(w, declared.ID, u)
-	}
-	for _, id := range old {
-		if !kept[id] {
-			w.Upstreams.Delete(id)
-		}
-	}
-	w.Groups.Put(declared.ID, g)
-}
-
-func putUpstream(w *tables.World, group tables.GroupID, declared config.Upstream) {
-	u, ok := w.Upstreams.Get(declared.ID)
-	if ok && u.Address != declared.Address {
-		u = tables.Upstream{}
-	}
-	u.ID = declared.ID
-	u.Group = group
-	u.DataCentre = declared.DataCentre
-	u.Address = declared.Address
-	u.Slots = declared.Slots
-	u.Connections = declared.Connections
-	u.Leaving = declared.Leaving
-	w.Upstreams.Put(declared.ID, u)
-}
-
-// forget removes a group with everything that hangs on it.
-func forget(w *tables.World, id tables.GroupID) {
-	g, ok := w.Groups.Get(id)
-	if !ok {
-		return
-	}
-	members := make(map[tables.UpstreamID]bool, len(g.Members))
-	for _, u := range g.Members {
-		members[u] = true
-		w.Upstreams.Delete(u)
-	}
-	for _, k := range w.Observations.Keys() {
-		if o, _ := w.Observations.Get(k); members[o.Upstream] {
-			w.Observations.Delete(k)
-		}
-	}
-	w.Coordinations.Delete(id)
-	w.Rows.Delete(id)
-	w.Groups.Delete(id)
-}
--- a/internal/systems/watch/watch_test.go
+++ b/internal/systems/watch/watch_test.go
@@ -79,7 +79,7 @@
 	assert.Equal(t, g.Term, tables.Term(5))
 	assert.Equal(t, g.Primary, tables.UpstreamID("g0000-b"))
 	u, _ = w.Upstreams.Get("g0000-b")
-	assert.Assert(t, u.HasStatus && u.Leaving)
+	assert.Assert(t, u.HasStatus && u.Leaving && u.DeclaredLeaving)
 	assert.Equal(t, w.Groups.Len(), 1)
 	assert.Equal(t, w.Upstreams.Len(), 3)
 	assert.Equal(t, w.Rows.Len(), 0)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -343,4 +343,3 @@
 	p.Release(held)
 	assert.Equal(t, p.Open(), 0)
 }
-
