--- a/internal/peer/tcpbus/tcpbus_test.go
+++ b/internal/peer/tcpbus/tcpbus_test.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/peer"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 )
@@ -71,6 +72,19 @@
 	assert.Equal(t, a.Stats().Dropped, uint64(0))
 }
 
+func TestRegister(t *testing.T) {
+	b := open(t, loopback, Options{})
+	b.stats.dropped.Add(3)
+	registry := prometheus.NewRegistry()
+	assert.NilError(t, b.Register(registry))
+	assert.ErrorContains(t, b.Register(registry), "register")
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	assert.Equal(t, len(families), len(metrics))
+	assert.Equal(t, families[0].GetName(), "cranberrystage_peer_dropped_messages_total")
+	assert.Equal(t, families[0].GetMetric()[0].GetCounter().GetValue(), 3.0)
+}
+
 func TestReconnectAfterRestart(t *testing.T) {
 	a := open(t, loopback, Options{MinBackoff: time.Millisecond, MaxBackoff: time.Millisecond})
 	b := open(t, loopback, Options{})
--- a/internal/platform/httptables/httptables.go
+++ b/internal/platform/httptables/httptables.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,13 @@
 	base    string
 	timeout time.Duration
 	http    http.Client
+	lastVMs atomic.Pointer[vmList]
+}
+
+// vmList is a VM list with its entity tag.
+type vmList struct {
+	tag string
+	vms []platform.ListedVM
 }
 
 var (
@@ -65,11 +73,13 @@
 	if opts.Transport == nil {
 		opts.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
 	}
-	return &Client{
+	c := &Client{
 		base:    strings.TrimSuffix(opts.BaseURL, "/"),
 		timeout: opts.Timeout,
 		http:    http.Client{Transport: opts.Transport},
-	}, nil
+	}
+	c.lastVMs.Store(&vmList{})
+	return c, nil
 }
 
 // Close closes idle connections.
@@ -101,17 +111,30 @@
 	return list.Rows, nil
 }
 
-// ListVMs implements platform.VMs.
+// ListVMs implements platform.VMs. It keeps the last list and asks for it only
+// if it changed.
 func (c *Client) ListVMs(ctx context.Context) ([]platform.ListedVM, error) {
-	a, err := c.read(ctx, tablewire.VMsPath)
+	last := c.lastVMs.Load()
+	header := make(http.Header)
+	if last.tag != "" {
+		header.Set("If-None-Match", last.tag)
+	}
+	a, err := c.do(ctx, request{method: http.MethodGet, path: tablewire.VMsPath, header: header})
 	if err != nil {
-		return nil, err
+		return nil, unavailable(err)
+	}
+	if a.status == http.StatusNotModified {
+		return slices.Clone(last.vms), nil
+	}
+	if a.status != http.StatusOK {
+		return nil, unavailable(statusError(a.status))
 	}
-	var vms []platform.ListedVM
-	if err := json.Unmarshal(a.body, &vms); err != nil {
+	next := &vmList{tag: a.header.Get("ETag")}
+	if err := json.Unmarshal(a.body, &next.vms); err != nil {
 		return nil, unavailable(err)
 	}
-	return vms, nil
+	c.lastVMs.Store(next)
+	return slices.Clone(next.vms), nil
 }
 
 // Commit implements platform.Tables. When the answer is lost it reads the
--- a/internal/platform/httptables/httptables_test.go
+++ b/internal/platform/httptables/httptables_test.go
@@ -117,6 +117,39 @@
 	assert.ErrorIs(t, client.Commit(t.Context(), oneRow("a", 0)), platform.ErrUnavailable)
 }
 
+// recordingTransport records the status of each answer.
+type recordingTransport struct {
+	http.Transport
+	statuses []int
+}
+
+func (ct *recordingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := ct.Transport.RoundTrip(r)
+	if err == nil {
+		ct.statuses = append(ct.statuses, resp.StatusCode)
+	}
+	return resp, err
+}
+
+func TestUnchangedVMListIsNotSentAgain(t *testing.T) {
+	emulator := platformd.New()
+	server := httptest.NewServer(emulator)
+	t.Cleanup(server.Close)
+	transport := &recordingTransport{}
+	client, err := httptables.New(httptables.Options{BaseURL: server.URL, Transport: transport})
+	assert.NilError(t, err)
+	t.Cleanup(client.Close)
+	for i, want := range []int{200, 304, 200, 304} {
+		if i%2 == 0 {
+			emulator.SetVMs([]platform.ListedVM{{ID: "vm", PeerAddress: "10.0.0.1:1", Leaving: i > 0}})
+		}
+		vms, err := client.ListVMs(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, vms[0].Leaving, i > 1)
+		assert.Equal(t, transport.statuses[i], want)
+	}
+}
+
 func TestBadAddress(t *testing.T) {
 	_, err := httptables.New(httptables.Options{BaseURL: "10.0.0.5"})
 	assert.ErrorContains(t, err, "no scheme or host")
--- a/internal/standin/platformd/platformd.go
+++ b/internal/standin/platformd/platformd.go
@@ -8,7 +8,8 @@
 //	GET    /tables/rows?prefix=        200 with a RowList
 //	POST   /tables/transactions        200 with an Outcome, or 412 with an Outcome
 //	GET    /tables/transactions/{id}   200 with an Outcome, or 404
-//	GET    /vms, PUT /vms              the VM list
+//	GET    /vms                        the VM list with its ETag, or 304
+//	PUT    /vms                        replaces the VM list
 //	GET    /faults, PUT /faults        the fault in effect
 //	GET    /requests                   request counts
 //	GET    /{bucket}/{key}, PUT        S3, path style, any signature
@@ -203,7 +204,19 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, vms)
+	body, err := json.Marshal(vms)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	tag := contentETag(body)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
 }
 
 func (s *Server) setVMs(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platformd/s3.go
+++ b/internal/standin/platformd/s3.go
@@ -32,7 +32,7 @@
 		writeS3Error(w, http.StatusServiceUnavailable, "ServiceUnavailable")
 		return
 	}
-	w.Header().Set("ETag", objectETag(body))
+	w.Header().Set("ETag", contentETag(body))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	http.ServeContent(w, r, "", s.started, bytes.NewReader(body))
 }
@@ -54,12 +54,12 @@
 		writeS3Error(w, http.StatusServiceUnavailable, "ServiceUnavailable")
 		return
 	}
-	w.Header().Set("ETag", objectETag(body))
+	w.Header().Set("ETag", contentETag(body))
 }
 
 func objectKey(r *http.Request) string { return r.PathValue("bucket") + "/" + r.PathValue("key") }
 
-func objectETag(body []byte) string {
+func contentETag(body []byte) string {
 	sum := md5.Sum(body)
 	return strconv.Quote(hex.EncodeToString(sum[:]))
 }
--- a/internal/systems/configure/cluster_test.go
+++ b/internal/systems/configure/cluster_test.go
@@ -134,6 +134,7 @@
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
 			for b.Loop() {
 				c := newCluster(1, n, max(1, min(26, n/5)))
+				confirm(c)
 				c.Run(5 * time.Second)
 				confirm(c)
 				before := documents(c)
--- a/internal/systems/configure/configure.go
+++ b/internal/systems/configure/configure.go
@@ -31,15 +31,18 @@
 
 // System keeps the configuration of one world. It is not safe for concurrent use.
 type System struct {
-	rng *rand.Rand
-
-	nextPoll    tables.Time
-	reading     bool
-	readBy      tables.Time
-	loading     uint64
-	loadBy      tables.Time
-	pulling     uint64
-	pullBy      tables.Time
+	rng      *rand.Rand
+	nextPoll tables.Time
+	// reading says that a read of the head is out, until readBy.
+	reading bool
+	readBy  tables.Time
+	// loading is the version of the document being loaded, until loadBy.
+	loading uint64
+	loadBy  tables.Time
+	// pulling is the version asked of a peer, until pullBy.
+	pulling uint64
+	pullBy  tables.Time
+	// allowSendAt is when the next document may go to a VM.
 	allowSendAt *tables.Table[tables.VMID, tables.Time]
 }
 
@@ -71,6 +74,7 @@
 		return nil
 	}
 	s.nextPoll = now.Add(s.interval())
+	s.expireSends(now)
 	if w.ConfigVersion != 0 && !membership.IsPoller(w) {
 		return nil
 	}
@@ -140,6 +144,15 @@
 	return []action.Action{action.SendDocument{To: to}}
 }
 
+// expireSends drops the entries that no longer hold a document back.
+func (s *System) expireSends(now tables.Time) {
+	for _, id := range s.allowSendAt.Keys() {
+		if at, _ := s.allowSendAt.Get(id); at <= now {
+			s.allowSendAt.Delete(id)
+		}
+	}
+}
+
 // pull asks one peer at a time for a version.
 func (s *System) pull(now tables.Time, w *tables.World, h peer.Heartbeat) []action.Action {
 	if h.ConfigVersion <= s.pulling && now < s.pullBy {
--- a/internal/systems/membership/membership.go
+++ b/internal/systems/membership/membership.go
@@ -176,9 +176,10 @@
 	}
 }
 
-// refreshSelf keeps the own row.
+// refreshSelf keeps the own row; a change of leaving makes the heartbeat due.
 func (s *System) refreshSelf(now tables.Time, w *tables.World) {
 	row, known := w.VMs.Get(w.Self)
+	leftBefore := row.Leaving
 	st, _ := s.states.Get(w.Self)
 	st.ownLeaving = w.Leaving
 	s.states.Put(w.Self, st)
@@ -191,6 +192,9 @@
 	row.Leaving = st.leaving(w, w.Self)
 	w.VMs.Put(w.Self, row)
 	s.dirty = s.dirty || !known
+	if row.Leaving != leftBefore {
+		s.nextHeartbeat = now
+	}
 }
 
 // leaving joins the three words on the VM of id.
--- a/internal/systems/membership/membership_test.go
+++ b/internal/systems/membership/membership_test.go
@@ -156,6 +156,17 @@
 	assert.Assert(t, !f.vm("vm-1").Leaving)
 }
 
+func TestOwnLeavingIsSentAtOnce(t *testing.T) {
+	f := newFixture()
+	f.hear(0, "vm-1", false)
+	f.tickTo(0, 2*second)
+	f.w.Leaving = true
+	sent := f.Tick(2*second+1, f.w)
+	assert.Equal(t, len(sent), 1)
+	assert.Assert(t, sent[0].(action.Publish).Message.(peer.Heartbeat).Leaving)
+	assert.Equal(t, len(f.Tick(2*second+2, f.w)), 0)
+}
+
 func TestUpstreamLeavingByList(t *testing.T) {
 	f := newFixture()
 	f.w.Upstreams.Put("u", tables.Upstream{ID: "u"})
