Answer probes, and keep links steady when a data centre is lost

A VM that wrongly took another for silent, and was no neighbour of it, never learnt better: its probe was not answered. Ruled out: more links to other data centres, which cost bytes at rest.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,8 @@
 	ConfigVersion uint64 `msgpack:"c"`
 	// Leaving says that the sender is shutting down.
 	Leaving bool `msgpack:"l"`
+	// Probe asks the receiver, which the sender takes for silent, for a heartbeat.
+	Probe bool `msgpack:"p,omitempty"`
 }
 
 // Member is what the sender knows of a VM that changed.
--- a/internal/systems/membership/cluster_test.go
+++ b/internal/systems/membership/cluster_test.go
@@ -71,13 +71,17 @@
 }
 
 func TestClusterHealsAfterPartition(t *testing.T) {
-	c := newCluster(5, 60, 6)
-	c.Run(10 * time.Second)
-	c.Cut = func(a, b tables.DataCentreID) bool { return (a < "dc-02") != (b < "dc-02") }
-	c.Run(time.Minute)
-	c.Cut = nil
-	took := c.RunUntil(2*time.Minute, allSee(c, 60))
-	assert.Assert(t, took <= 20*time.Second, "whole again after %v", took)
+	for _, dcs := range []int{6, 12} {
+		for seed := range uint64(3) {
+			c := newCluster(seed, 60, dcs)
+			c.Run(10 * time.Second)
+			c.Cut = func(a, b tables.DataCentreID) bool { return (a < "dc-04") != (b < "dc-04") }
+			c.Run(time.Minute)
+			c.Cut = nil
+			took := c.RunUntil(5*time.Minute, allSee(c, 60))
+			assert.Assert(t, took <= 20*time.Second, "%d data centres, seed %d: whole again after %v", dcs, seed, took)
+		}
+	}
 }
 
 func TestLeavingIsKnownEverywhere(t *testing.T) {
@@ -184,3 +188,59 @@
 	}
 	return float64(total) / d.Seconds() / float64(len(c.VMs))
 }
+
+// BenchmarkDataCentreLoss reports how long the loss of a data centre takes to
+// be known everywhere and what the busiest VM sends meanwhile.
+func BenchmarkDataCentreLoss(b *testing.B) {
+	for _, n := range sizes[1:] {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				c := newCluster(1, n, dataCentres(n))
+				c.Run(10 * time.Second)
+				left := n
+				for _, vm := range c.VMs {
+					vm.BytesSent = 0
+					if vm.World.DataCentre == "dc-01" {
+						c.Stop(vm)
+						left--
+					}
+				}
+				took := c.RunUntil(2*time.Minute, allSee(c, left))
+				b.ReportMetric(took.Seconds(), "s-to-know")
+				b.ReportMetric(float64(maxBytes(c))/took.Seconds(), "busiest-bytes/s")
+			}
+		})
+	}
+}
+
+// BenchmarkPartition cuts off a third of the data centres for a minute and
+// reports how long the views take to be whole after it.
+func BenchmarkPartition(b *testing.B) {
+	for _, n := range sizes[1:] {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				c := newCluster(1, n, dataCentres(n))
+				c.Run(10 * time.Second)
+				border := tables.DataCentreID(fmt.Sprintf("dc-%02d", dataCentres(n)/3))
+				c.Cut = func(a, b tables.DataCentreID) bool { return (a < border) != (b < border) }
+				c.Run(time.Minute)
+				c.Cut = nil
+				for _, vm := range c.VMs {
+					vm.BytesSent = 0
+				}
+				took := c.RunUntil(5*time.Minute, allSee(c, n))
+				b.ReportMetric(took.Seconds(), "s-to-heal")
+				b.ReportMetric(float64(maxBytes(c))/took.Seconds(), "busiest-bytes/s")
+			}
+		})
+	}
+}
+
+// maxBytes returns the most bytes that one VM sent.
+func maxBytes(c *systemstest.Cluster) int {
+	most := 0
+	for _, vm := range c.VMs {
+		most = max(most, vm.BytesSent)
+	}
+	return most
+}
--- a/internal/systems/membership/membership.go
+++ b/internal/systems/membership/membership.go
@@ -215,33 +215,37 @@
 	}
 }
 
-// heartbeats go to the neighbours and to one silent VM, which may be back.
+// heartbeats go to the neighbours and, as a probe, to one silent VM, which may
+// be back.
 func (s *System) heartbeats(w *tables.World) []action.Action {
-	to := s.view.neighbours
-	if vm, ok := s.randomSilent(w); ok {
-		to = append(to[:len(to):len(to)], vm)
+	var actions []action.Action
+	if len(s.view.neighbours) > 0 {
+		actions = append(actions, publish(s.view.neighbours, ownHeartbeat(w)))
 	}
-	if len(to) == 0 {
-		return nil
+	if vm, ok := s.randomSilent(w); ok {
+		probe := ownHeartbeat(w)
+		probe.Probe = true
+		actions = append(actions, publish([]tables.VMID{vm}, probe))
 	}
-	return []action.Action{heartbeat(w, to)}
+	return actions
 }
 
-func heartbeat(w *tables.World, to []tables.VMID) action.Action {
+// ownHeartbeat returns this VM's heartbeat.
+func ownHeartbeat(w *tables.World) peer.Heartbeat {
 	self, _ := w.VMs.Get(w.Self)
-	return action.Publish{
-		To:    to,
-		Topic: peer.TopicHeartbeat,
-		Message: peer.Heartbeat{
-			From:          w.Self,
-			DataCentre:    w.DataCentre,
-			PeerAddress:   w.PeerAddress,
-			ConfigVersion: w.ConfigVersion,
-			Leaving:       self.Leaving,
-		},
+	return peer.Heartbeat{
+		From:          w.Self,
+		DataCentre:    w.DataCentre,
+		PeerAddress:   w.PeerAddress,
+		ConfigVersion: w.ConfigVersion,
+		Leaving:       self.Leaving,
 	}
 }
 
+func publish(to []tables.VMID, h peer.Heartbeat) action.Action {
+	return action.Publish{To: to, Topic: peer.TopicHeartbeat, Message: h}
+}
+
 // randomSilent picks one VM that is not live, each with the same chance.
 func (s *System) randomSilent(w *tables.World) (picked tables.VMID, ok bool) {
 	seen := 0
--- a/internal/systems/membership/membership_test.go
+++ b/internal/systems/membership/membership_test.go
@@ -181,6 +181,16 @@
 	assert.Assert(t, !row.Leaving)
 }
 
+func TestProbeIsAnswered(t *testing.T) {
+	f := newFixture()
+	probe := peer.Heartbeat{From: "vm-1", DataCentre: "dc-1", PeerAddress: "10.0.0.2:1", Probe: true}
+	f.hear(0, "vm-1", false)
+	answer := f.Handle(second, f.w, event.PeerMessage{Message: probe})
+	assert.Equal(t, len(answer), 1)
+	assert.DeepEqual(t, answer[0].(action.Publish).To, []tables.VMID{"vm-1"})
+	assert.Assert(t, !answer[0].(action.Publish).Message.(peer.Heartbeat).Probe)
+}
+
 func TestYoungerEvidenceWins(t *testing.T) {
 	member := func(heard int64, silent bool) peer.Member {
 		return peer.Member{VM: "vm-1", DataCentre: "dc-1", PeerAddress: "10.0.0.2:1", HeardMillis: heard, Silent: silent}
--- a/internal/systems/membership/merge.go
+++ b/internal/systems/membership/merge.go
@@ -11,7 +11,7 @@
 )
 
 // handleHeartbeat enters a VM's own word. A VM that comes new or back is told
-// of others.
+// of others; a probe is answered.
 func (s *System) handleHeartbeat(now tables.Time, w *tables.World, h peer.Heartbeat) []action.Action {
 	if h.From == w.Self || h.From == "" {
 		return nil
@@ -33,10 +33,14 @@
 	if arrived || row.Leaving != leftBefore {
 		s.changed(h.From)
 	}
-	if !arrived {
+	switch {
+	case arrived:
+		return s.welcome(now, w, h.From)
+	case h.Probe:
+		return []action.Action{publish([]tables.VMID{h.From}, ownHeartbeat(w))}
+	default:
 		return nil
 	}
-	return s.welcome(now, w, h.From)
 }
 
 // welcome answers a VM that was not live here: with a heartbeat, all silent
@@ -44,7 +48,7 @@
 func (s *System) welcome(now tables.Time, w *tables.World, to tables.VMID) []action.Action {
 	receivers := []tables.VMID{to}
 	return []action.Action{
-		heartbeat(w, receivers),
+		publish(receivers, ownHeartbeat(w)),
 		action.Publish{To: receivers, Topic: peer.TopicMembers, Message: s.introduction(now, w, to)},
 	}
 }
--- a/internal/systems/membership/view.go
+++ b/internal/systems/membership/view.go
@@ -83,8 +83,8 @@
 }
 
 // receivers returns whom the VM at index i of ring d sends to: successors at
-// the offsets, and VMs of other data centres chosen by its index, so that each
-// pair of data centres is joined by about equally many links.
+// the offsets, and VMs of other data centres chosen by its hash, so that the
+// loss of other VMs changes few of these links.
 func receivers(rings []ring, d, i int, opts Options) []tables.VMID {
 	own := rings[d].vms
 	to := make([]tables.VMID, 0, len(opts.Offsets)+opts.RemoteVMs)
@@ -93,10 +93,20 @@
 			to = append(to, own[(i+offset)%len(own)].id)
 		}
 	}
+	hash := own[i].hash
 	others := len(rings) - 1
 	for k := range min(opts.RemoteVMs, others) {
-		remote := rings[(d+1+(i*opts.RemoteVMs+k)%others)%len(rings)].vms
-		to = append(to, remote[i%len(remote)].id)
+		step := (hash + uint64(k)) % uint64(others)
+		remote := rings[(d+1+int(step))%len(rings)]
+		to = append(to, remote.successor(hash))
 	}
 	return to
 }
+
+// successor returns the first VM of r at or after hash, around the ring.
+func (r ring) successor(hash uint64) tables.VMID {
+	i, _ := slices.BinarySearchFunc(r.vms, hash, func(vm ringVM, h uint64) int {
+		return cmp.Compare(vm.hash, h)
+	})
+	return r.vms[i%len(r.vms)].id
+}
