Add a random walk of the real acknowledgement and failover code

Messages are delivered in any order or lost, coordinators forget everything at any step, writers use replaced primaries.

--- /dev/null
+++ b/internal/faults/walk_test.go
@@ -0,0 +1,375 @@
+package faults
+
+import (
+	"flag"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/group"
+	"github.com/cranberrystage/cranberrystage/internal/standin/replog"
+	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
+	"github.com/cranberrystage/cranberrystage/internal/systems/action"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/systems/failover"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// walk drives the real acknowledgement and failover code in a random order of
+// deliveries: messages wait until they are drawn, in any order, or are lost.
+type walk struct {
+	draw      func(n int) int
+	random    *rand.Rand
+	rule      ack.Rule
+	choose    func([]failover.Fenced, int, bool) (tables.UpstreamID, bool)
+	now       tables.Time
+	servers   []*walkServer
+	deciders  []*decider
+	writers   []*writer
+	messages  []message
+	checks    *checker
+	nextTerm  tables.Term
+	nextWrite uint64
+}
+
+type walkServer struct {
+	id    tables.UpstreamID
+	state *replog.State
+}
+
+// message is something under way: it is delivered or lost.
+type message struct {
+	deliver func()
+	lose    func()
+}
+
+// decider is a proxy that coordinates failovers.
+type decider struct {
+	world  *tables.World
+	system *failover.System
+}
+
+// writer is a proxy that writes and acknowledges.
+type writer struct {
+	tracker    *ack.Tracker
+	pending    []pendingWrite
+	rechecking bool
+	evidenceAt tables.Time
+}
+
+var walkMembers = []tables.UpstreamID{"a", "b", "c"}
+
+func newWalk(draw func(int) int, rule ack.Rule, choose func([]failover.Fenced, int, bool) (tables.UpstreamID, bool)) *walk {
+	w := &walk{draw: draw, random: rand.New(rand.NewPCG(1, 1)), rule: rule, choose: choose, checks: newChecker(), nextTerm: 2}
+	for i, id := range walkMembers {
+		w.servers = append(w.servers, &walkServer{id: id, state: replog.New(i == 0)})
+	}
+	for _, s := range w.servers[1:] {
+		_, _ = s.state.Follow("a", 1)
+	}
+	for range 2 {
+		w.deciders = append(w.deciders, w.newDecider())
+		w.writers = append(w.writers, &writer{tracker: ack.NewTrackerWithRule(walkMembers, rule)})
+	}
+	return w
+}
+
+// newDecider returns a proxy just started: it remembers nothing.
+func (w *walk) newDecider() *decider {
+	world := tables.NewWorld("vm1", "east", "")
+	for _, m := range walkMembers {
+		world.Upstreams.Put(m, tables.Upstream{ID: m, Group: theGroup})
+	}
+	world.Groups.Put(theGroup, tables.Group{ID: theGroup, Members: walkMembers, Term: 1, Primary: "a"})
+	options := failover.DefaultOptions(func(*tables.World, tables.GroupID) []tables.VMID { return []tables.VMID{"vm1"} })
+	options.AloneDelay = 0
+	options.Choose = w.choose
+	return &decider{world: world, system: failover.New(options, w.random)}
+}
+
+// run takes n steps and returns the checker.
+func (w *walk) run(n int) *checker {
+	for range n {
+		w.now++
+		w.step()
+	}
+	newest := w.checks.newest()
+	w.checks.checkDurable(newest.id, w.server(newest.id).state)
+	return w.checks
+}
+
+func (w *walk) step() {
+	switch a := w.draw(100); {
+	case a < 8:
+		w.write(w.writers[w.draw(len(w.writers))])
+	case a < 28:
+		w.replicate(w.servers[w.draw(len(w.servers))])
+	case a < 95:
+		w.deliver()
+	case a < 98:
+		w.decide(w.deciders[w.draw(len(w.deciders))])
+	default:
+		w.deciders[w.draw(len(w.deciders))] = w.newDecider()
+	}
+}
+
+func (w *walk) server(id tables.UpstreamID) *walkServer {
+	return w.servers[slices.Index(walkMembers, id)]
+}
+
+// write writes at one of the last two primaries, perhaps a replaced one.
+func (w *walk) write(by *writer) {
+	recent := w.checks.promotions[max(0, len(w.checks.promotions)-2):]
+	p := recent[w.draw(len(recent))]
+	w.nextWrite++
+	body := strconv.FormatUint(w.nextWrite, 10)
+	pos, err := w.server(p.id).state.Append(p.term, body)
+	if err != nil {
+		return
+	}
+	c := ack.Commit{ID: w.nextWrite, Primary: p.id, Term: p.term, Position: pos}
+	by.pending = append(by.pending, pendingWrite{commit: c, body: body, sentAt: w.now})
+	by.tracker.Commit(c)
+	w.pump(by)
+}
+
+func (w *walk) replicate(r *walkServer) {
+	following := r.state.Status().Following
+	if following == "" {
+		return
+	}
+	term, index := r.state.FollowedTerm(), uint64(r.state.Len())
+	previous, records, err := w.server(following).state.Entries(term, index, 1+w.draw(3))
+	if err == nil {
+		_, _ = r.state.Apply(term, index, previous, records)
+	}
+}
+
+func (w *walk) deliver() {
+	if len(w.messages) == 0 {
+		return
+	}
+	i := w.draw(len(w.messages))
+	m := w.messages[i]
+	w.messages = slices.Delete(w.messages, i, i+1)
+	if w.draw(30) == 0 {
+		m.lose()
+		return
+	}
+	m.deliver()
+}
+
+func (w *walk) send(deliver, lose func()) {
+	w.messages = append(w.messages, message{deliver: deliver, lose: lose})
+}
+
+func (w *walk) pump(by *writer) {
+	for _, r := range by.tracker.Done() {
+		i := slices.IndexFunc(by.pending, func(p pendingWrite) bool { return p.commit.ID == r.ID })
+		if r.Outcome == ack.Acknowledged {
+			w.checks.acknowledged("vm1", by.pending[i], by.evidenceAt, w.now)
+		}
+		by.pending = slices.Delete(by.pending, i, i+1)
+	}
+	if by.tracker.Active() {
+		return
+	}
+	asks := by.tracker.Start()
+	by.rechecking = false
+	by.evidenceAt = w.now
+	w.ask(by, asks)
+}
+
+// ask sends status requests; the answer is under way like any other message.
+func (w *walk) ask(by *writer, asks []ack.Ask) {
+	for _, a := range asks {
+		lose := func() { by.tracker.Fail(a.Round, a.Upstream); w.pump(by) }
+		w.send(func() {
+			status, servedAt := w.server(a.Upstream).state.Status(), w.now
+			w.send(func() { w.answer(by, a, status, servedAt) }, lose)
+		}, lose)
+	}
+}
+
+func (w *walk) answer(by *writer, a ack.Ask, status tables.Status, servedAt tables.Time) {
+	asks := by.tracker.Answer(a.Round, a.Upstream, status)
+	if !by.rechecking && by.tracker.Active() {
+		by.evidenceAt = max(by.evidenceAt, servedAt)
+	}
+	if asks != nil {
+		by.rechecking = true
+		w.ask(by, asks)
+	}
+	w.pump(by)
+}
+
+// decide shows a proxy a failing primary and lets it act under a new grant.
+func (w *walk) decide(d *decider) {
+	now := w.now.Add(time.Duration(w.now) * time.Minute)
+	for _, s := range w.servers {
+		u, _ := d.world.Upstreams.Get(s.id)
+		u.HasStatus = true
+		u.Status = s.state.Status()
+		u.StatusAt = now
+		u.FailingSince = now
+		d.world.Upstreams.Put(s.id, u)
+	}
+	g, _ := d.world.Groups.Get(theGroup)
+	g.Term, g.Primary = w.checks.newest().term, w.checks.newest().id
+	d.world.Groups.Put(theGroup, g)
+	p, _ := d.world.Upstreams.Get(g.Primary)
+	p.Cause = tables.CauseRefused
+	d.world.Upstreams.Put(g.Primary, p)
+	w.do(d, now, d.system.Tick(now, d.world))
+	w.do(d, now, d.system.Tick(now, d.world))
+	p.Cause = tables.CauseNone
+	d.world.Upstreams.Put(g.Primary, p)
+}
+
+func (w *walk) do(d *decider, now tables.Time, actions []action.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case action.ReadGroupRow:
+			w.do(d, now, d.system.Handle(now, d.world, event.GroupRowRead{Group: theGroup, Row: tables.GroupRow{Next: w.nextTerm}, Version: 1}))
+		case action.WriteGroupRow:
+			w.nextTerm = max(w.nextTerm, a.Row.Next)
+			w.do(d, now, d.system.Handle(now, d.world, event.GroupRowWritten{Group: theGroup, TxnID: a.TxnID}))
+			w.do(d, now, d.system.Tick(now, d.world))
+		case action.Fence:
+			w.control(d, now, a.Upstream, a.Term, tables.StepFence, func(s *replog.State) (tables.Status, error) { return s.Fence(a.Term) })
+		case action.Promote:
+			w.control(d, now, a.Upstream, a.Term, tables.StepPromote, func(s *replog.State) (tables.Status, error) { return s.Promote(a.Term) })
+		case action.Follow:
+			w.control(d, now, a.Upstream, a.Term, tables.StepFollow, func(s *replog.State) (tables.Status, error) { return s.Follow(a.Primary, a.Term) })
+		}
+	}
+}
+
+func (w *walk) control(d *decider, now tables.Time, id tables.UpstreamID, term tables.Term, step tables.Step, run func(*replog.State) (tables.Status, error)) {
+	w.send(func() {
+		s := w.server(id)
+		was := s.state.Status().Role
+		status, err := run(s.state)
+		if s.state.Status().Role == tables.RolePrimary && was != tables.RolePrimary {
+			w.checks.promoted(w.now, id, s.state)
+		}
+		done := event.ControlDone{Group: theGroup, Upstream: id, Term: term, Step: step, Status: status}
+		if errors.Is(err, group.ErrFenced) {
+			done.Outcome = event.OutcomeFenced
+		}
+		w.send(func() { w.do(d, now, d.system.Handle(now, d.world, done)) }, func() {})
+	}, func() {})
+}
+
+const walkSteps = 250
+
+var walkSeeds = flag.Int("walk-seeds", 3200, "seeded walks of each rule in TestWeakenedRulesBreak")
+
+func TestWalk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		c := newWalk(draw, ack.Strict(), failover.Choose).run(walkSteps)
+		assert.Equal(t, len(c.violations), 0, "%v", c.violations)
+	})
+}
+
+// walkCount is what many seeded walks showed.
+type walkCount struct {
+	lost, late, acknowledged, promotions int
+	lostSeeds, lateSeeds                 []uint64
+}
+
+func (n *walkCount) add(m walkCount) {
+	n.lost += m.lost
+	n.late += m.late
+	n.acknowledged += m.acknowledged
+	n.promotions += m.promotions
+	n.lostSeeds = append(n.lostSeeds, m.lostSeeds...)
+	n.lateSeeds = append(n.lateSeeds, m.lateSeeds...)
+}
+
+// firstOf returns up to three seeds.
+func firstOf(seeds []uint64) []uint64 { return seeds[:min(3, len(seeds))] }
+
+func countWalks(from, to uint64, rule ack.Rule, choose func([]failover.Fenced, int, bool) (tables.UpstreamID, bool)) walkCount {
+	var n walkCount
+	for seed := from; seed < to; seed++ {
+		r := rand.New(rand.NewPCG(seed, 7))
+		c := newWalk(r.IntN, rule, choose).run(walkSteps)
+		n.acknowledged += len(c.acks)
+		n.promotions += len(c.promotions) - 1
+		if c.broken(promiseDurable) {
+			n.lost++
+			n.lostSeeds = append(n.lostSeeds, seed)
+		}
+		if c.broken(promiseInOffice) {
+			n.late++
+			n.lateSeeds = append(n.lateSeeds, seed)
+		}
+	}
+	return n
+}
+
+// weakened returns the strict rule with one condition changed.
+func weakened(change func(*ack.Rule)) ack.Rule {
+	r := ack.Strict()
+	change(&r)
+	return r
+}
+
+// TestWeakenedRulesBreak shows that the walk finds the fault of each weakened
+// rule within fixed seeds, and none with the strict one.
+func TestWeakenedRulesBreak(t *testing.T) {
+	notAsked := weakened(func(r *ack.Rule) { r.Leads = func(ack.Commit, tables.Status) bool { return true } })
+	fencedOnly := weakened(func(r *ack.Rule) {
+		r.Holds = func(c ack.Commit, s tables.Status) bool {
+			return s.Fenced == c.Term && s.Last.Index >= c.Position.Index
+		}
+	})
+	logTermOnly := weakened(func(r *ack.Rule) {
+		r.Holds = func(c ack.Commit, s tables.Status) bool {
+			return s.Last.LogTerm == c.Term && s.Last.AtLeast(c.Position)
+		}
+	})
+	cases := []struct {
+		name   string
+		rule   ack.Rule
+		choose func([]failover.Fenced, int, bool) (tables.UpstreamID, bool)
+		// from is the first seed.
+		from uint64
+		lost bool
+		late bool
+	}{
+		{"strict", ack.Strict(), failover.Choose, 0, false, false},
+		{"primary not asked again", notAsked, failover.Choose, 0, false, true},
+		{"fenced term only", fencedOnly, failover.Choose, 0, true, false},
+		{"log term only", logTermOnly, failover.Choose, 6400, false, true},
+		{"lowest fenced server promoted", ack.Strict(), lowest, 0, true, false},
+		{"on the primary's word", onPrimarysWord(), failover.Choose, 0, true, true},
+	}
+	const parts = 4
+	each := uint64(*walkSeeds / cellStride / parts)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var sum walkCount
+			for _, n := range parallel(parts, func(i int) walkCount {
+				from := c.from + uint64(i)*each
+				return countWalks(from, from+each, c.rule, c.choose)
+			}) {
+				sum.add(n)
+			}
+			t.Logf("%d walks, %d acknowledged, %d promotions, %d lost %v, %d late %v", parts*each,
+				sum.acknowledged, sum.promotions, sum.lost, firstOf(sum.lostSeeds), sum.late, firstOf(sum.lateSeeds))
+			assert.Assert(t, !c.lost || sum.lost > 0, "the walk misses the loss")
+			assert.Assert(t, !c.late || sum.late > 0, "the walk misses the late acknowledgement")
+			if c.name == "strict" {
+				assert.Equal(t, sum.lost+sum.late, 0)
+			}
+		})
+	}
+}
