Add a primary hidden from some proxies to the fault matrix

Only other proxies' observations keep a data centre that alone cannot reach the primary from replacing it; a core that listens to nobody promotes there.

--- a/internal/faults/checks_test.go
+++ b/internal/faults/checks_test.go
@@ -45,9 +45,10 @@
 	}
 }
 
-func isFollow(a action.Action) bool {
-	_, ok := a.(action.Follow)
-	return ok
+// returns reports whether a brings the killed primary back in line.
+func returns(a action.Action) bool {
+	f, ok := a.(action.Follow)
+	return ok && f.Upstream == "a"
 }
 
 func isPromote(a action.Action) bool {
@@ -114,13 +115,17 @@
 		{"writes the row without a condition", promiseRow, stepIdle, killed, 8, func() settings { return settings{careless: true} }},
 		{"has no grants", promiseAvailable, stepIdle, killed, 1, noGrants},
 		{"has no grants", promiseReached, stepFence, killed, 1, noGrants},
-		{"tells nobody to follow", promiseInLine, stepIdle, killed, 1, func() settings { return settings{ignore: isFollow} }},
+		{"forgets the old primary", promiseInLine, stepIdle, killed, 1, func() settings { return settings{ignore: returns} }},
 		{"leaves the row as it was", promiseRowNew, stepIdle, killed, 1, func() settings { return settings{ignore: namesNewPrimary} }},
 		{"promotes nobody", promisePlanned, stepPlannedFence, []fault{faultNamed("none")}, 1, func() settings { return settings{ignore: isPromote} }},
 		{
 			"retries without pause", promiseBounded, stepPlannedPromote, []fault{faultNamed("replica killed")}, 8,
 			adjust(func(o *failover.Options) { o.Stagger = 0; o.AttemptTimeout = 0 }),
 		},
+		{
+			"listens to no other proxy", promiseNoNeed, stepIdle, []fault{faultNamed("primary out of reach of some proxies")}, 1,
+			adjust(func(o *failover.Options) { o.ObservationWindow = 0; o.AloneDelay = 0 }),
+		},
 		{
 			"takes any silence for a failure", promiseNoNeed, stepIdle, []fault{pausedBriefly()}, 4,
 			adjust(func(o *failover.Options) { o.SilentTimeout = 0 }),
--- a/internal/faults/fault_test.go
+++ b/internal/faults/fault_test.go
@@ -40,6 +40,7 @@
 		{name: "primary's data centre cut off", needsPromotion: true, inject: cutPrimaryCentre, heal: uncut},
 		{name: "a data centre cut off", inject: cutReplicaCentre, heal: uncut},
 		{name: "a data centre cut from the platform", inject: cutPlatform, heal: uncut},
+		{name: "primary out of reach of some proxies", inject: hidePrimary, heal: uncut},
 		{name: "VM list lags", inject: staleOrder, heal: nothing},
 	}
 }
@@ -109,6 +110,14 @@
 func cutPrimaryCentre(s *simulation, _ *proxy) { cutCentre(s, s.primary().dataCentre) }
 func cutReplicaCentre(s *simulation, _ *proxy) { cutCentre(s, s.replica().dataCentre) }
 
+// hidePrimary cuts the proxies of one other data centre from the primary alone.
+func hidePrimary(s *simulation, _ *proxy) {
+	hidden, dc := &s.primary().host, s.replica().dataCentre
+	s.cuts = append(s.cuts, func(a, b *host) bool {
+		return a == hidden && slices.ContainsFunc(s.proxies, func(p *proxy) bool { return &p.host == b && p.dataCentre == dc })
+	})
+}
+
 func cutPlatform(s *simulation, p *proxy) {
 	dc := p.dataCentre
 	s.cuts = append(s.cuts, func(a, b *host) bool { return a.dataCentre == dc && b == &s.platform.host })
--- a/internal/systems/ack/tracker.go
+++ b/internal/systems/ack/tracker.go
@@ -56,8 +56,9 @@
 )
 
 type round struct {
-	number  uint64
-	phase   phase
+	number uint64
+	phase  phase
+	// commits are in ascending order of position; covered are the first of them.
 	commits []Commit
 	covered []Commit
 	asked   []tables.UpstreamID
@@ -118,6 +119,7 @@
 	}
 	t.next++
 	t.round = round{number: t.next, phase: phaseReplicas, commits: slices.Clone(t.waiting)}
+	slices.SortFunc(t.round.commits, func(a, b Commit) int { return a.Position.Compare(b.Position) })
 	primary := t.waiting[0].Primary
 	for _, m := range t.members {
 		if m != primary {
@@ -188,9 +190,10 @@
 func (t *Tracker) advance() []Ask {
 	r := &t.round
 	for _, c := range r.commits {
-		if t.rule.covered(c, t.members, r.reports) {
-			r.covered = append(r.covered, c)
+		if !t.rule.covered(c, t.members, r.reports) {
+			break
 		}
+		r.covered = append(r.covered, c)
 	}
 	if len(r.covered) == 0 {
 		if len(r.asked) == 0 {
