Let loads choose what sessions hand over and whether reads declare an age

Cause: the ways to keep sessions must be compared, and a run whose sessions hand over nothing must fail the checks. The test of demo follows its new log-in flags, with the same checks.

--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -23,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := run(ctx, os.Args[1:], os.Stdout, os.Stderr); err != nil {
-		slog.New(slog.NewTextHandler(os.Stderr, nil)).Error("bench: run failed", "error", err)
+		slog.New(slog.NewTextHandler(os.Stderr, nil)).Error("bench: Run failed.", "error", err.Error())
 		os.Exit(1)
 	}
 }
@@ -43,7 +43,9 @@
 	c.Flag("connections", "Sessions, each with one connection, for each workload.").Default("30").IntVar(&o.Connections)
 	c.Flag("timeout", "How long a caller waits for one operation.").Default("10s").DurationVar(&o.Timeout)
 	c.Flag("roam", "Share of operations before which a session moves to a random proxy.").Default("0.05").Float64Var(&o.Roam)
-	c.Flag("named-sessions", "Hand over session names in place of tokens.").BoolVar(&o.NamedSessions)
+	handover := []string{string(bench.HandoverToken), string(bench.HandoverName), string(bench.HandoverNothing)}
+	c.Flag("handover", "What a session gives to the next proxy.").Default(handover[0]).EnumVar((*string)(&o.Handover), handover...)
+	c.Flag("undeclared", "Let reads declare no age.").BoolVar(&o.Undeclared)
 	c.Flag("seed", "Seed of arrivals and choices.").Default("1").Uint64Var(&o.Seed)
 	c.Flag("json", "Print JSON lines.").BoolVar(&s.json)
 	c.Flag("history", "File that receives the history as JSON lines.").StringVar(&s.history)
--- a/cmd/cranberrystage-bench/main_test.go
+++ b/cmd/cranberrystage-bench/main_test.go
@@ -19,7 +19,9 @@
 	go func() { _ = s.Run(t.Context()) }()
 	file := filepath.Join(t.TempDir(), "history")
 	var out, progress bytes.Buffer
-	err = run(t.Context(), []string{"demo", "--proxy", s.Addr(), "--user", "u", "--duration", "300ms", "--connections", "4", "--history", file}, &out, &progress)
+	err = run(t.Context(), []string{"demo", "--proxy", s.Addr(), "--duration", "300ms", "--connections", "4", "--history", file,
+		"--batbayar-user", "u", "--batbayar-password", "p", "--batbayar-database", "x/1",
+		"--agency-user", "u", "--agency-password", "p", "--agency-database", "y/1"}, &out, &progress)
 	assert.NilError(t, err, out.String())
 	assert.Assert(t, strings.HasSuffix(out.String(), "16 passed, 0 failed\n"), out.String())
 	f, err := os.Open(file)
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -115,7 +115,7 @@
 
 func (c *caller) read(ctx context.Context, key string) history.Op {
 	op := c.begin(history.KindRead, key)
-	op.MaxAge = c.opts.Workload.MaxAge
+	op.MaxAge = c.opts.maxAge()
 	sql := fmt.Sprintf("SELECT v FROM %s WHERE k = $1 %s", c.opts.Workload.Registers, c.ageComment())
 	err := c.queryValue(ctx, &op.Saw, sql, key)
 	return c.end(op, err)
@@ -123,13 +123,16 @@
 
 func (c *caller) count(ctx context.Context, item string) history.Op {
 	op := c.begin(history.KindCount, item)
-	op.MaxAge = c.opts.Workload.MaxAge
+	op.MaxAge = c.opts.maxAge()
 	sql := fmt.Sprintf("SELECT count(*) FROM %s WHERE v = $1 %s", c.opts.Workload.Items, c.ageComment())
 	err := c.queryValue(ctx, &op.Count, sql, item)
 	return c.end(op, err)
 }
 
 func (c *caller) ageComment() string {
+	if c.opts.Undeclared {
+		return ""
+	}
 	return fmt.Sprintf("/*max_age='%s',idempotent='true'*/", c.opts.Workload.MaxAge)
 }
 
@@ -232,10 +235,14 @@
 
 // sessionParam is what the caller hands over to the next proxy.
 func (c *caller) sessionParam() string {
-	if c.opts.NamedSessions {
+	switch c.opts.Handover {
+	case HandoverName:
 		return c.name
+	case HandoverNothing:
+		return ""
+	default:
+		return c.token
 	}
-	return c.token
 }
 
 func (c *caller) leave() {
--- a/internal/bench/options.go
+++ b/internal/bench/options.go
@@ -9,6 +9,18 @@
 	"github.com/pkg/errors"
 )
 
+// Handover is what a session that roams gives to the next proxy.
+type Handover string
+
+const (
+	// HandoverToken gives the token that the last proxy reported.
+	HandoverToken Handover = "token"
+	// HandoverName gives the session's name.
+	HandoverName Handover = "name"
+	// HandoverNothing makes each connection a session of its own; it shows what the other ways are for.
+	HandoverNothing Handover = "nothing"
+)
+
 // Options describe one load.
 type Options struct {
 	// Proxies are the IP:port of the proxies that sessions roam between.
@@ -31,8 +43,10 @@
 	Timeout time.Duration
 	// Roam is the share of operations before which a session moves to a random proxy.
 	Roam float64
-	// NamedSessions makes sessions hand over their name in place of a token.
-	NamedSessions bool
+	// Handover is what a session gives to the next proxy.
+	Handover Handover
+	// Undeclared makes reads declare no age, so that they go to the primary.
+	Undeclared bool
 	// Seed fixes arrivals and choices.
 	Seed uint64
 	// RunID starts every key, so that runs on the same database keep apart.
@@ -46,6 +60,14 @@
 // clock returns the time since the load began.
 func (o *Options) clock() time.Duration { return time.Since(o.started) }
 
+// maxAge returns the age that reads accept.
+func (o *Options) maxAge() time.Duration {
+	if o.Undeclared {
+		return 0
+	}
+	return o.Workload.MaxAge
+}
+
 func (o *Options) check() error {
 	switch {
 	case len(o.Proxies) == 0:
