Measure the failover gap with regular writes beside the mix

Cause: at 10 writes a second for each database the gap between two writes of the mix itself is up to a second, which hides the failover's.

Conclusion: a writer for each database, every 20 ms.

--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -46,6 +46,7 @@
 	handover := []string{string(bench.HandoverToken), string(bench.HandoverName), string(bench.HandoverNothing)}
 	c.Flag("handover", "What a session gives to the next proxy.").Default(handover[0]).EnumVar((*string)(&o.Handover), handover...)
 	c.Flag("undeclared", "Let reads declare no age.").BoolVar(&o.Undeclared)
+	c.Flag("gap-probe", "Pause between the writes that measure gaps, for each database; 0s for none.").Default("20ms").DurationVar(&o.GapProbe)
 	c.Flag("seed", "Seed of arrivals and choices.").Default("1").Uint64Var(&o.Seed)
 	c.Flag("json", "Print JSON lines.").BoolVar(&s.json)
 	c.Flag("history", "File that receives the history as JSON lines.").StringVar(&s.history)
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -28,12 +28,13 @@
 func options(s *dbserver.Server) Options {
 	return Options{
 		Proxies: []string{s.Addr()}, Databases: []string{"x/1", "x/2"}, User: "u", Workload: Workloads[0],
-		Rate: 1000, Duration: 300 * time.Millisecond, Connections: 6, Timeout: 5 * time.Second, Roam: 0.1, Seed: 3, RunID: "t",
+		Rate: 1000, Duration: 300 * time.Millisecond, Connections: 6, Timeout: 5 * time.Second, Roam: 0.1, GapProbe: 5 * time.Millisecond, Seed: 3, RunID: "t",
 	}
 }
 
 func TestLoadOnASoundServerPasses(t *testing.T) {
-	res, err := Load(t.Context(), options(server(t)))
+	opts := options(server(t))
+	res, err := Load(t.Context(), opts)
 	assert.NilError(t, err)
 	var out bytes.Buffer
 	failed, err := WriteText(&out, []*Result{res})
@@ -42,6 +43,7 @@
 	assert.Assert(t, strings.HasSuffix(out.String(), "8 passed, 0 failed\n"), out.String())
 	assert.Assert(t, res.Report.Acknowledged > 0 && res.Report.Found == res.Report.Acknowledged)
 	assert.Equal(t, len(res.Gaps), 2)
+	assert.Assert(t, res.Rows[3].Succeeded > 0 && res.Gaps[0].Longest < opts.Duration)
 	failed, err = WriteJSON(&out, []*Result{res})
 	assert.NilError(t, err)
 	assert.Equal(t, failed, 0)
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -180,6 +180,13 @@
 	return op
 }
 
+// probe writes an item without leaving the proxy that it is at.
+func (c *caller) probe(ctx context.Context) history.Op {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	return c.insert(ctx)
+}
+
 func requestComment(key string, version uint64) string {
 	return fmt.Sprintf("/*request_id='%s.%d'*/", key, version)
 }
--- a/internal/bench/options.go
+++ b/internal/bench/options.go
@@ -47,6 +47,8 @@
 	Handover Handover
 	// Undeclared makes reads declare no age, so that they go to the primary.
 	Undeclared bool
+	// GapProbe is the pause between writes that measure each database's gaps; 0 for none.
+	GapProbe time.Duration
 	// Seed fixes arrivals and choices.
 	Seed uint64
 	// RunID starts every key, so that runs on the same database keep apart.
--- a/internal/bench/recorder.go
+++ b/internal/bench/recorder.go
@@ -55,7 +55,7 @@
 
 // add records an operation that was due at due.
 func (r *recorder) add(k class, op history.Op, due time.Duration) {
-	if op.IsWrite() {
+	if op.IsWrite() && k != classProbe {
 		k = classWrite
 	}
 	r.mu.Lock()
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -16,10 +16,12 @@
 	classAged  class = "aged read"
 	classOwn   class = "own-write read"
 	classWrite class = "write"
+	// classProbe is the regular writes that measure gaps, beside the mix.
+	classProbe class = "gap probe"
 )
 
 // classes lists all, in the order of reports.
-var classes = []class{classAged, classOwn, classWrite}
+var classes = []class{classAged, classOwn, classWrite, classProbe}
 
 // Workload is a mix of operations.
 type Workload struct {
