Find the primary by its status before it is killed or measured

Cause: the primary of a group may have changed before the kill; then a replica would be killed and the gap measured would be that of no fault.

Conclusion: demo takes all servers of a group and kills the one that leads; cost takes all and measures the one that leads.

--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -72,6 +72,7 @@
 	demo := app.Command("demo", "Run both deployments' workloads, kill a process half-way and verify.")
 	ds.register(demo)
 	killPID := demo.Flag("kill-pid", "Process that gets SIGKILL half-way.").Int()
+	killPrimary := demo.Flag("kill-primary-of", "IP:port=PID of a server; repeat for each of a group, the primary gets SIGKILL half-way.").Strings()
 	logins := make([]login, len(bench.Workloads))
 	for i, w := range bench.Workloads {
 		logins[i].register(demo, w.Name)
@@ -79,7 +80,7 @@
 
 	var co bench.CostOptions
 	cost := app.Command("cost", "Compare direct access, the proxy and a naive proxy.")
-	cost.Flag("direct", "IP:port of the primary.").Required().StringVar(&co.Direct)
+	cost.Flag("direct", "IP:port of a server of the group; repeat for each, the primary is measured.").Required().StringsVar(&co.Direct)
 	cost.Flag("direct-database", "Database at the primary.").Default("bench").StringVar(&co.DirectDatabase)
 	cost.Flag("direct-user", "User at the primary.").Default("bench").StringVar(&co.DirectUser)
 	cost.Flag("proxy", "IP:port of a proxy.").Required().StringVar(&co.Proxy)
@@ -103,7 +104,15 @@
 		}
 		return ls.run(ctx, out, bench.Demo{Loads: []bench.Options{ls.options(w, *databases, progress)}})
 	case demo.FullCommand():
-		return ds.run(ctx, out, ds.demo(*killPID, logins, progress))
+		d := ds.demo(*killPID, logins, progress)
+		for _, text := range *killPrimary {
+			server, err := bench.ParseServer(text)
+			if err != nil {
+				return err
+			}
+			d.KillPrimaryOf = append(d.KillPrimaryOf, server)
+		}
+		return ds.run(ctx, out, d)
 	default:
 		return runCost(ctx, out, co, *costJSON)
 	}
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -133,10 +133,26 @@
 	assert.Equal(t, writeGap(nil, "a", 20), time.Duration(20))
 }
 
+func TestPrimaryIsFoundByItsStatus(t *testing.T) {
+	s := server(t)
+	found, err := primaryOf(t.Context(), []Server{{Address: "127.0.0.1:1", PID: 2}, {Address: s.Addr(), PID: 3}})
+	assert.NilError(t, err)
+	assert.Equal(t, found.PID, 3)
+	_, err = primaryOf(t.Context(), []Server{{Address: "127.0.0.1:1", PID: 2}})
+	assert.ErrorContains(t, err, "none of")
+	parsed, err := ParseServer("127.0.0.1:7111=42")
+	assert.NilError(t, err)
+	assert.Equal(t, parsed, Server{Address: "127.0.0.1:7111", PID: 42})
+	for _, text := range []string{"127.0.0.1:7111", "a=b", "a=1", "a=-5"} {
+		_, err = ParseServer(text)
+		assert.ErrorContains(t, err, "IP:port=PID")
+	}
+}
+
 func TestCostMeasuresEveryWay(t *testing.T) {
 	s := server(t)
 	rows, err := Cost(t.Context(), CostOptions{
-		Direct: s.Addr(), DirectDatabase: "d", DirectUser: "u", Proxy: s.Addr(), Database: "d", User: "u",
+		Direct: []string{"127.0.0.1:1", s.Addr()}, DirectDatabase: "d", DirectUser: "u", Proxy: s.Addr(), Database: "d", User: "u",
 		Connections: 2, Duration: 30 * time.Millisecond, Rounds: 2,
 	})
 	assert.NilError(t, err)
--- a/internal/bench/cost.go
+++ b/internal/bench/cost.go
@@ -17,8 +17,8 @@
 
 // CostOptions describe a comparison of ways to the same data.
 type CostOptions struct {
-	// Direct is the IP:port of the primary.
-	Direct string
+	// Direct are the IP:port of the group's servers; the one that leads is measured.
+	Direct []string
 	// DirectDatabase is the database's name there.
 	DirectDatabase string
 	// DirectUser logs in there.
@@ -84,12 +84,16 @@
 func Cost(ctx context.Context, opts CostOptions) ([]CostRow, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	plain, err := naive.New("127.0.0.1:0", opts.Direct)
+	primary, err := findPrimary(ctx, opts.Direct)
+	if err != nil {
+		return nil, err
+	}
+	plain, err := naive.New("127.0.0.1:0", primary)
 	if err != nil {
 		return nil, err
 	}
 	go func() { _ = plain.Run(ctx) }()
-	probes := opts.probes(plain.Addr())
+	probes := opts.probes(primary, plain.Addr())
 	if err := prepare(ctx, probes[0]); err != nil {
 		return nil, err
 	}
@@ -107,15 +111,15 @@
 	return rows, nil
 }
 
-func (o *CostOptions) probes(naiveAddress string) []*probe {
+func (o *CostOptions) probes(primary, naiveAddress string) []*probe {
 	direct := Options{User: o.DirectUser, Databases: []string{o.DirectDatabase}}
 	proxied := Options{User: o.User, Password: o.Password, Databases: []string{o.Database}}
 	all := []*probe{
-		{way: "direct", statement: "read", address: o.Direct, access: direct, sql: costRead},
+		{way: "direct", statement: "read", address: primary, access: direct, sql: costRead},
 		{way: "naive proxy", statement: "read", address: naiveAddress, access: direct, sql: costRead},
 		{way: "proxy", statement: "read", address: o.Proxy, access: proxied, sql: costRead},
 		{way: "proxy", statement: "read, max_age 5s", address: o.Proxy, access: proxied, sql: costAged},
-		{way: "direct", statement: "write", address: o.Direct, access: direct, sql: costWrite},
+		{way: "direct", statement: "write", address: primary, access: direct, sql: costWrite},
 		{way: "naive proxy", statement: "write", address: naiveAddress, access: direct, sql: costWrite},
 		{way: "proxy", statement: "write", address: o.Proxy, access: proxied, sql: costWrite},
 	}
--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -15,6 +15,8 @@
 	Loads []Options
 	// KillPID is the process that gets SIGKILL half-way; 0 for none.
 	KillPID int
+	// KillPrimaryOf are the servers of one group; whichever leads half-way gets SIGKILL.
+	KillPrimaryOf []Server
 }
 
 // Run returns the loads' results in order.
@@ -36,18 +38,25 @@
 }
 
 func (d Demo) kill(ctx context.Context) error {
-	if d.KillPID == 0 || len(d.Loads) == 0 {
+	if len(d.Loads) == 0 || d.KillPID == 0 && len(d.KillPrimaryOf) == 0 {
 		return nil
 	}
 	first := d.Loads[0]
 	if !pause(ctx, first.Duration/2) {
 		return nil
 	}
-	if err := syscall.Kill(d.KillPID, syscall.SIGKILL); err != nil {
-		return errors.Wrapf(err, "kill process %d", d.KillPID)
+	victim := Server{PID: d.KillPID}
+	if victim.PID == 0 {
+		var err error
+		if victim, err = primaryOf(ctx, d.KillPrimaryOf); err != nil {
+			return err
+		}
+	}
+	if err := syscall.Kill(victim.PID, syscall.SIGKILL); err != nil {
+		return errors.Wrapf(err, "kill process %d", victim.PID)
 	}
 	if first.Progress != nil {
-		_, _ = fmt.Fprintf(first.Progress, "process %d killed at %s\n", d.KillPID, first.Duration/2)
+		_, _ = fmt.Fprintf(first.Progress, "process %d %s killed at %s\n", victim.PID, victim.Address, first.Duration/2)
 	}
 	return nil
 }
