--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -23,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := run(ctx, os.Args[1:], os.Stdout, os.Stderr); err != nil {
-		slog.New(slog.NewTextHandler(os.Stderr, nil)).Error("bench: run failed", "error", err)
+		slog.New(slog.NewTextHandler(os.Stderr, nil)).Error("bench: Run failed.", "error", err.Error())
 		os.Exit(1)
 	}
 }
@@ -43,7 +43,10 @@
 	c.Flag("connections", "Sessions, each with one connection, for each workload.").Default("30").IntVar(&o.Connections)
 	c.Flag("timeout", "How long a caller waits for one operation.").Default("10s").DurationVar(&o.Timeout)
 	c.Flag("roam", "Share of operations before which a session moves to a random proxy.").Default("0.05").Float64Var(&o.Roam)
-	c.Flag("named-sessions", "Hand over session names in place of tokens.").BoolVar(&o.NamedSessions)
+	handover := []string{string(bench.HandoverToken), string(bench.HandoverName), string(bench.HandoverNothing)}
+	c.Flag("handover", "What a session gives to the next proxy.").Default(handover[0]).EnumVar((*string)(&o.Handover), handover...)
+	c.Flag("undeclared", "Let reads declare no age.").BoolVar(&o.Undeclared)
+	c.Flag("gap-probe", "Pause between the writes that measure gaps, for each database; 0s for none.").Default("20ms").DurationVar(&o.GapProbe)
 	c.Flag("seed", "Seed of arrivals and choices.").Default("1").Uint64Var(&o.Seed)
 	c.Flag("json", "Print JSON lines.").BoolVar(&s.json)
 	c.Flag("history", "File that receives the history as JSON lines.").StringVar(&s.history)
@@ -69,6 +72,7 @@
 	demo := app.Command("demo", "Run both deployments' workloads, kill a process half-way and verify.")
 	ds.register(demo)
 	killPID := demo.Flag("kill-pid", "Process that gets SIGKILL half-way.").Int()
+	killPrimary := demo.Flag("kill-primary-of", "IP:port=PID of a server; repeat for each of a group, the primary gets SIGKILL half-way.").Strings()
 	logins := make([]login, len(bench.Workloads))
 	for i, w := range bench.Workloads {
 		logins[i].register(demo, w.Name)
@@ -76,7 +80,7 @@
 
 	var co bench.CostOptions
 	cost := app.Command("cost", "Compare direct access, the proxy and a naive proxy.")
-	cost.Flag("direct", "IP:port of the primary.").Required().StringVar(&co.Direct)
+	cost.Flag("direct", "IP:port of a server of the group; repeat for each, the primary is measured.").Required().StringsVar(&co.Direct)
 	cost.Flag("direct-database", "Database at the primary.").Default("bench").StringVar(&co.DirectDatabase)
 	cost.Flag("direct-user", "User at the primary.").Default("bench").StringVar(&co.DirectUser)
 	cost.Flag("proxy", "IP:port of a proxy.").Required().StringVar(&co.Proxy)
@@ -100,7 +104,15 @@
 		}
 		return ls.run(ctx, out, bench.Demo{Loads: []bench.Options{ls.options(w, *databases, progress)}})
 	case demo.FullCommand():
-		return ds.run(ctx, out, ds.demo(*killPID, logins, progress))
+		d := ds.demo(*killPID, logins, progress)
+		for _, text := range *killPrimary {
+			server, err := bench.ParseServer(text)
+			if err != nil {
+				return err
+			}
+			d.KillPrimaryOf = append(d.KillPrimaryOf, server)
+		}
+		return ds.run(ctx, out, d)
 	default:
 		return runCost(ctx, out, co, *costJSON)
 	}
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -28,12 +28,13 @@
 func options(s *dbserver.Server) Options {
 	return Options{
 		Proxies: []string{s.Addr()}, Databases: []string{"x/1", "x/2"}, User: "u", Workload: Workloads[0],
-		Rate: 1000, Duration: 300 * time.Millisecond, Connections: 6, Timeout: 5 * time.Second, Roam: 0.1, Seed: 3, RunID: "t",
+		Rate: 1000, Duration: 300 * time.Millisecond, Connections: 6, Timeout: 5 * time.Second, Roam: 0.1, GapProbe: 5 * time.Millisecond, Seed: 3, RunID: "t",
 	}
 }
 
 func TestLoadOnASoundServerPasses(t *testing.T) {
-	res, err := Load(t.Context(), options(server(t)))
+	opts := options(server(t))
+	res, err := Load(t.Context(), opts)
 	assert.NilError(t, err)
 	var out bytes.Buffer
 	failed, err := WriteText(&out, []*Result{res})
@@ -42,6 +43,7 @@
 	assert.Assert(t, strings.HasSuffix(out.String(), "8 passed, 0 failed\n"), out.String())
 	assert.Assert(t, res.Report.Acknowledged > 0 && res.Report.Found == res.Report.Acknowledged)
 	assert.Equal(t, len(res.Gaps), 2)
+	assert.Assert(t, res.Rows[3].Succeeded > 0 && res.Gaps[0].Longest < opts.Duration)
 	failed, err = WriteJSON(&out, []*Result{res})
 	assert.NilError(t, err)
 	assert.Equal(t, failed, 0)
@@ -131,10 +133,26 @@
 	assert.Equal(t, writeGap(nil, "a", 20), time.Duration(20))
 }
 
+func TestPrimaryIsFoundByItsStatus(t *testing.T) {
+	s := server(t)
+	found, err := primaryOf(t.Context(), []Server{{Address: "127.0.0.1:1", PID: 2}, {Address: s.Addr(), PID: 3}})
+	assert.NilError(t, err)
+	assert.Equal(t, found.PID, 3)
+	_, err = primaryOf(t.Context(), []Server{{Address: "127.0.0.1:1", PID: 2}})
+	assert.ErrorContains(t, err, "none of")
+	parsed, err := ParseServer("127.0.0.1:7111=42")
+	assert.NilError(t, err)
+	assert.Equal(t, parsed, Server{Address: "127.0.0.1:7111", PID: 42})
+	for _, text := range []string{"127.0.0.1:7111", "a=b", "a=1", "a=-5"} {
+		_, err = ParseServer(text)
+		assert.ErrorContains(t, err, "IP:port=PID")
+	}
+}
+
 func TestCostMeasuresEveryWay(t *testing.T) {
 	s := server(t)
 	rows, err := Cost(t.Context(), CostOptions{
-		Direct: s.Addr(), DirectDatabase: "d", DirectUser: "u", Proxy: s.Addr(), Database: "d", User: "u",
+		Direct: []string{"127.0.0.1:1", s.Addr()}, DirectDatabase: "d", DirectUser: "u", Proxy: s.Addr(), Database: "d", User: "u",
 		Connections: 2, Duration: 30 * time.Millisecond, Rounds: 2,
 	})
 	assert.NilError(t, err)
