--- a/internal/burn/html.go
+++ b/internal/burn/html.go
@@ -141,7 +141,7 @@
 		return v
 	}
 	first, last := p.Points[0].At, p.Points[len(p.Points)-1].At
-	v.Start, v.End = first.UTC().Format(time.TimeOnly), last.UTC().Format(time.TimeOnly)
+	v.Start, v.End = clock(first), clock(last)
 	v.Line, v.Dots = polyline(p.Points, first, last)
 	return v
 }
@@ -149,8 +149,13 @@
 func gridLineAt(burn float64) gridLine {
 	const textOffset = 4 // centres the text on the line
 	g := gridLine{Y: plotY(burn), TextY: plotY(burn) + textOffset, Text: fmt.Sprintf("%g", burn), Class: "grid"}
-	if burn == TicketBurn {
+	switch burn {
+	case TicketBurn:
 		g.Class = "limit"
+	case minBurn:
+		g.Text = "≤" + g.Text
+	case maxBurn:
+		g.Text = "≥" + g.Text
 	}
 	return g
 }
@@ -165,13 +170,15 @@
 			continue
 		}
 		d := dot{X: plotX(p.At, first, last), Y: plotY(p.Burn)}
-		d.Title = fmt.Sprintf("%s: burn %.2f, %.0f requests", p.At.UTC().Format(time.TimeOnly), p.Burn, p.Total)
+		d.Title = fmt.Sprintf("%s: burn %.2f, %.0f requests", clock(p.At), p.Burn, p.Total)
 		fmt.Fprintf(&line, "%.1f,%.1f ", d.X, d.Y)
 		dots = append(dots, d)
 	}
 	return strings.TrimSpace(line.String()), dots
 }
 
+func clock(t time.Time) string { return t.UTC().Format(time.TimeOnly) + " UTC" }
+
 func plotX(at, first, last time.Time) float64 {
 	const width = plotWidth - plotLeft - plotRight
 	span := last.Sub(first)
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -121,11 +122,23 @@
 func (c *command) printStatus(answers []answer) error {
 	return c.print(answers, func(w io.Writer) {
 		writeProxies(w, answers)
-		writeGroups(w, answers)
-		writeRefused(w, answers)
+		if has(answers, func(s statusapi.Status) bool { return len(s.Groups) > 0 }) {
+			writeGroups(w, answers)
+		}
+		if has(answers, refusedAny) {
+			writeRefused(w, answers)
+		}
 	})
 }
 
+func has(answers []answer, is func(statusapi.Status) bool) bool {
+	return slices.ContainsFunc(statuses(answers), is)
+}
+
+func refusedAny(s statusapi.Status) bool {
+	return slices.ContainsFunc(s.Groups, func(g statusapi.Group) bool { return len(g.Refused) > 0 })
+}
+
 func writeProxies(w io.Writer, answers []answer) {
 	tab := table(w)
 	fmt.Fprintln(tab, "PROXY\tDATA CENTRE\tVERSION\tREADY\tPEERS\tADMIN ADDRESS")
