--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
@@ -37,7 +38,11 @@
 	if err != nil || !c.confirmNow {
 		return err
 	}
-	return c.confirmPlan(ctx, s, store, p.ID)
+	if err := c.confirmPlan(ctx, s, store, p.ID); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(c.Stderr, "the declaration files don't know of this; change them too, or the next plan takes it back")
+	return err
 }
 
 // withLeaving returns a copy of doc in which one upstream or VM is leaving or not.
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -39,7 +39,9 @@
 		writeChanges(w, p.Changes)
 		fmt.Fprintln(w, "\nexpected cost")
 		writeCost(w, p.Cost)
-		fmt.Fprintf(w, "\nnothing has changed yet; to put it in force: cranberrystage-ctl confirm %s\n", p.ID)
+		if !c.confirmNow {
+			fmt.Fprintf(w, "\nnothing has changed yet; to put it in force: cranberrystage-ctl confirm %s\n", p.ID)
+		}
 	})
 }
 
