--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -64,17 +64,32 @@
 	assert.ErrorContains(t, err, "proxy.jsonc:5:3: peerAdress: unknown field")
 }
 
+func TestControlSettingsAreChecked(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ctl.jsonc")
+	text := `{"objects": {"endpoint": "127.0.0.1:1", "accessKey": "a", "secretKey": "s"}, "keyFile": "k", "proxies": ["x"]}`
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	_, err := LoadControl(path)
+	assert.ErrorContains(t, err, "platform.url")
+	assert.ErrorContains(t, err, "proxies[0]")
+	assert.ErrorContains(t, err, "operator: is required beside keyFile")
+}
+
 func TestSecretsStayOutOfText(t *testing.T) {
 	assert.Equal(t, Secret("x").String(), "(hidden)")
 	assert.Equal(t, Secret("x").LogValue().String(), "(hidden)")
 }
 
-// TestDocumentNamesEveryField compares docs/SETTINGS.md with the struct.
+// TestDocumentNamesEveryField compares docs/SETTINGS.md with the structs.
 func TestDocumentNamesEveryField(t *testing.T) {
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
 	assert.NilError(t, err)
+	proxy, control, ok := strings.Cut(string(page), "## Settings of the operators' tool")
+	assert.Assert(t, ok)
 	for _, field := range fieldPaths(reflect.TypeFor[Proxy](), "") {
-		assert.Assert(t, strings.Contains(string(page), "| `"+field+"` |"), "docs/SETTINGS.md lacks %s", field)
+		assert.Assert(t, strings.Contains(proxy, "| `"+field+"` |"), "docs/SETTINGS.md lacks %s", field)
+	}
+	for _, field := range fieldPaths(reflect.TypeFor[Control](), "") {
+		assert.Assert(t, strings.Contains(control, "| `"+field+"` |"), "docs/SETTINGS.md lacks the tool's %s", field)
 	}
 }
 
