--- a/internal/burn/html.go
+++ b/internal/burn/html.go
@@ -21,7 +21,7 @@
 const (
 	plotWidth  = 720
 	plotHeight = 190
-	plotLeft   = 48
+	plotLeft   = 56
 	plotRight  = 12
 	plotTop    = 12
 	plotBottom = 28
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -118,3 +119,26 @@
 	t.Helper()
 	assert.NilError(t, os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600))
 }
+
+// TestDocumentNamesEveryField compares docs/DECLARATIONS.md with the structs.
+func TestDocumentNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/DECLARATIONS.md")
+	assert.NilError(t, err)
+	for _, field := range fieldPaths(reflect.TypeFor[sections](), "") {
+		assert.Assert(t, strings.Contains(string(page), "\n| `"+field+"` | "), "docs/DECLARATIONS.md lacks %s", field)
+	}
+}
+
+func fieldPaths(typ reflect.Type, prefix string) []string {
+	var paths []string
+	for i := range typ.NumField() {
+		f := typ.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct {
+			paths = append(paths, fieldPaths(f.Type.Elem(), prefix+name+"[].")...)
+			continue
+		}
+		paths = append(paths, prefix+name)
+	}
+	return paths
+}
--- a/internal/jsonc/decoder.go
+++ b/internal/jsonc/decoder.go
@@ -20,7 +20,7 @@
 
 func (d *decoder) add(v hujson.Value, field, message string) {
 	p := Problem{File: d.src.file, Field: field, Message: message}
-	p.Line, p.Column = lineColumn(d.src.text, v.StartOffset)
+	p.Line, p.Column = d.src.lineColumn(v.StartOffset)
 	d.problems = append(d.problems, p)
 }
 
--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 
 	"github.com/tailscale/hujson"
@@ -22,8 +23,9 @@
 // Source remembers where the values of a decoded file stand.
 type Source struct {
 	file    string
-	text    []byte
 	offsets map[string]int
+	// lines are the offsets at which lines start.
+	lines []int
 }
 
 // Problem returns a problem at field, or at its nearest parent that the file has.
@@ -31,7 +33,7 @@
 	p := Problem{File: s.file, Field: field, Message: message}
 	for at := field; ; at = parent(at) {
 		if off, ok := s.offsets[at]; ok {
-			p.Line, p.Column = lineColumn(s.text, off)
+			p.Line, p.Column = s.lineColumn(off)
 			return p
 		}
 		if at == "" {
@@ -59,7 +61,7 @@
 // Decode decodes text into dst, which points to a struct; file names the text
 // in problems. Fields without a value in the text keep what dst held before.
 func Decode(file string, text []byte, dst any) (*Source, Problems) {
-	src := &Source{file: file, text: text, offsets: make(map[string]int)}
+	src := &Source{file: file, offsets: make(map[string]int)}
 	if len(text) > MaxBytes {
 		return src, Problems{tooLarge(file)}
 	}
@@ -70,6 +72,7 @@
 	if err != nil {
 		return src, Problems{syntaxProblem(file, err)}
 	}
+	src.lines = lineStarts(text)
 	d := decoder{src: src}
 	d.decodeRoot(root, dst)
 	d.problems.Sort()
@@ -97,11 +100,23 @@
 	return Problem{File: file, Line: line, Column: column, Message: "syntax: " + m[3]}
 }
 
-func lineColumn(text []byte, offset int) (line, column int) {
-	before := text[:offset]
-	line = 1 + bytes.Count(before, []byte("\n"))
-	column = offset - bytes.LastIndexByte(before, '\n')
-	return line, column
+func lineStarts(text []byte) []int {
+	starts := []int{0}
+	for i, b := range text {
+		if b == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
+}
+
+// lineColumn returns the place of the byte at offset, both counted from 1.
+func (s *Source) lineColumn(offset int) (line, column int) {
+	line, found := slices.BinarySearch(s.lines, offset)
+	if found {
+		return line + 1, 1
+	}
+	return line, offset - s.lines[line-1] + 1
 }
 
 // parent cuts the last member or index off a field path.
--- a/internal/plan/changes.go
+++ b/internal/plan/changes.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"reflect"
-	"slices"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -56,17 +55,18 @@
 
 // match pairs the values of two lists by key: first those of olds, then the added ones.
 func match[T any, K comparable](olds, news []T, key func(T) K) []pair[T] {
-	var pairs []pair[T]
+	rest := make(map[K]*T, len(news))
+	for i := range news {
+		rest[key(news[i])] = &news[i]
+	}
+	pairs := make([]pair[T], 0, len(olds))
 	for i := range olds {
-		p := pair[T]{old: &olds[i]}
-		j := slices.IndexFunc(news, func(n T) bool { return key(n) == key(olds[i]) })
-		if j >= 0 {
-			p.new = &news[j]
-		}
-		pairs = append(pairs, p)
+		k := key(olds[i])
+		pairs = append(pairs, pair[T]{old: &olds[i], new: rest[k]})
+		delete(rest, k)
 	}
 	for i := range news {
-		if !slices.ContainsFunc(olds, func(o T) bool { return key(o) == key(news[i]) }) {
+		if _, added := rest[key(news[i])]; added {
 			pairs = append(pairs, pair[T]{new: &news[i]})
 		}
 	}
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -143,9 +143,13 @@
 
 // replicaShare is the share of slots beyond one primary's in each group of s.
 func replicaShare(s config.Service, groups []config.Group) float64 {
+	used := make(map[tables.GroupID]bool, len(s.Databases))
+	for _, g := range s.Databases {
+		used[g] = true
+	}
 	all, replicas := 0, 0
 	for _, g := range groups {
-		if !usesAny(s, []tables.GroupID{g.ID}) {
+		if !used[g.ID] {
 			continue
 		}
 		slots, largest := workingSlots(g)
