--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -4,14 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
-	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/plan"
-	"github.com/cranberrystage/cranberrystage/internal/statusapi"
 	"github.com/pkg/errors"
 )
 
@@ -38,7 +37,9 @@
 		writeChanges(w, p.Changes)
 		fmt.Fprintln(w, "\nexpected cost")
 		writeCost(w, p.Cost)
-		fmt.Fprintf(w, "\nnothing has changed yet; to put it in force: cranberrystage-ctl confirm %s\n", p.ID)
+		if !c.confirmNow {
+			fmt.Fprintf(w, "\nnothing has changed yet; to put it in force: cranberrystage-ctl confirm %s\n", p.ID)
+		}
 	})
 }
 
@@ -121,8 +122,13 @@
 func (c *command) printStatus(answers []answer) error {
 	return c.print(answers, func(w io.Writer) {
 		writeProxies(w, answers)
-		writeGroups(w, answers)
-		writeRefused(w, answers)
+		groups := summarize(statuses(answers))
+		if len(groups) > 0 {
+			writeGroups(w, groups)
+		}
+		if slices.ContainsFunc(groups, func(g groupSummary) bool { return len(g.refused) > 0 }) {
+			writeRefused(w, groups)
+		}
 	})
 }
 
@@ -140,55 +146,29 @@
 	_ = tab.Flush()
 }
 
-func writeGroups(w io.Writer, answers []answer) {
+func writeGroups(w io.Writer, groups []groupSummary) {
 	tab := table(w)
-	fmt.Fprintln(tab, "\nPROXY\tGROUP\tTERM\tPRIMARY\tUPSTREAM\tPOSITION\tLAG\tPROBE")
-	for _, s := range statuses(answers) {
-		for _, g := range s.Groups {
-			for _, u := range g.Upstreams {
-				fmt.Fprintf(tab, "%s\t%s\t%d\t%s\t%s\t%d/%d\t%s\t%s\n", s.VM, g.Group, g.Term, orUnknown(string(g.Primary)),
-					u.Upstream, u.Position.LogTerm, u.Position.Index, lag(u), probe(u))
-			}
+	fmt.Fprintln(tab, "\nGROUP\tTERM\tPRIMARY\tUPSTREAM\tPOSITION\tWORST LAG\tPROBES")
+	for _, g := range groups {
+		for _, u := range g.upstreams {
+			fmt.Fprintf(tab, "%s\t%d\t%s\t%s\t%d/%d\t%s\t%s\n", g.group, g.term, g.primaryText(),
+				u.upstream, u.position.LogTerm, u.position.Index, u.lagText(), u.probeText())
 		}
 	}
 	_ = tab.Flush()
 }
 
-func writeRefused(w io.Writer, answers []answer) {
+func writeRefused(w io.Writer, groups []groupSummary) {
 	tab := table(w)
-	fmt.Fprintln(tab, "\nPROXY\tGROUP\tREFUSED\tCODE")
-	for _, s := range statuses(answers) {
-		for _, g := range s.Groups {
-			for _, r := range g.Refused {
-				in, _ := codes.Lookup(r.Code)
-				fmt.Fprintf(tab, "%s\t%s\t%d\t%d %s: %s\n", s.VM, g.Group, r.Count, r.Code, in.Name, in.Text)
-			}
+	fmt.Fprintln(tab, "\nGROUP\tREFUSED\tCODE")
+	for _, g := range groups {
+		for _, r := range g.refused {
+			fmt.Fprintf(tab, "%s\t%d\t%s\n", g.group, r.Count, refusalText(r.Code))
 		}
 	}
 	_ = tab.Flush()
 }
 
-func lag(u statusapi.Upstream) string {
-	if u.LagMillis < 0 {
-		return "unknown"
-	}
-	return (time.Duration(u.LagMillis) * time.Millisecond).String()
-}
-
-func probe(u statusapi.Upstream) string {
-	if u.Leaving {
-		return u.Cause + ", leaving"
-	}
-	return u.Cause
-}
-
-func orUnknown(s string) string {
-	if s == "" {
-		return "unknown"
-	}
-	return s
-}
-
 func table(w io.Writer) *tabwriter.Writer {
 	const padding = 2
 	return tabwriter.NewWriter(w, 0, 0, padding, ' ', 0)
