--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 BIN := bin
-PROGRAMS := cranberrystage-proxy cranberrystage-ctl cranberrystage-report cranberrystage-bench cranberrystage-standin
+# How long the demonstration loads the proxies.
+DEMO_TIME := 20s
 
-.PHONY: build test lint demo run faults bench slopes clean
+.PHONY: build test lint demo run faults bench clean
 
 build:
 	@mkdir -p $(BIN)
@@ -18,8 +19,18 @@
 clean:
 	rm -rf $(BIN)
 
+# The fault matrix over the decision core, in virtual time.
+faults:
+	go test ./internal/faults -run TestMatrix -v
+
+# Both deployments over separate processes; a primary is killed half-way.
 demo: build
-	scripts/demo.sh
+	scripts/demo.sh $(DEMO_TIME)
 
+# The same set-up, kept running until interrupted.
 run: build
 	scripts/run.sh
+
+# What a proxy costs against direct access and a naive proxy.
+bench: build
+	scripts/bench.sh
