Admit requests before pools, end silent connections and the sessions of vanished VMs

A request that can't make its deadline is refused by the admission queue of its upstream; aged reads on the primary are confirmed when their point has grown too old; connections whose path is lost are closed while their requests wait.

--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -14,6 +14,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
@@ -40,6 +41,8 @@
 	Report(ev event.Event)
 	// Pool returns the connections to an upstream; ok is false if it is not configured.
 	Pool(u tables.UpstreamID) (p *upstream.Pool, ok bool)
+	// Gate returns the admission queue of an upstream; ok is false if it is not configured.
+	Gate(u tables.UpstreamID) (g *gate.Gate, ok bool)
 	// Load returns how many statements run on an upstream now.
 	Load() *Load
 }
--- a/internal/exec/harness_test.go
+++ b/internal/exec/harness_test.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
@@ -27,6 +28,8 @@
 const (
 	testGroup    = tables.GroupID("stock1")
 	testUpstream = tables.UpstreamID("stock1-a")
+	// testGateSlots never holds a request back.
+	testGateSlots = 1000
 )
 
 // fakeCore knows one group whose only server is its primary. Every write is
@@ -34,6 +37,7 @@
 type fakeCore struct {
 	start time.Time
 	pool  *upstream.Pool
+	gate  *gate.Gate
 	load  Load
 
 	mu       sync.Mutex
@@ -52,6 +56,7 @@
 	c.world.Upstreams.Put(testUpstream, tables.Upstream{ID: testUpstream, Group: testGroup, DataCentre: "dc", Slots: 3})
 	c.Confirm(testGroup)
 	c.pool = upstream.NewPool(upstream.Target{Upstream: testUpstream, Address: address, User: "pool", Database: "d", Application: "vm@dc"}, limits)
+	c.gate = gate.New(testGateSlots, testGateSlots, c.Now)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -99,6 +104,8 @@
 
 func (c *fakeCore) Pool(tables.UpstreamID) (*upstream.Pool, bool) { return c.pool, true }
 
+func (c *fakeCore) Gate(tables.UpstreamID) (*gate.Gate, bool) { return c.gate, true }
+
 func (c *fakeCore) Load() *Load { return &c.load }
 
 // rig is an executor over one upstream.
--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -7,8 +7,10 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
+	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/retry"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
@@ -42,6 +44,8 @@
 	exposed  bool
 	servedBy metrics.ServedBy
 	asOf     tables.Time
+	// pass is the right to use the upstream of the present attempt.
+	pass gate.Pass
 }
 
 func (s *callerSession) newRequest(b *callers.Batch, a *callers.Answer) (*request, error) {
@@ -186,6 +190,10 @@
 	if !ok {
 		return r.failed(retry.StageWaiting, d, errors.New("upstream is not configured"))
 	}
+	if err := r.enter(ctx, d); err != nil {
+		return r.notAcquired(ctx, d, err)
+	}
+	defer r.pass.Leave()
 	term := tables.Term(0)
 	if d.Kind == route.KindPrimary {
 		term = d.Term
@@ -226,6 +234,22 @@
 	return false, r.finish(ctx, d, res, started)
 }
 
+// enter waits for the admission queue of the chosen upstream.
+func (r *request) enter(ctx context.Context, d route.Decision) error {
+	g, ok := r.core.Gate(d.Upstream)
+	if !ok {
+		return errors.New("upstream is not configured")
+	}
+	pass, err := g.Enter(ctx, admit.Request{
+		Service:  r.place.service.Name,
+		Weight:   r.place.service.Weight,
+		Priority: r.tags.Priority,
+		Deadline: r.route.Deadline,
+	})
+	r.pass = pass
+	return err
+}
+
 // errTooOld means that a replica's first result came when its age bound had passed.
 var errTooOld = errors.New("the answer is older than stated")
 
@@ -263,6 +287,15 @@
 	return true
 }
 
+// confirmFrom returns since when the primary's term must have been confirmed
+// before its answer goes out. A declared read may rest on an older point.
+func (r *request) confirmFrom(started tables.Time) tables.Time {
+	if r.route.Tags.MaxAge == nil {
+		return started
+	}
+	return min(started, r.core.Now().Add(-*r.route.Tags.MaxAge))
+}
+
 // needsConfirm reports whether an answer of the primary has to be confirmed
 // after it: reads that declare no age promise the newest data.
 func needsConfirm(d route.Decision, t *tags.Tags) bool {
@@ -274,9 +307,12 @@
 	r.s.advance(r.batch, res)
 	if !r.batch.Partial && res.status == statusIdle {
 		pool.Release(c)
+		r.pass.Leave()
 		return
 	}
 	r.s.pin(pool, c)
+	r.s.pass = r.pass
+	r.pass = gate.Pass{}
 }
 
 // exchange runs the batch on c within the deadline; at its end the connection
@@ -342,8 +378,8 @@
 	if res.committed {
 		return r.acknowledge(ctx, d, res)
 	}
-	if res.failure == "" && r.s.status == statusIdle && needsConfirm(d, r.route.Tags) {
-		if err := r.confirmSince(ctx, started, d.Term); err != nil {
+	if res.failure == "" && r.s.status == statusIdle && d.Kind == route.KindPrimary {
+		if err := r.confirmSince(ctx, r.confirmFrom(started), d.Term); err != nil {
 			return err
 		}
 	}
--- a/internal/exec/session.go
+++ b/internal/exec/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/systems/session"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -46,6 +47,8 @@
 	// pinned is the connection of the open transaction.
 	pinned   *upstream.Conn
 	pinnedBy *upstream.Pool
+	// pass is the right to use the pinned connection's upstream.
+	pass gate.Pass
 	// skipping says that messages are ignored up to the next Sync, because one
 	// of a partial batch failed.
 	skipping bool
@@ -201,6 +204,7 @@
 		s.pinnedBy.Discard(s.pinned)
 	}
 	s.pinned, s.pinnedBy = nil, nil
+	s.pass.Leave()
 }
 
 // reportServedBy tells the caller which role answers, when it changes.
--- a/internal/proxy/performer.go
+++ b/internal/proxy/performer.go
@@ -21,6 +21,9 @@
 	controlTimeout = time.Second
 	// platformTimeout bounds a request to the platform, its retries included.
 	platformTimeout = 3 * time.Second
+	// silentBound is how long an answer may be due on a connection once its path
+	// is known to have lost others.
+	silentBound = time.Second
 	// groupRowPrefix is followed by a group's name.
 	groupRowPrefix = "group/"
 )
@@ -75,6 +78,8 @@
 		p.applyDocument(a)
 	case action.CloseConnections:
 		p.closeConnections(a)
+	case action.TerminateSessions:
+		go p.terminateSessions(a)
 	}
 }
 
@@ -243,7 +248,25 @@
 }
 
 func (p *performer) closeConnections(a action.CloseConnections) {
-	if r, ok := p.upstreams.get(a.Upstream); ok {
+	r, ok := p.upstreams.get(a.Upstream)
+	switch {
+	case !ok:
+	case a.BelowTerm == 0:
+		r.pool.CloseSilent(silentBound)
+	default:
 		r.pool.CloseIdle(a.BelowTerm)
 	}
 }
+
+func (p *performer) terminateSessions(a action.TerminateSessions) {
+	r, ok := p.upstreams.get(a.Upstream)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, controlTimeout)
+	defer cancel()
+	n, err := r.control.TerminateVM(ctx, a.VM)
+	if n > 0 || err != nil {
+		p.log.Info("Ended the sessions of a VM that is gone.", "upstream", a.Upstream, "vm", a.VM, "sessions", n, "error", err)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/exec"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
@@ -24,6 +25,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/failover"
 	"github.com/cranberrystage/cranberrystage/internal/systems/membership"
+	"github.com/cranberrystage/cranberrystage/internal/systems/reap"
 	"github.com/cranberrystage/cranberrystage/internal/systems/watch"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/internal/upstream"
@@ -84,6 +86,7 @@
 	world := tables.NewWorld(s.VM, s.DataCentre, s.PeerAddress)
 	p.core = newCore(world, p.systems(), p.performer.perform)
 	p.performer.core = p.core
+	p.upstreams.now = p.core.Now
 	p.confirmers = &confirmers{ctx: ctx, core: p.core, upstreams: p.upstreams}
 	p.exec = exec.New(p, p.metrics)
 	if err := p.listen(); err != nil {
@@ -110,6 +113,7 @@
 		watched,
 		detect.New(detect.DefaultOptions(candidates), random),
 		failover.New(failover.DefaultOptions(candidates), random),
+		reap.New(reap.DefaultOptions(candidates)),
 	}
 }
 
@@ -264,5 +268,14 @@
 	return r.pool, true
 }
 
+// Gate implements exec.Core.
+func (p *Proxy) Gate(u tables.UpstreamID) (*gate.Gate, bool) {
+	r, ok := p.upstreams.get(u)
+	if !ok {
+		return nil, false
+	}
+	return r.gate, true
+}
+
 // Load implements exec.Core.
 func (p *Proxy) Load() *exec.Load { return &p.load }
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/group"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -18,15 +19,18 @@
 
 // remote is one upstream as this process reaches it: a control client and a pool.
 type remote struct {
-	declared config.Upstream
-	control  *group.Client
-	pool     *upstream.Pool
+	declared   config.Upstream
+	queueLimit int
+	control    *group.Client
+	pool       *upstream.Pool
+	gate       *gate.Gate
 }
 
 // upstreams holds the remotes by name. It is safe for concurrent use.
 type upstreams struct {
 	settings    settings.Upstreams
 	application string
+	now         func() tables.Time
 
 	mu sync.RWMutex
 	by map[tables.UpstreamID]*remote
@@ -45,10 +49,11 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	seen := make(map[tables.UpstreamID]bool)
+	limits := queueLimits(doc)
 	for _, g := range doc.Groups {
 		for _, d := range g.Upstreams {
 			seen[d.ID] = true
-			u.ensure(d)
+			u.ensure(d, limits[g.ID])
 		}
 	}
 	for id, r := range u.by {
@@ -59,11 +64,24 @@
 	}
 }
 
-// ensure makes the remote of d exist at its address. The lock must be held.
-func (u *upstreams) ensure(d config.Upstream) {
+// queueLimits returns how many requests may wait for an upstream of each group:
+// as many as all services that use the group declare together.
+func queueLimits(doc config.Document) map[tables.GroupID]int {
+	limits := make(map[tables.GroupID]int)
+	for _, s := range doc.Services {
+		for _, g := range s.Databases {
+			limits[g] += s.QueueLimit
+		}
+	}
+	return limits
+}
+
+// ensure makes the remote of d exist at its address. A remote never changes
+// once it is visible; a new one takes over the connections. The lock must be held.
+func (u *upstreams) ensure(d config.Upstream, queueLimit int) {
 	old := u.by[d.ID]
 	if old != nil && old.declared.Address == d.Address {
-		old.declared = d
+		u.by[d.ID] = u.succeed(old, d, queueLimit)
 		return
 	}
 	if old != nil {
@@ -78,14 +96,28 @@
 		Application: u.application,
 	}
 	r := &remote{
-		declared: d,
-		control:  u.newControl(d.Address),
-		pool:     upstream.NewPool(target, upstream.Limits{Connections: 1, Slots: d.Slots}),
+		declared:   d,
+		queueLimit: queueLimit,
+		gate:       gate.New(d.Slots, queueLimit, u.now),
+		control:    u.newControl(d.Address),
+		pool:       upstream.NewPool(target, upstream.Limits{Connections: 1, Slots: d.Slots}),
 	}
 	go r.pool.Run(context.Background()) // ends when the pool closes
 	u.by[d.ID] = r
 }
 
+// succeed returns a remote with old's connections and d's limits.
+func (u *upstreams) succeed(old *remote, d config.Upstream, queueLimit int) *remote {
+	r := *old
+	r.declared = d
+	if r.queueLimit != queueLimit {
+		r.queueLimit = queueLimit
+		r.gate = gate.New(d.Slots, queueLimit, u.now)
+	}
+	r.gate.SetSlots(d.Slots)
+	return &r
+}
+
 func (u *upstreams) newControl(address string) *group.Client {
 	return group.NewClient(address, u.settings.Control.User, u.settings.Control.Password.Reveal(), u.application)
 }
--- a/internal/systems/action/action.go
+++ b/internal/systems/action/action.go
@@ -117,16 +117,26 @@
 	BelowTerm tables.Term
 }
 
-func (Probe) action()            {}
-func (Fence) action()            {}
-func (Promote) action()          {}
-func (Follow) action()           {}
-func (Publish) action()          {}
-func (ReadGroupRow) action()     {}
-func (WriteGroupRow) action()    {}
-func (ListVMs) action()          {}
-func (ReadHead) action()         {}
-func (LoadDocument) action()     {}
-func (SendDocument) action()     {}
-func (ApplyDocument) action()    {}
-func (CloseConnections) action() {}
+// TerminateSessions ends the sessions that a VM which is gone left open at a
+// server, and with them its slots; it has no end event.
+type TerminateSessions struct {
+	// Upstream is the server.
+	Upstream tables.UpstreamID
+	// VM is the VM that is gone.
+	VM tables.VMID
+}
+
+func (Probe) action()             {}
+func (Fence) action()             {}
+func (Promote) action()           {}
+func (Follow) action()            {}
+func (Publish) action()           {}
+func (ReadGroupRow) action()      {}
+func (WriteGroupRow) action()     {}
+func (ListVMs) action()           {}
+func (ReadHead) action()          {}
+func (LoadDocument) action()      {}
+func (SendDocument) action()      {}
+func (ApplyDocument) action()     {}
+func (CloseConnections) action()  {}
+func (TerminateSessions) action() {}
