--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -7,12 +7,14 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
@@ -39,6 +41,8 @@
 	Report(ev event.Event)
 	// Pool returns the connections to an upstream; ok is false if it is not configured.
 	Pool(u tables.UpstreamID) (p *upstream.Pool, ok bool)
+	// Gate returns the admission queue of an upstream; ok is false if it is not configured.
+	Gate(u tables.UpstreamID) (g *gate.Gate, ok bool)
 	// Load returns how many statements run on an upstream now.
 	Load() *Load
 }
@@ -49,6 +53,8 @@
 	metrics   *metrics.Metrics
 	directory atomic.Pointer[Directory]
 	budgets   budgets
+	// touched holds, by tables.GroupID, when the core was last told of a group's use.
+	touched sync.Map
 }
 
 var _ callers.Executor = (*Executor)(nil)
@@ -65,6 +71,19 @@
 	e.directory.Store(NewDirectory(doc))
 }
 
+// touchInterval is the time between two reports that a group is in use.
+const touchInterval = time.Minute
+
+// touch reports now and then that a group is in use, so that it stays watched.
+func (e *Executor) touch(g tables.GroupID) {
+	now := e.core.Now()
+	if at, ok := e.touched.Load(g); ok && now.Sub(at.(tables.Time)) < touchInterval {
+		return
+	}
+	e.touched.Store(g, now)
+	e.core.Report(event.GroupUsed{Group: g})
+}
+
 // User implements callers.Executor.
 func (e *Executor) User(name string) (config.User, bool) {
 	u, ok := e.directory.Load().users[name]
--- a/internal/peer/tcpbus/tcpbus_test.go
+++ b/internal/peer/tcpbus/tcpbus_test.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/peer"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 )
@@ -57,6 +58,7 @@
 		msg   any
 	}{
 		{peer.TopicHeartbeat, peer.Heartbeat{From: "vm-1", DataCentre: "ub-east", ConfigVersion: 7, Leaving: true}},
+		{peer.TopicMembers, peer.Members{Members: []peer.Member{{VM: "vm-2", HeardMillis: -1, Silent: true}}}},
 		{peer.TopicObservation, peer.Observation{From: "vm-1", Upstream: "u", Cause: tables.CauseSilent, FailingMillis: 9}},
 		{peer.TopicGroup, peer.GroupState{Group: "g", Term: 3, Primary: "u"}},
 		{peer.TopicConfig, peer.Config{Version: 4, Document: make([]byte, 1<<16)}},
@@ -65,11 +67,24 @@
 		a.Send(b.Addr(), m.topic, m.msg)
 		assert.DeepEqual(t, <-in, m.msg)
 	}
-	assert.Equal(t, a.Stats().FramesSent, uint64(4))
+	assert.Equal(t, a.Stats().FramesSent, uint64(5))
 	assert.Equal(t, a.Stats().BytesSent, b.Stats().BytesReceived)
 	assert.Equal(t, a.Stats().Dropped, uint64(0))
 }
 
+func TestRegister(t *testing.T) {
+	b := open(t, loopback, Options{})
+	b.stats.dropped.Add(3)
+	registry := prometheus.NewRegistry()
+	assert.NilError(t, b.Register(registry))
+	assert.ErrorContains(t, b.Register(registry), "register")
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	assert.Equal(t, len(families), len(metrics))
+	assert.Equal(t, families[0].GetName(), "cranberrystage_peer_dropped_messages_total")
+	assert.Equal(t, families[0].GetMetric()[0].GetCounter().GetValue(), 3.0)
+}
+
 func TestReconnectAfterRestart(t *testing.T) {
 	a := open(t, loopback, Options{MinBackoff: time.Millisecond, MaxBackoff: time.Millisecond})
 	b := open(t, loopback, Options{})
--- a/internal/systems/ack/tracker.go
+++ b/internal/systems/ack/tracker.go
@@ -56,8 +56,9 @@
 )
 
 type round struct {
-	number  uint64
-	phase   phase
+	number uint64
+	phase  phase
+	// commits are in ascending order of position; covered are the first of them.
 	commits []Commit
 	covered []Commit
 	asked   []tables.UpstreamID
@@ -118,6 +119,7 @@
 	}
 	t.next++
 	t.round = round{number: t.next, phase: phaseReplicas, commits: slices.Clone(t.waiting)}
+	slices.SortFunc(t.round.commits, func(a, b Commit) int { return a.Position.Compare(b.Position) })
 	primary := t.waiting[0].Primary
 	for _, m := range t.members {
 		if m != primary {
@@ -130,6 +132,23 @@
 	return t.asks(t.round.asked)
 }
 
+// Retry asks the replicas again whose answers covered nothing, so that a round
+// does not wait for a replica that never answers. The caller paces the calls.
+func (t *Tracker) Retry() []Ask {
+	if t.round.phase != phaseReplicas {
+		return nil
+	}
+	var again []tables.UpstreamID
+	for _, p := range t.round.reports {
+		if !slices.Contains(t.round.asked, p.Upstream) {
+			again = append(again, p.Upstream)
+		}
+	}
+	t.round.reports = nil
+	t.round.asked = append(t.round.asked, again...)
+	return t.asks(again)
+}
+
 // Abort ends the round under way without a decision.
 func (t *Tracker) Abort() { t.round.phase = phaseIdle }
 
@@ -171,9 +190,10 @@
 func (t *Tracker) advance() []Ask {
 	r := &t.round
 	for _, c := range r.commits {
-		if t.rule.covered(c, t.members, r.reports) {
-			r.covered = append(r.covered, c)
+		if !t.rule.covered(c, t.members, r.reports) {
+			break
 		}
+		r.covered = append(r.covered, c)
 	}
 	if len(r.covered) == 0 {
 		if len(r.asked) == 0 {
--- a/internal/systems/event/event.go
+++ b/internal/systems/event/event.go
@@ -51,6 +51,13 @@
 	Cause tables.Cause
 }
 
+// GroupUsed says that a caller's request needs a group that is not watched, or
+// was watched for long.
+type GroupUsed struct {
+	// Group is the group.
+	Group tables.GroupID
+}
+
 // ControlDone ends a Fence, Promote or Follow.
 type ControlDone struct {
 	// Group is the server's group.
@@ -67,8 +74,8 @@
 	Status tables.Status
 }
 
-// PeerMessage is a message from another proxy: a peer.Heartbeat, peer.Observation,
-// peer.GroupState or peer.Config.
+// PeerMessage is a message from another proxy: a peer.Heartbeat, peer.Members,
+// peer.Observation, peer.GroupState or peer.Config.
 type PeerMessage struct {
 	// Message is the typed message by value.
 	Message any
@@ -124,6 +131,7 @@
 
 func (ProbeDone) event()       {}
 func (StatementFailed) event() {}
+func (GroupUsed) event()       {}
 func (ControlDone) event()     {}
 func (PeerMessage) event()     {}
 func (GroupRowRead) event()    {}
