Hide which users exist, report startup settings as asked for, survive a shortage of files

An unknown user's login failed one message early; a caller that asked for another client encoding was told UTF8; a failed accept ended the process.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"log/slog"
 	"net"
@@ -91,6 +93,8 @@
 	executor Executor
 	log      *slog.Logger
 	listener net.Listener
+	// decoyKey derives the salts of unknown users.
+	decoyKey []byte
 
 	nextPID  atomic.Uint32
 	open     atomic.Int64
@@ -105,7 +109,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	return &Server{opts: opts.withDefaults(), executor: ex, log: log, listener: l}, nil
+	key := make([]byte, sha256.Size)
+	if _, err := rand.Read(key); err != nil {
+		_ = l.Close()
+		return nil, errors.Wrap(err, "make a key")
+	}
+	return &Server{opts: opts.withDefaults(), executor: ex, log: log, listener: l, decoyKey: key}, nil
 }
 
 // Addr returns the bound address.
@@ -124,13 +133,31 @@
 			if ctx.Err() != nil || s.draining.Load() {
 				return nil
 			}
-			return errors.Wrap(err, "accept caller")
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "accept caller")
+			}
+			// The process is short of something, such as open files.
+			s.log.Warn("Could not accept a caller.", "error", err)
+			pause(ctx, acceptPause)
+			continue
 		}
 		s.done.Add(1)
 		go s.serve(ctx, nc)
 	}
 }
 
+// acceptPause is the pause after a caller could not be accepted.
+const acceptPause = 50 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (s *Server) serve(ctx context.Context, nc net.Conn) {
 	defer s.done.Done()
 	defer func() { _ = nc.Close() }()
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -16,6 +16,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -178,6 +179,89 @@
 	assert.Equal(t, sqlState(err2), "28P01")
 }
 
+// authMessages returns the kinds of the server's messages during a login.
+func authMessages(t *testing.T, s *Server, user string) (kinds []string, salt string) {
+	nc, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer nc.Close()
+	fe := pgproto3.NewFrontend(nc, nc)
+	fe.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": user}})
+	for {
+		assert.NilError(t, fe.Flush())
+		msg, err := fe.Receive()
+		assert.NilError(t, err)
+		kinds = append(kinds, fmt.Sprintf("%T", msg))
+		switch m := msg.(type) {
+		case *pgproto3.AuthenticationSASL:
+			fe.Send(&pgproto3.SASLInitialResponse{AuthMechanism: mechanism, Data: []byte("n,,n=,r=abc")})
+		case *pgproto3.AuthenticationSASLContinue:
+			_, salt, _ = strings.Cut(string(m.Data), ",s=")
+			nonce, _, _ := strings.Cut(strings.TrimPrefix(string(m.Data), "r="), ",")
+			fe.Send(&pgproto3.SASLResponse{Data: []byte("c=biws,r=" + nonce + ",p=AAAA")})
+		default:
+			return kinds, salt
+		}
+	}
+}
+
+func TestUnknownUserSeesTheWholeExchange(t *testing.T) {
+	s := startServer(t, newFakeExecutor(t), Options{})
+	known, _ := authMessages(t, s, testUser)
+	unknown, salt1 := authMessages(t, s, "nobody")
+	_, salt2 := authMessages(t, s, "nobody")
+	_, other := authMessages(t, s, "somebody")
+	assert.DeepEqual(t, known, unknown)
+	assert.Equal(t, len(unknown), 3)
+	assert.Equal(t, salt1, salt2)
+	assert.Assert(t, salt1 != other)
+}
+
+func TestReportedSettingsAreThoseAskedFor(t *testing.T) {
+	s := startServer(t, newFakeExecutor(t), Options{})
+	cfg, err := pgconn.ParseConfig(url(s, testUser, "disable"))
+	assert.NilError(t, err)
+	cfg.RuntimeParams["client_encoding"] = "LATIN1"
+	cfg.RuntimeParams["datestyle"] = "ISO"
+	cfg.RuntimeParams["TimeZone"] = "Africa/Tunis"
+	c, err := pgconn.ConnectConfig(context.Background(), cfg)
+	assert.NilError(t, err)
+	defer c.Conn().Close()
+	assert.Equal(t, c.ParameterStatus("client_encoding"), "LATIN1")
+	assert.Equal(t, c.ParameterStatus("DateStyle"), "ISO, MDY")
+	assert.Equal(t, c.ParameterStatus("TimeZone"), "Africa/Tunis")
+	assert.Equal(t, connect(t, s).ParameterStatus("client_encoding"), "UTF8")
+}
+
+// failingListener fails to accept a few times.
+type failingListener struct {
+	net.Listener
+	left atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.left.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+func TestServerSurvivesARunOutOfFiles(t *testing.T) {
+	e := newFakeExecutor(t)
+	s, err := New("127.0.0.1:0", e, Options{MaxCallers: 1, MaxFrame: 1000, StartupTimeout: time.Second}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	assert.NilError(t, err)
+	l := &failingListener{Listener: s.listener}
+	l.left.Store(2)
+	s.listener = l
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- s.Run(ctx) }()
+	_, err = query(connect(t, s), "q")
+	assert.NilError(t, err)
+	stop()
+	assert.NilError(t, <-ended)
+}
+
 func TestTLS(t *testing.T) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
--- a/internal/callers/startup.go
+++ b/internal/callers/startup.go
@@ -1,10 +1,13 @@
 package callers
 
 import (
+	"crypto/hmac"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"encoding/base64"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
@@ -96,29 +99,47 @@
 		return c.fatal(asCode(err))
 	}
 	c.exec = ex
-	if !c.welcome() {
+	if !c.welcome(m.Parameters) {
 		ex.Close()
 		return false
 	}
 	return true
 }
 
-func (c *session) welcome() bool {
+// reported are the settings that a caller is told when it connects. One that
+// the caller asked for in its startup message is reported as asked for.
+var reported = []struct{ name, value string }{
+	{"server_version", "15.0"},
+	{"server_encoding", "UTF8"},
+	{"client_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"},
+	{"IntervalStyle", ""},
+	{"TimeZone", ""},
+	{"integer_datetimes", "on"},
+	{"standard_conforming_strings", "on"},
+}
+
+// reportedValue returns what the caller is told; empty means nothing.
+func reportedValue(name, value string, params map[string]string) string {
+	for n, v := range params {
+		if strings.EqualFold(n, name) && v != "" && !strings.HasPrefix(value, strings.ToUpper(v)) {
+			return v
+		}
+	}
+	return value
+}
+
+func (c *session) welcome(params map[string]string) bool {
 	c.pid = c.server.nextPID.Add(1)
 	c.secret = make([]byte, secretBytes)
 	if _, err := rand.Read(c.secret); err != nil {
 		return false
 	}
 	c.be.Send(&pgproto3.AuthenticationOk{})
-	for _, p := range [][2]string{
-		{"server_version", "15.0"},
-		{"server_encoding", "UTF8"},
-		{"client_encoding", "UTF8"},
-		{"DateStyle", "ISO, MDY"},
-		{"integer_datetimes", "on"},
-		{"standard_conforming_strings", "on"},
-	} {
-		c.be.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	for _, r := range reported {
+		if v := reportedValue(r.name, r.value, params); v != "" {
+			c.be.Send(&pgproto3.ParameterStatus{Name: r.name, Value: v})
+		}
 	}
 	c.be.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
 	c.be.Send(&pgproto3.ReadyForQuery{TxStatus: statusIdle})
@@ -173,7 +194,7 @@
 	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
 		u, ok := c.server.executor.User(user)
 		if !ok {
-			return scram.StoredCredentials{}, errors.New("unknown user")
+			return c.server.decoy(user), nil
 		}
 		return credentials(u)
 	})
@@ -183,6 +204,24 @@
 	return server.NewConversation(), nil
 }
 
+// decoyIterations is the iteration count that unknown users are told.
+const decoyIterations = 4096
+
+// decoy returns a verifier that no password fits. It is the same each time, so
+// that an unknown user can't be told from a known one by its salt.
+func (s *Server) decoy(user string) scram.StoredCredentials {
+	mac := hmac.New(sha256.New, s.decoyKey)
+	mac.Write([]byte(user))
+	salt := mac.Sum(nil)
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(salt[:decoySaltBytes]), Iters: decoyIterations},
+		StoredKey:  make([]byte, sha256.Size),
+		ServerKey:  make([]byte, sha256.Size),
+	}
+}
+
+const decoySaltBytes = 16
+
 func credentials(u config.User) (scram.StoredCredentials, error) {
 	var sc scram.StoredCredentials
 	salt, err1 := base64.StdEncoding.DecodeString(u.Salt)
