Keep new connections out of question after CloseSilent

A pool with connections in steady use stayed in question for good, so that a later long statement was closed as silent. The new test failed before.

--- a/internal/upstream/janitor.go
+++ b/internal/upstream/janitor.go
@@ -14,8 +14,8 @@
 
 // silence is what CloseSilent asked for.
 type silence struct {
-	// before is the time, by sinceStart, before which the last byte passed on
-	// the connections in question; 0 means none.
+	// before is the time, by sinceStart, before which the last byte arrived on
+	// the connections in question; 0 means that there are none.
 	before int64
 	// bound is how long an answer may be due on them.
 	bound time.Duration
@@ -116,16 +116,16 @@
 }
 
 // CloseSilent is called when connections to the server seem to have lost their
-// path while new ones work. It closes idle connections on which no byte passed
-// for olderThan, and busy ones on which an answer has been due for that long;
-// requests on those end at once. Other connections that are open now stay in
-// question until a byte arrives on them: they are closed as soon as an answer
-// is due for olderThan.
+// path while new ones work. It closes idle connections, and busy ones on which
+// an answer has been due for olderThan; requests on those end at once. The other
+// connections that are open now stay in question until a byte arrives on them:
+// they are closed as soon as an answer is due for olderThan. Connections that
+// are opened later are not concerned.
 func (p *Pool) CloseSilent(olderThan time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.silence = silence{before: sinceStart(), bound: olderThan}
-	p.closeIdleWhere(len(p.idle), func(c *Conn) bool { return c.net.unusedFor() >= olderThan })
+	p.closeIdleWhere(len(p.idle), anyConn)
 	p.closeQuestioned()
 	p.seek()
 	p.alert()
@@ -138,7 +138,7 @@
 		return false
 	}
 	for c := range p.busy {
-		if c.net.active.Load() > p.silence.before && !c.net.due.Load() {
+		if c.net.heard.Load() >= p.silence.before {
 			continue
 		}
 		left = true
@@ -146,7 +146,7 @@
 			c.close()
 		}
 	}
-	if !left && len(p.idle) == 0 {
+	if !left {
 		p.silence = silence{}
 	}
 	return left
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -302,6 +302,22 @@
 	p.Release(c)
 }
 
+func TestLongStatementOnANewConnectionSurvivesCloseSilent(t *testing.T) {
+	s := startServer(t, dbserver.Config{Slots: 3, Connections: 10})
+	p := startPool(t, s.Addr(), "vm", Limits{Connections: 3, Slots: 3})
+	pinned := acquire(t, p, 1)
+	p.CloseSilent(20 * time.Millisecond)
+	fresh := acquire(t, p, 1)
+	_, err := fresh.simple("SELECT pg_sleep(0.1)")
+	assert.NilError(t, err, "a new connection is not in question")
+	_, err = pinned.simple("SELECT 1")
+	assert.NilError(t, err)
+	_, err = pinned.simple("SELECT pg_sleep(0.1)")
+	assert.NilError(t, err, "a connection on which a byte arrived is no longer in question")
+	p.Release(fresh)
+	p.Release(pinned)
+}
+
 func TestCancelledConnectionIsNotReused(t *testing.T) {
 	s := startServer(t, dbserver.Config{Slots: 3, Connections: 10})
 	p := startPool(t, s.Addr(), "vm", Limits{Connections: 3, Slots: 3})
--- a/internal/upstream/watched.go
+++ b/internal/upstream/watched.go
@@ -14,8 +14,9 @@
 // watchedConn records when bytes last passed and whether an answer is due.
 type watchedConn struct {
 	net.Conn
-	// active is the time of the last read or write that moved bytes.
-	active atomic.Int64
+	// active is the time of the last read or write that moved bytes, heard that
+	// of the last read.
+	active, heard atomic.Int64
 	// due is set from the first byte of a request until settle.
 	due atomic.Bool
 }
@@ -24,7 +25,9 @@
 func (w *watchedConn) Read(b []byte) (int, error) {
 	n, err := w.Conn.Read(b)
 	if n > 0 {
-		w.active.Store(sinceStart())
+		now := sinceStart()
+		w.active.Store(now)
+		w.heard.Store(now)
 	}
 	return n, err
 }
@@ -50,8 +53,3 @@
 	}
 	return time.Duration(sinceStart() - w.active.Load())
 }
-
-// unusedFor returns how long no byte has passed.
-func (w *watchedConn) unusedFor() time.Duration {
-	return time.Duration(sinceStart() - w.active.Load())
-}
