--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
@@ -35,6 +34,7 @@
 	a     *callers.Answer
 	place place
 	tags  tags.Tags
+	seen  inspection
 
 	arrived  tables.Time
 	route    route.Request
@@ -49,25 +49,29 @@
 	if !ok {
 		return nil, codes.New(codes.UnknownService, codes.NotRun, 0, s.database)
 	}
-	sql := s.sql(b)
-	merged, err := s.merge(sql, place)
+	merged, err := s.merge(s.sql(b), place)
 	if err != nil {
 		return nil, err
 	}
-	if err := checkState(sql); err != nil {
+	seen, err := inspectAll(s.statements(b), s.status != statusIdle, len(s.pending) > 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.settings.admits(append(s.pending, seen.changes...)); err != nil {
 		return nil, err
 	}
 	core := s.exec.core
+	s.exec.touch(place.group)
 	r := &request{
 		s: s, core: core, batch: b, a: a, place: place, tags: merged,
-		arrived: core.Now(), servedBy: metrics.ServedByNone,
+		arrived: core.Now(), servedBy: metrics.ServedByNone, seen: seen,
 	}
 	r.route = route.Request{
 		Group:         place.group,
 		Tags:          &r.tags,
 		ArrivedAt:     r.arrived,
 		Deadline:      r.arrived.Add(merged.Deadline),
-		InTransaction: opensTransaction(sql),
+		InTransaction: seen.opens,
 		Load:          core.Load(),
 	}
 	r.route.ForSession(s.session)
@@ -139,6 +143,9 @@
 		case route.KindWaitReplica:
 			r.core.Confirm(r.place.group)
 		case route.KindRefuse:
+			if d.Err.Code == codes.UnknownService {
+				r.core.Report(event.GroupUsed{Group: r.place.group})
+			}
 			if !r.worthWaiting(now, d) {
 				return d, d.Err
 			}
@@ -150,10 +157,11 @@
 	}
 }
 
-// worthWaiting reports whether a refused request may wait for a primary: for a
-// part of its deadline, so that the answer comes well before it.
+// worthWaiting reports whether a refused request may wait for a primary, or
+// for its group to be watched: for a part of its deadline, so that the answer
+// comes well before it.
 func (r *request) worthWaiting(now tables.Time, d route.Decision) bool {
-	if d.Err.Code != codes.NoPrimary {
+	if d.Err.Code != codes.NoPrimary && d.Err.Code != codes.UnknownService {
 		return false
 	}
 	patience := min(primaryPatience, r.tags.Deadline/2)
@@ -190,6 +198,10 @@
 		pool.Release(c)
 		return true, nil
 	}
+	if err := c.Adopt(ctx, r.s.settings.text); err != nil {
+		pool.Discard(c)
+		return r.notAdopted(ctx, d, err)
+	}
 	r.core.Load().Add(d.Upstream, 1)
 	defer r.core.Load().Add(d.Upstream, -1)
 	started := r.core.Now()
@@ -209,6 +221,7 @@
 		pool.Discard(c)
 		return r.rejected(d)
 	}
+	r.s.settle(c, r.seen, res)
 	r.keep(pool, c, res)
 	return false, r.finish(ctx, d, res, started)
 }
@@ -256,10 +269,10 @@
 	return d.Kind == route.KindPrimary && t.MaxAge == nil
 }
 
-// keep releases the connection, or pins it while a transaction is open.
+// keep releases the connection, or pins it while a transaction or a batch is open.
 func (r *request) keep(pool *upstream.Pool, c *upstream.Conn, res exchangeResult) {
-	r.s.status = res.status
-	if res.status == statusIdle {
+	r.s.advance(r.batch, res)
+	if !r.batch.Partial && res.status == statusIdle {
 		pool.Release(c)
 		return
 	}
@@ -269,7 +282,9 @@
 // exchange runs the batch on c within the deadline; at its end the connection
 // is cut off and the upstream asked to cancel.
 func (r *request) exchange(ctx context.Context, c *upstream.Conn, onResult func() error) (exchangeResult, error) {
-	r.s.setRunning(c)
+	if !r.s.setRunning(c) {
+		return exchangeResult{stage: retry.StageWaiting}, errCancelled
+	}
 	defer r.s.setRunning(nil)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	res, err := exchange(c, r.outgoing(c), r.a, onResult)
@@ -291,9 +306,9 @@
 
 func (r *request) outgoing(c *upstream.Conn) outgoing {
 	if r.batch.Simple {
-		return outgoing{messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: r.batch.Query}}, executes: true}
+		return outgoing{messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: r.batch.Query}}}
 	}
-	return r.s.prepared.translate(r.batch.Messages, c.Prepared)
+	return r.s.prepared.translate(r.batch.Messages, r.batch.Partial, c.Prepared)
 }
 
 // runPinned runs the batch on the open transaction's connection.
@@ -309,8 +324,9 @@
 		r.reportLoss(d.Upstream, err)
 		return r.lostAnswer(ctx, res.stage, err)
 	}
-	r.s.status = res.status
-	if res.status == statusIdle {
+	r.s.settle(c, r.seen, res)
+	r.s.advance(r.batch, res)
+	if !r.batch.Partial && res.status == statusIdle {
 		r.s.unpin(true)
 	}
 	return r.finish(ctx, d, res, started)
@@ -326,7 +342,7 @@
 	if res.committed {
 		return r.acknowledge(ctx, d, res)
 	}
-	if res.failure == "" && res.status == statusIdle && needsConfirm(d, r.route.Tags) {
+	if res.failure == "" && r.s.status == statusIdle && needsConfirm(d, r.route.Tags) {
 		if err := r.confirmSince(ctx, started, d.Term); err != nil {
 			return err
 		}
@@ -395,6 +411,16 @@
 	return r.failed(retry.StageWaiting, d, err)
 }
 
+// notAdopted handles a connection that did not take the session's settings; the
+// request was not sent.
+func (r *request) notAdopted(ctx context.Context, d route.Decision, err error) (bool, error) {
+	var answered *upstream.ServerError
+	if errors.As(err, &answered) {
+		return false, r.mark(refuseState("the server refuses the session's settings: " + answered.Error()))
+	}
+	return r.notAcquired(ctx, d, err)
+}
+
 // rejected handles a primary that answered that it does not lead at the term.
 func (r *request) rejected(d route.Decision) (bool, error) {
 	r.a.Drop()
@@ -406,7 +432,7 @@
 // broken handles a connection that broke during the exchange.
 func (r *request) broken(ctx context.Context, stage retry.Stage, d route.Decision, err error) (bool, error) {
 	if _, ok := codes.From(err); ok {
-		return false, err
+		return false, r.mark(err)
 	}
 	if ctx.Err() != nil || r.a.Started() {
 		return false, r.lostAnswer(ctx, stage, err)
@@ -490,37 +516,3 @@
 		r.s.exec.metrics.ObserveReadAge(r.place.service.Name, age, age <= *r.tags.MaxAge+took)
 	}
 }
-
-// firstWord returns the first keyword of sql in lower case, comments skipped.
-func firstWord(sql string) string {
-	for {
-		sql = strings.TrimLeft(sql, " \t\r\n;")
-		if !strings.HasPrefix(sql, "/*") {
-			break
-		}
-		_, rest, ok := strings.Cut(sql, "*/")
-		if !ok {
-			return ""
-		}
-		sql = rest
-	}
-	end := strings.IndexAny(sql, " \t\r\n;(")
-	if end < 0 {
-		end = len(sql)
-	}
-	return strings.ToLower(sql[:end])
-}
-
-func opensTransaction(sql string) bool {
-	w := firstWord(sql)
-	return w == "begin" || w == "start"
-}
-
-// checkState refuses statements that would leave state on a shared connection.
-func checkState(sql string) error {
-	switch firstWord(sql) {
-	case "set", "listen", "unlisten", "prepare", "declare", "load", "discard", "reset":
-		return codes.New(codes.SessionState, codes.NotRun, 0, firstWord(sql))
-	}
-	return nil
-}
--- a/internal/systems/configure/cluster_test.go
+++ b/internal/systems/configure/cluster_test.go
@@ -21,7 +21,7 @@
 	return systemstest.NewCluster(seed, vms, dcs, func(rng *rand.Rand) []systemstest.System {
 		return []systemstest.System{
 			membership.New(membership.DefaultOptions(), rng),
-			configure.New(rng),
+			configure.New(configure.ApplyAll, rng),
 		}
 	})
 }
@@ -115,7 +115,7 @@
 	opts := membership.DefaultOptions()
 	opts.Seeds = []tables.VM{seed}
 	c := systemstest.NewCluster(13, 60, 6, func(rng *rand.Rand) []systemstest.System {
-		return []systemstest.System{membership.New(opts, rng), configure.New(rng)}
+		return []systemstest.System{membership.New(opts, rng), configure.New(configure.ApplyAll, rng)}
 	})
 	confirm(c)
 	c.Run(10 * time.Second)
@@ -134,6 +134,7 @@
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
 			for b.Loop() {
 				c := newCluster(1, n, max(1, min(26, n/5)))
+				confirm(c)
 				c.Run(5 * time.Second)
 				confirm(c)
 				before := documents(c)
--- a/internal/systems/membership/membership_test.go
+++ b/internal/systems/membership/membership_test.go
@@ -156,6 +156,17 @@
 	assert.Assert(t, !f.vm("vm-1").Leaving)
 }
 
+func TestOwnLeavingIsSentAtOnce(t *testing.T) {
+	f := newFixture()
+	f.hear(0, "vm-1", false)
+	f.tickTo(0, 2*second)
+	f.w.Leaving = true
+	sent := f.Tick(2*second+1, f.w)
+	assert.Equal(t, len(sent), 1)
+	assert.Assert(t, sent[0].(action.Publish).Message.(peer.Heartbeat).Leaving)
+	assert.Equal(t, len(f.Tick(2*second+2, f.w)), 0)
+}
+
 func TestUpstreamLeavingByList(t *testing.T) {
 	f := newFixture()
 	f.w.Upstreams.Put("u", tables.Upstream{ID: "u"})
@@ -170,6 +181,16 @@
 	assert.Assert(t, !row.Leaving)
 }
 
+func TestProbeIsAnswered(t *testing.T) {
+	f := newFixture()
+	probe := peer.Heartbeat{From: "vm-1", DataCentre: "dc-1", PeerAddress: "10.0.0.2:1", Probe: true}
+	f.hear(0, "vm-1", false)
+	answer := f.Handle(second, f.w, event.PeerMessage{Message: probe})
+	assert.Equal(t, len(answer), 1)
+	assert.DeepEqual(t, answer[0].(action.Publish).To, []tables.VMID{"vm-1"})
+	assert.Assert(t, !answer[0].(action.Publish).Message.(peer.Heartbeat).Probe)
+}
+
 func TestYoungerEvidenceWins(t *testing.T) {
 	member := func(heard int64, silent bool) peer.Member {
 		return peer.Member{VM: "vm-1", DataCentre: "dc-1", PeerAddress: "10.0.0.2:1", HeardMillis: heard, Silent: silent}
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -22,7 +22,7 @@
 stop_all() {
   local f
   for f in "$run_dir"/*.pid; do
-    [ -e "$f" ] && kill "$(cat "$f")" 2>/dev/null
+    kill "$(cat "$f")" 2>/dev/null || true
   done
   wait 2>/dev/null || true
 }
