--- a/internal/exec/session.go
+++ b/internal/exec/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/systems/session"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -46,6 +47,8 @@
 	// pinned is the connection of the open transaction.
 	pinned   *upstream.Conn
 	pinnedBy *upstream.Pool
+	// pass is the right to use the pinned connection's upstream.
+	pass gate.Pass
 	// skipping says that messages are ignored up to the next Sync, because one
 	// of a partial batch failed.
 	skipping bool
@@ -53,10 +56,10 @@
 	// to roll back.
 	lost bool
 
-	mu          sync.Mutex
-	running     *upstream.Conn
-	stopWaiting context.CancelFunc
-	cancelled   bool
+	mu        sync.Mutex
+	running   *upstream.Conn
+	waiting   *requestContext
+	cancelled bool
 }
 
 var _ callers.Session = (*callerSession)(nil)
@@ -81,6 +84,9 @@
 }
 
 func (s *callerSession) serve(ctx context.Context, b *callers.Batch, a *callers.Answer) error {
+	if err := s.prepared.admits(b.Messages); err != nil {
+		return err
+	}
 	if done, err := s.local(b, a); done {
 		return err
 	}
@@ -88,11 +94,12 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.tags.Deadline)
-	defer cancel()
-	s.setWaiting(cancel)
+	r.ctx.parent = ctx
+	r.ctx.deadline = time.Now().Add(r.tags.Deadline)
+	defer r.ctx.release()
+	s.setWaiting(&r.ctx)
 	defer s.setWaiting(nil)
-	err = r.run(ctx)
+	err = r.run(&r.ctx)
 	r.observe(err)
 	return err
 }
@@ -142,9 +149,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running == nil {
-		if s.stopWaiting != nil {
+		if s.waiting != nil {
 			s.cancelled = true
-			s.stopWaiting()
+			s.waiting.stop()
 		}
 		return
 	}
@@ -171,10 +178,10 @@
 }
 
 // setWaiting says how to end the wait of the request that begins now.
-func (s *callerSession) setWaiting(stop context.CancelFunc) {
+func (s *callerSession) setWaiting(ctx *requestContext) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopWaiting = stop
+	s.waiting = ctx
 	s.cancelled = false
 }
 
@@ -198,6 +205,7 @@
 		s.pinnedBy.Discard(s.pinned)
 	}
 	s.pinned, s.pinnedBy = nil, nil
+	s.pass.Leave()
 }
 
 // reportServedBy tells the caller which role answers, when it changes.
