Give all status requests of a round one time of sending

Cause: each request noted its own time in its own goroutine, so the primary's read was often later than the others' answers and its point stayed unconfirmed until another round; reads without a declared age waited for several rounds. Errors are also logged without their stacks.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -10,7 +10,15 @@
 
 // New returns a logger that writes text records of at least level to w.
 func New(w io.Writer, level slog.Leveler) *slog.Logger {
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: shortError}))
+}
+
+// shortError writes an error as its message, without the stack that it carries.
+func shortError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
 }
 
 // For returns a logger whose messages start with the part's prefix, as in
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -15,3 +16,9 @@
 	log.Info("Promoted a new primary.", "term", 7)
 	assert.Assert(t, strings.Contains(b.String(), `msg="failover: Promoted a new primary." group=g1 term=7`), b.String())
 }
+
+func TestErrorsAreLoggedWithoutTheirStack(t *testing.T) {
+	var b bytes.Buffer
+	New(&b, slog.LevelInfo).Info("Failed.", "error", errors.Wrap(errors.New("inner"), "outer"))
+	assert.Assert(t, strings.Contains(b.String(), `error="outer: inner"`), b.String())
+}
--- a/internal/proxy/confirmer.go
+++ b/internal/proxy/confirmer.go
@@ -149,10 +149,10 @@
 	}
 	c.notUntil = now.Add(roundSpacing)
 	if wantPoint {
-		c.askAll(ctx)
+		c.askAll(ctx, now)
 	}
 	for _, a := range c.tracker.Start() {
-		c.askFor(ctx, a)
+		c.askFor(ctx, a, now)
 	}
 	c.settle()
 	return c.retryDelay()
@@ -220,30 +220,33 @@
 	}
 }
 
-// askAll asks every member that has no request under way.
-func (c *confirmer) askAll(ctx context.Context) {
+// askAll asks every member that has no request under way. All requests carry
+// the same time, so that the primary's answer can be confirmed by the others'
+// whatever the order in which they leave.
+func (c *confirmer) askAll(ctx context.Context, now tables.Time) {
 	for _, m := range c.members {
 		if !c.inFlight[m] {
-			c.ask(ctx, m, 0)
+			c.ask(ctx, m, 0, now)
 		}
 	}
 }
 
 // askFor sends a request of a round, after the one under way if there is one.
-func (c *confirmer) askFor(ctx context.Context, a ack.Ask) {
+func (c *confirmer) askFor(ctx context.Context, a ack.Ask, now tables.Time) {
 	if c.inFlight[a.Upstream] {
 		c.queued[a.Upstream] = a.Round
 		return
 	}
-	c.ask(ctx, a.Upstream, a.Round)
+	c.ask(ctx, a.Upstream, a.Round, now)
 }
 
-func (c *confirmer) ask(ctx context.Context, u tables.UpstreamID, round uint64) {
+// ask sends a request; sentAt is no later than the moment at which it leaves.
+func (c *confirmer) ask(ctx context.Context, u tables.UpstreamID, round uint64, sentAt tables.Time) {
 	c.inFlight[u] = true
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 		defer cancel()
-		a := statusAnswer{upstream: u, sentAt: c.core.Now(), round: round}
+		a := statusAnswer{upstream: u, sentAt: sentAt, round: round}
 		a.status, a.cause = c.upstreams.probe(ctx, u, false)
 		c.answers <- a
 	}()
@@ -257,7 +260,7 @@
 	}
 	if round, ok := c.queued[a.upstream]; ok && !c.inFlight[a.upstream] {
 		delete(c.queued, a.upstream)
-		c.ask(ctx, a.upstream, round)
+		c.ask(ctx, a.upstream, round, c.core.Now())
 	}
 }
 
@@ -267,7 +270,7 @@
 		return
 	}
 	for _, next := range c.tracker.Answer(a.round, a.upstream, a.status) {
-		c.askFor(ctx, next)
+		c.askFor(ctx, next, c.core.Now())
 	}
 }
 
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -33,7 +33,7 @@
 type core struct {
 	world   *tables.World
 	systems []system
-	perform func(w *tables.World, a action.Action)
+	perform func(now tables.Time, w *tables.World, a action.Action)
 	started time.Time
 
 	inbox    chan event.Event
@@ -43,7 +43,7 @@
 	changed  atomic.Pointer[chan struct{}]
 }
 
-func newCore(w *tables.World, systems []system, perform func(*tables.World, action.Action)) *core {
+func newCore(w *tables.World, systems []system, perform func(tables.Time, *tables.World, action.Action)) *core {
 	c := &core{
 		world:    w,
 		systems:  systems,
@@ -127,20 +127,24 @@
 }
 
 func (c *core) handle(ev event.Event) {
+	now := c.Now()
 	for _, s := range c.systems {
-		c.performAll(s.Handle(c.Now(), c.world, ev))
+		c.performAll(now, s.Handle(now, c.world, ev))
 	}
 }
 
 func (c *core) tick() {
+	now := c.Now()
 	for _, s := range c.systems {
-		c.performAll(s.Tick(c.Now(), c.world))
+		c.performAll(now, s.Tick(now, c.world))
 	}
 }
 
-func (c *core) performAll(actions []action.Action) {
+// performAll starts actions. Probes of one tick carry the same time, so that a
+// primary's answer can be confirmed by the others'.
+func (c *core) performAll(now tables.Time, actions []action.Action) {
 	for _, a := range actions {
-		c.perform(c.world, a)
+		c.perform(now, c.world, a)
 	}
 }
 
--- a/internal/proxy/performer.go
+++ b/internal/proxy/performer.go
@@ -46,10 +46,10 @@
 }
 
 // perform starts a. It is called from the core's loop.
-func (p *performer) perform(w *tables.World, a action.Action) {
+func (p *performer) perform(now tables.Time, w *tables.World, a action.Action) {
 	switch a := a.(type) {
 	case action.Probe:
-		go p.doProbe(a)
+		go p.doProbe(a, now)
 	case action.Fence:
 		go p.control(a.Group, a.Upstream, a.Term, tables.StepFence, func(ctx context.Context, s group.Server) (tables.Status, error) {
 			return s.Fence(ctx, a.Term)
@@ -83,10 +83,9 @@
 	}
 }
 
-func (p *performer) doProbe(a action.Probe) {
+func (p *performer) doProbe(a action.Probe, sentAt tables.Time) {
 	ctx, cancel := context.WithTimeout(p.ctx, p.probe)
 	defer cancel()
-	sentAt := p.core.Now()
 	st, cause := p.upstreams.probe(ctx, a.Upstream, a.Fresh)
 	p.core.Report(event.ProbeDone{Upstream: a.Upstream, SentAt: sentAt, Status: st, Cause: cause, Fresh: a.Fresh})
 }
