--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -11,7 +11,7 @@
 // What the estimates assume of a running system.
 const (
 	// plannedWriteGap is the time without writes of a group whose primary moves by plan.
-	plannedWriteGap = 500 * time.Millisecond
+	plannedWriteGap = time.Second
 	// pollersPerDataCentre is how many proxies of a data centre read the head row.
 	pollersPerDataCentre = 2
 	// pollInterval is the time between two reads of the head row by one poller.
