--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/plan"
+	"github.com/cranberrystage/cranberrystage/internal/statusapi"
 	"github.com/pkg/errors"
 )
 
@@ -53,7 +54,7 @@
 
 func writeCost(w io.Writer, cost plan.Cost) {
 	tab := table(w)
-	fmt.Fprintf(tab, "  connections moved\t%s\n", estimate(cost.ConnectionsMoved, cost.Observed))
+	fmt.Fprintf(tab, "  connections moved\t%s\n", estimate(cost.ConnectionsMoved, cost.Counted))
 	fmt.Fprintf(tab, "  sessions touched\t%s\n", sessions(cost))
 	fmt.Fprintf(tab, "  primary moves\t%d\n", cost.PrimaryMoves)
 	fmt.Fprintf(tab, "  write gap of each move\t%s\n", time.Duration(cost.WriteGap))
@@ -65,17 +66,17 @@
 	_ = tab.Flush()
 }
 
-// estimate says whether n was observed or is the declared limit.
-func estimate(n int, observed bool) string {
-	if observed {
+// estimate says whether n was counted or is the declared limit.
+func estimate(n int, counted bool) string {
+	if counted {
 		return fmt.Sprint(n)
 	}
-	return fmt.Sprintf("at most %d (no proxy answered)", n)
+	return fmt.Sprintf("at most %d (not reported by the proxies)", n)
 }
 
 func sessions(cost plan.Cost) string {
-	if !cost.Observed {
-		return "unknown (no proxy answered)"
+	if !cost.Counted {
+		return "unknown (not reported by the proxies)"
 	}
 	return fmt.Sprint(cost.SessionsTouched)
 }
@@ -141,11 +142,22 @@
 			continue
 		}
 		s := a.Status
-		fmt.Fprintf(tab, "%s\t%s\t%d\t%t\t%d\t%s\n", s.VM, s.DataCentre, s.ConfigVersion, s.Ready, len(s.Peers), a.Address)
+		fmt.Fprintf(tab, "%s\t%s\t%d\t%t\t%d\t%s\n", s.VM, s.DataCentre, s.ConfigVersion, s.Ready, heard(*s), a.Address)
 	}
 	_ = tab.Flush()
 }
 
+// heard counts the peers that the proxy has heard.
+func heard(s statusapi.Status) int {
+	n := 0
+	for _, p := range s.Peers {
+		if p.HeardMillis >= 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func writeGroups(w io.Writer, groups []groupSummary) {
 	tab := table(w)
 	fmt.Fprintln(tab, "\nGROUP\tTERM\tPRIMARY\tUPSTREAM\tPOSITION\tWORST LAG\tPROBES")
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -40,8 +40,9 @@
 	TableRequests int `json:"tableRequests"`
 	// RolloutTime is when every proxy that can be reached has the change in force.
 	RolloutTime config.Duration `json:"rolloutTime"`
-	// Observed says that proxies answered; without it, declared limits stand for open connections.
-	Observed bool `json:"observed"`
+	// Counted says that proxies reported their connections; without it, declared
+	// limits stand for ConnectionsMoved, and SessionsTouched is unknown.
+	Counted bool `json:"counted"`
 }
 
 // ReplicaShare is the share of a service's slots that are on replicas, an upper
@@ -56,7 +57,7 @@
 }
 
 func estimate(old, new config.Document, observed State, changes []Change) Cost {
-	c := Cost{Observed: observed.Proxies > 0}
+	c := Cost{Counted: observed.Counted}
 	var touched []tables.GroupID
 	for _, g := range groupChanges(old, new) {
 		n := moved(g, observed)
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -48,10 +48,20 @@
 		ReplicaShares:    []ReplicaShare{{Service: "stock-ledger", Before: 18.0 / 27, After: 15.0 / 24}},
 		TableRequests:    3 + 2*2 + 2,
 		RolloutTime:      config.Duration(2 * time.Second),
-		Observed:         true,
+		Counted:          true,
 	})
 }
 
+func TestUncountedConnectionsFallBackToTheLimits(t *testing.T) {
+	old, new := batbayar(t), batbayar(t)
+	new.Groups[0].Upstreams[1].Leaving = true
+	state := Observe([]statusapi.Status{{Groups: []statusapi.Group{{Group: "stock1", Upstreams: []statusapi.Upstream{{Upstream: "stock1-b"}}}}}})
+	p, err := Make(7, old, new, state)
+	assert.NilError(t, err)
+	assert.Equal(t, p.Cost.ConnectionsMoved, 20)
+	assert.Assert(t, !p.Cost.Counted)
+}
+
 func TestEveryFieldGivesAChange(t *testing.T) {
 	cases := []struct {
 		edit func(*config.Document)
--- a/internal/plan/state.go
+++ b/internal/plan/state.go
@@ -19,6 +19,8 @@
 	Connections []UpstreamConnections
 	// Callers are the open caller connections, summed over all proxies.
 	Callers []ServiceCallers
+	// Counted says that at least one proxy reported its connections.
+	Counted bool
 }
 
 // Primary is the primary of a group.
@@ -62,6 +64,7 @@
 		for _, c := range st.Callers {
 			s.addCallers(c)
 		}
+		s.Counted = s.Counted || st.Callers != nil
 	}
 	s.DataCentres = len(centres)
 	return s
@@ -118,6 +121,9 @@
 
 // open returns the open connections to upstream; ok is false if nobody reported it.
 func (s State) open(upstream tables.UpstreamID) (n int, ok bool) {
+	if !s.Counted {
+		return 0, false
+	}
 	for _, c := range s.Connections {
 		if c.Upstream == upstream {
 			return c.Open, true
