Drain a leaving VM; report callers, connections, refusals and write gaps

A VM that the configuration or the platform has leaving is no longer ready, refuses new callers with code 401 and ends sessions once they are idle. A read's age is recorded when its first result arrives, against the declared age.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -95,6 +95,7 @@
 	nextPID  atomic.Uint32
 	open     atomic.Int64
 	draining atomic.Bool
+	closed   atomic.Bool
 	sessions sync.Map // uint32 process id to *session
 	done     sync.WaitGroup
 }
@@ -121,7 +122,7 @@
 	for {
 		nc, err := s.listener.Accept()
 		if err != nil {
-			if ctx.Err() != nil || s.draining.Load() {
+			if ctx.Err() != nil || s.closed.Load() {
 				return nil
 			}
 			return errors.Wrap(err, "accept caller")
@@ -144,20 +145,33 @@
 	}
 	_ = nc.SetDeadline(time.Time{})
 	s.sessions.Store(c.pid, c)
+	if s.draining.Load() {
+		c.interruptIdle()
+	}
 	defer s.sessions.Delete(c.pid)
 	defer c.exec.Close()
 	c.loop(ctx)
 }
 
-// Shutdown stops accepting, lets requests and transactions under way finish,
-// tells idle callers and waits until all are gone or ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.draining.Store(true)
-	_ = s.listener.Close()
+// Drain refuses new callers and ends sessions as soon as they have no request
+// and no transaction under way; with on false, callers are welcome again.
+func (s *Server) Drain(on bool) {
+	s.draining.Store(on)
+	if !on {
+		return
+	}
 	s.sessions.Range(func(_, v any) bool {
 		v.(*session).interruptIdle()
 		return true
 	})
+}
+
+// Shutdown stops accepting, lets requests and transactions under way finish,
+// tells idle callers and waits until all are gone or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.closed.Store(true)
+	_ = s.listener.Close()
+	s.Drain(true)
 	gone := make(chan struct{})
 	go func() {
 		s.done.Wait()
--- a/internal/callers/startup.go
+++ b/internal/callers/startup.go
@@ -42,6 +42,9 @@
 			c.server.cancel(m.ProcessID, m.SecretKey)
 			return false
 		case *pgproto3.StartupMessage:
+			if c.server.draining.Load() {
+				return c.fatal(codes.New(codes.ShuttingDown, codes.NotRun, connectRetry, ""))
+			}
 			if overLimit {
 				return c.fatal(codes.New(codes.TooManyCallers, codes.NotRun, connectRetry, ""))
 			}
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -52,6 +52,7 @@
 	core      Core
 	metrics   *metrics.Metrics
 	directory atomic.Pointer[Directory]
+	tally     *tally
 	budgets   budgets
 	// touched holds, by tables.GroupID, when the core was last told of a group's use.
 	touched sync.Map
@@ -61,7 +62,7 @@
 
 // New returns an executor that knows no services until SetDocument.
 func New(core Core, m *metrics.Metrics) *Executor {
-	e := &Executor{core: core, metrics: m}
+	e := &Executor{core: core, metrics: m, tally: newTally(m)}
 	e.SetDocument(config.Document{})
 	return e
 }
@@ -111,8 +112,10 @@
 	if err != nil {
 		return nil, err
 	}
+	e.tally.caller(place.service.Name, 1)
 	cs := &callerSession{
 		exec:     e,
+		service:  place.service.Name,
 		database: s.Database,
 		tags:     t,
 		session:  sess,
--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -158,6 +158,9 @@
 			if !r.worthWaiting(now, d) {
 				return d, d.Err
 			}
+			if r.tags.MaxAge == nil {
+				r.s.exec.tally.writeFailed(r.place.group, r.arrived)
+			}
 			d.Until = r.arrived.Add(primaryPatience)
 		}
 		if err := wait(ctx, changed, d.Until.Sub(now)); err != nil {
@@ -275,7 +278,10 @@
 		return nil
 	}
 	return func() error {
-		if r.tooOld(d) {
+		within := !r.tooOld(d)
+		age := r.core.Now().Sub(d.AsOf)
+		r.s.exec.metrics.ObserveReadAge(r.place.service.Name, age, within)
+		if !within {
 			return errTooOld
 		}
 		return nil
@@ -410,6 +416,7 @@
 		return codes.New(codes.PrimaryChanged, codes.Unknown, refusedRetry, "")
 	}
 	r.s.exec.budgets.success(r.place.group)
+	r.s.exec.tally.writeDone(r.place.group, r.core.Now())
 	return r.s.wrote(r.a, r.place.group, res.position)
 }
 
@@ -551,8 +558,21 @@
 		Code:     refusalOf(err),
 		Took:     took,
 	})
-	if kind == metrics.KindRead && r.servedBy == metrics.ServedByReplica {
-		age := r.core.Now().Sub(r.asOf)
-		r.s.exec.metrics.ObserveReadAge(r.place.service.Name, age, age <= *r.tags.MaxAge+took)
+	if err != nil {
+		r.s.exec.tally.refuse(r.place.group, refusalOf(err))
+	}
+	if kind == metrics.KindWrite && cutsWrites(refusalOf(err)) {
+		r.s.exec.tally.writeFailed(r.place.group, r.arrived)
+	}
+}
+
+// cutsWrites reports whether a failure with this code means that the group has
+// no primary that can acknowledge.
+func cutsWrites(c codes.Code) bool {
+	switch c {
+	case codes.NoPrimary, codes.PrimaryChanged, codes.UpstreamLost, codes.NotConfirmed:
+		return true
+	default:
+		return false
 	}
 }
--- a/internal/exec/session.go
+++ b/internal/exec/session.go
@@ -34,6 +34,7 @@
 // callerSession is one caller's session.
 type callerSession struct {
 	exec     *Executor
+	service  tables.ServiceID
 	database string
 	tags     tags.Tags
 	session  session.Session
@@ -186,7 +187,10 @@
 }
 
 // Close implements callers.Session.
-func (s *callerSession) Close() { s.unpin(false) }
+func (s *callerSession) Close() {
+	s.unpin(false)
+	s.exec.tally.caller(s.service, -1)
+}
 
 // pin keeps a connection for the open transaction.
 func (s *callerSession) pin(p *upstream.Pool, c *upstream.Conn) {
--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -20,7 +20,7 @@
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.ready.Load() {
+		if !p.ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
@@ -32,12 +32,17 @@
 func (p *Proxy) status() statusapi.Status {
 	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
 	defer cancel()
-	s := statusapi.Status{VM: p.settings.VM, DataCentre: p.settings.DataCentre, Ready: p.ready.Load()}
+	s := statusapi.Status{
+		VM:         p.settings.VM,
+		DataCentre: p.settings.DataCentre,
+		Ready:      p.ready(),
+		Callers:    p.exec.Callers(),
+	}
 	_ = p.core.inspect(ctx, func(w *tables.World) {
 		now := p.core.Now()
 		s.ConfigVersion = w.ConfigVersion
 		for _, g := range w.Groups.All() {
-			s.Groups = append(s.Groups, groupStatus(now, w, p.core.Snapshot(), g))
+			s.Groups = append(s.Groups, p.groupStatus(now, w, g))
 		}
 		for _, vm := range w.VMs.All() {
 			if vm.ID != w.Self {
@@ -48,24 +53,33 @@
 	return s
 }
 
-func groupStatus(now tables.Time, w *tables.World, snap *route.Snapshot, g tables.Group) statusapi.Group {
-	out := statusapi.Group{Group: g.ID, Term: g.Term, Primary: g.Primary}
+func (p *Proxy) groupStatus(now tables.Time, w *tables.World, g tables.Group) statusapi.Group {
+	out := statusapi.Group{Group: g.ID, Term: g.Term, Primary: g.Primary, Refused: p.exec.Refused(g.ID)}
 	for _, id := range g.Members {
 		u, ok := w.Upstreams.Get(id)
 		if !ok {
 			continue
 		}
 		out.Upstreams = append(out.Upstreams, statusapi.Upstream{
-			Upstream:  id,
-			Position:  u.Status.Last,
-			LagMillis: lagMillis(now, snap, g.ID, u),
-			Cause:     u.Cause.String(),
-			Leaving:   u.Leaving,
+			Upstream:    id,
+			Position:    u.Status.Last,
+			LagMillis:   lagMillis(now, p.core.Snapshot(), g.ID, u),
+			Cause:       u.Cause.String(),
+			Connections: p.openConnections(id),
+			Leaving:     u.Leaving,
 		})
 	}
 	return out
 }
 
+func (p *Proxy) openConnections(u tables.UpstreamID) int {
+	r, ok := p.upstreams.get(u)
+	if !ok {
+		return 0
+	}
+	return r.pool.Open()
+}
+
 // lagMillis bounds the age of u's data by the newest confirmed point that u has
 // reached; -1 means that there is none.
 func lagMillis(now tables.Time, snap *route.Snapshot, group tables.GroupID, u tables.Upstream) int64 {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -59,7 +59,8 @@
 	load       exec.Load
 	callers    []*callers.Server
 	admin      net.Listener
-	ready      atomic.Bool
+	configured atomic.Bool
+	leaving    atomic.Bool
 	cancel     context.CancelFunc
 }
 
@@ -159,15 +160,31 @@
 func (p *Proxy) applied(version uint64, doc config.Document) {
 	p.exec.SetDocument(doc)
 	p.metrics.SetConfigVersion(version)
-	p.ready.Store(true)
+	p.configured.Store(true)
 }
 
-// shareInterval is the time between reviews of the shares of upstreams' connections.
-const shareInterval = time.Second
+// drain closes the proxy to callers, or opens it again. Requests and
+// transactions under way finish.
+func (p *Proxy) drain(leaving bool) {
+	if p.leaving.Swap(leaving) == leaving {
+		return
+	}
+	p.log.Info("proxy: Changed whether this VM is leaving.", "leaving", leaving)
+	for _, s := range p.callers {
+		s.Drain(leaving)
+	}
+}
+
+// ready reports whether the proxy wants callers.
+func (p *Proxy) ready() bool { return p.configured.Load() && !p.leaving.Load() }
+
+// reviewInterval is the time between reviews of what follows from membership.
+const reviewInterval = time.Second
 
-// shareConnections keeps each pool's limit at this process's share.
-func (p *Proxy) shareConnections(ctx context.Context) {
-	ticker := time.NewTicker(shareInterval)
+// review keeps each pool's limit at this process's share of the connections,
+// and takes no callers while the configuration or the platform has this VM leaving.
+func (p *Proxy) review(ctx context.Context) {
+	ticker := time.NewTicker(reviewInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -177,6 +194,8 @@
 		}
 		_ = p.core.inspect(ctx, func(w *tables.World) {
 			now := p.core.Now()
+			self, _ := w.VMs.Get(w.Self)
+			p.drain(self.Leaving)
 			for _, id := range w.Upstreams.Keys() {
 				p.upstreams.limit(id, membership.ConnectionShare(w, id, now))
 			}
@@ -200,7 +219,7 @@
 		return p.bus.Run(inner, func(msg any) { p.core.Report(event.PeerMessage{Message: msg}) })
 	})
 	g.Go(func() error {
-		p.shareConnections(inner)
+		p.review(inner)
 		return nil
 	})
 	for _, s := range p.callers {
@@ -225,7 +244,7 @@
 
 func (p *Proxy) shutdown() {
 	p.log.Info("proxy: Shutting down.")
-	p.ready.Store(false)
+	p.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.settings.ShutdownGrace))
 	defer cancel()
 	_ = p.core.inspect(ctx, func(w *tables.World) { w.Leaving = true })
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -170,7 +170,7 @@
 		stop()
 		<-done
 	})
-	b.await(func() bool { return p.ready.Load() })
+	b.await(func() bool { return p.ready() })
 	b.proxies = append(b.proxies, p)
 	return p
 }
@@ -187,11 +187,15 @@
 	}
 }
 
+// callerURL is how callers reach proxy i.
+func (b *bench) callerURL(i int) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/stock-ledger?sslmode=disable", testUser, testPassword, b.proxies[i].callers[0].Addr())
+}
+
 // connect opens a caller's connection through proxy i.
 func (b *bench) connect(i int, params map[string]string) *pgx.Conn {
 	b.t.Helper()
-	url := fmt.Sprintf("postgres://%s:%s@%s/stock-ledger?sslmode=disable", testUser, testPassword, b.proxies[i].callers[0].Addr())
-	cfg, err := pgx.ParseConfig(url)
+	cfg, err := pgx.ParseConfig(b.callerURL(i))
 	assert.NilError(b.t, err)
 	for k, v := range params {
 		cfg.RuntimeParams[k] = v
@@ -257,3 +261,40 @@
 	g, _ := b.proxies[0].Snapshot().Group("stock1")
 	assert.Assert(t, g.Term > 1)
 }
+
+func TestLeavingVMTakesNoCallersUntilItIsBack(t *testing.T) {
+	b := newBench(t, 1)
+	ctx := context.Background()
+	c := b.connect(0, nil)
+	_, err := c.Exec(ctx, "INSERT INTO orders (k, v) VALUES ('a', '1')")
+	assert.NilError(t, err)
+
+	b.doc.LeavingVMs = []tables.VMID{"vm-0"}
+	b.publish(2)
+	b.await(func() bool { return !b.proxies[0].ready() })
+	b.await(func() bool { return c.Ping(ctx) != nil })
+	_, err = pgx.Connect(ctx, b.callerURL(0))
+	assert.ErrorContains(t, err, "code 401")
+
+	b.doc.LeavingVMs = nil
+	b.publish(3)
+	b.await(func() bool { return b.proxies[0].ready() })
+	again, err := pgx.Connect(ctx, b.callerURL(0))
+	assert.NilError(t, err)
+	assert.NilError(t, again.Close(ctx))
+}
+
+func TestStatusCountsCallersConnectionsAndRefusals(t *testing.T) {
+	b := newBench(t, 1)
+	ctx := context.Background()
+	c := b.connect(0, nil)
+	_, err := c.Exec(ctx, "INSERT INTO orders (k, v) VALUES ('a', '1')")
+	assert.NilError(t, err)
+	_, err = c.Exec(ctx, "SELECT pg_sleep(1) /*deadline='50ms'*/")
+	assert.ErrorContains(t, err, "code 303")
+
+	s := b.proxies[0].status()
+	assert.Equal(t, s.Callers[0].Open, 1)
+	assert.Equal(t, s.Groups[0].Upstreams[0].Connections, 1)
+	assert.Equal(t, int(s.Groups[0].Refused[0].Code), 303)
+}
