Probe primaries often and all servers once a second; answer failing observations

Ruled out: fewer candidates (a data centre may hold only one), a longer interval for all (detection of a frozen primary would slip past 2 s). Changed: only primaries are probed every 50 ms, within a budget of 60 probes a second; all servers together once a second, so that points are still confirmed; all of them while the primary is in doubt. Healthy primaries are told of every 5 s; a failing observation is answered at once with a fresh look. An upstream that owes an answer for 100 ms no longer counts.

--- a/internal/faults/harness_test.go
+++ b/internal/faults/harness_test.go
@@ -602,6 +602,9 @@
 func (p *proxy) pump() {
 	for _, r := range p.tracker.Done() {
 		i := slices.IndexFunc(p.commits, func(w pendingWrite) bool { return w.commit.ID == r.ID })
+		if i < 0 {
+			continue // its caller had given up when the decision came
+		}
 		w := p.commits[i]
 		p.commits = slices.Delete(p.commits, i, i+1)
 		if r.Outcome == ack.Acknowledged {
--- a/internal/systems/detect/detect.go
+++ b/internal/systems/detect/detect.go
@@ -19,6 +19,8 @@
 	lastTick tables.Time
 	ticked   bool
 	groupAt  tables.Time
+	// rounds is when all servers of a group are next probed together.
+	rounds *tables.Table[tables.GroupID, tables.Time]
 }
 
 // flight is a probe that may still be answered.
@@ -54,6 +56,7 @@
 		options: options,
 		random:  random,
 		probes:  tables.NewTable[tables.UpstreamID, probe](),
+		rounds:  tables.NewTable[tables.GroupID, tables.Time](),
 	}
 }
 
@@ -74,33 +77,100 @@
 // Tick sends the probes and observations that are due.
 func (s *System) Tick(now tables.Time, w *tables.World) []action.Action {
 	s.forgivePause(now, w)
+	every := s.primaryInterval(w)
 	var out []action.Action
-	for _, id := range w.Upstreams.Keys() {
-		out = append(out, s.tickUpstream(now, w, id)...)
+	for id, g := range w.Groups.All() {
+		round := s.roundDue(now, w, id)
+		for _, member := range g.Members {
+			if _, ok := w.Upstreams.Get(member); !ok {
+				continue
+			}
+			fast := s.pressing(now, w, g, member)
+			out = append(out, s.tickUpstream(now, w, member, round, fast, every)...)
+		}
 	}
 	return append(out, s.publishGroups(now, w)...)
 }
 
-func (s *System) tickUpstream(now tables.Time, w *tables.World, id tables.UpstreamID) []action.Action {
+// primaryInterval returns the time between probes of one primary: the budget of
+// probes is shared by all groups for which this VM is a candidate.
+func (s *System) primaryInterval(w *tables.World) time.Duration {
+	groups := 0
+	for id := range w.Groups.All() {
+		if s.candidate(w, id) {
+			groups++
+		}
+	}
+	shared := time.Duration(groups) * time.Second / time.Duration(s.options.PrimaryProbes)
+	return max(s.options.PrimaryInterval, shared)
+}
+
+// roundDue reports, once, that all servers of a group are probed together, so
+// that the primary's answer can be confirmed by the others'.
+func (s *System) roundDue(now tables.Time, w *tables.World, id tables.GroupID) bool {
+	at, _ := s.rounds.Get(id)
+	if now < at {
+		return false
+	}
+	interval := s.options.IdleInterval
+	if s.candidate(w, id) {
+		interval = s.options.RoundInterval
+	}
+	s.rounds.Put(id, now.Add(interval))
+	return true
+}
+
+func (s *System) candidate(w *tables.World, id tables.GroupID) bool {
+	return slices.Contains(s.options.Candidates(w, id), w.Self)
+}
+
+// pressing reports whether a server is probed between rounds: the primary, and
+// all servers while the primary is in doubt, on a VM that may have to act.
+func (s *System) pressing(now tables.Time, w *tables.World, g tables.Group, member tables.UpstreamID) bool {
+	if !s.candidate(w, g.ID) {
+		return false
+	}
+	if member == g.Primary || g.Primary == "" {
+		return true
+	}
+	primary, _ := w.Upstreams.Get(g.Primary)
+	return primary.Cause.Failing() || s.probe(g.Primary).suspect || late(now, primary)
+}
+
+// tickUpstream probes one server if a round or, for a pressing one, the
+// interval every says so.
+func (s *System) tickUpstream(now tables.Time, w *tables.World, id tables.UpstreamID, round, pressing bool, every time.Duration) []action.Action {
 	u, _ := w.Upstreams.Get(id)
 	p := s.probe(id)
 	var out []action.Action
-	if !p.pooled.open && now >= p.nextAt {
+	if !p.pooled.open && (round || pressing && now >= p.nextAt) {
 		out = append(out, p.send(now, id, false))
-		p.nextAt = now.Add(s.interval(w, u.Group))
+		p.nextAt = now.Add(every)
 	}
 	if p.pooled.late(now, s.options.FreshAfter) && !p.fresh.open && now >= p.nextFreshAt {
 		out = append(out, p.send(now, id, true))
-		p.nextFreshAt = now.Add(s.interval(w, u.Group))
+		p.nextFreshAt = now.Add(every)
 	}
 	if p.fresh.late(now, s.options.FreshAfter) {
 		s.fail(w, &p, u, tables.CauseSilent)
 		out = append(out, p.send(now, id, true))
 	}
 	s.probes.Put(id, p)
+	s.owe(w, id, p)
 	return append(out, s.publish(now, w, id)...)
 }
 
+// owe enters whether an answer is outstanding.
+func (s *System) owe(w *tables.World, id tables.UpstreamID, p probe) {
+	u, _ := w.Upstreams.Get(id)
+	if u.Unanswered == p.unanswered && u.UnansweredAt == p.unansweredAt {
+		return
+	}
+	u.Unanswered = p.unanswered
+	u.UnansweredAt = p.unansweredAt
+	w.Upstreams.Put(id, u)
+}
+
 func (s *System) probeDone(now tables.Time, w *tables.World, e event.ProbeDone) []action.Action {
 	u, ok := w.Upstreams.Get(e.Upstream)
 	if !ok {
@@ -114,6 +184,7 @@
 		out = s.answered(now, w, &p, u, e)
 	}
 	s.probes.Put(e.Upstream, p)
+	s.owe(w, e.Upstream, p)
 	return append(out, s.publish(now, w, e.Upstream)...)
 }
 
@@ -195,12 +266,33 @@
 	switch m := e.Message.(type) {
 	case peer.Observation:
 		store(now, w, m)
+		return s.reply(now, w, m)
 	case peer.GroupState:
 		return Learn(w, m.Group, m.Term, m.Primary)
 	}
 	return nil
 }
 
+// reply answers a failing observation of another proxy with the own one, and
+// checks the server at once if it does not fail here.
+func (s *System) reply(now tables.Time, w *tables.World, m peer.Observation) []action.Action {
+	u, ok := w.Upstreams.Get(m.Upstream)
+	if !ok || m.From == w.Self || !m.Cause.Failing() {
+		return nil
+	}
+	p := s.probe(u.ID)
+	if p.published && now.Sub(p.publishedAt) < s.options.ReplyAfter {
+		return nil
+	}
+	p.published = false
+	var out []action.Action
+	if !u.Cause.Failing() && !p.fresh.open {
+		out = append(out, p.send(now, u.ID, true))
+	}
+	s.probes.Put(u.ID, p)
+	return append(out, s.publish(now, w, u.ID)...)
+}
+
 // forgivePause moves the start of all waiting forward by the time for which
 // this process was paused, during which it could not have read an answer.
 func (s *System) forgivePause(now tables.Time, w *tables.World) {
@@ -225,13 +317,6 @@
 	}
 }
 
-func (s *System) interval(w *tables.World, group tables.GroupID) time.Duration {
-	if slices.Contains(s.options.Candidates(w, group), w.Self) {
-		return s.options.CandidateInterval
-	}
-	return s.options.Interval
-}
-
 func (s *System) probe(id tables.UpstreamID) probe {
 	p, _ := s.probes.Get(id)
 	return p
--- a/internal/systems/detect/learn.go
+++ b/internal/systems/detect/learn.go
@@ -9,8 +9,12 @@
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
-// ReachWindow is the age of a status beyond which its upstream no longer counts as reached.
-const ReachWindow = time.Second
+const (
+	// ReachWindow is the age of a status beyond which its upstream no longer counts as reached.
+	ReachWindow = 2500 * time.Millisecond
+	// LateAfter is how long a probe stays unanswered before its upstream no longer counts as reached.
+	LateAfter = 100 * time.Millisecond
+)
 
 // Learn records that primary stands at term and closes connections that were
 // opened below it. A term older than the known one changes nothing.
@@ -29,9 +33,15 @@
 	return []action.Action{action.CloseConnections{Upstream: old, BelowTerm: term}}
 }
 
-// Reached reports whether u answered within ReachWindow and is not failing.
+// Reached reports whether u answered within ReachWindow, is not failing and
+// owes no late answer.
 func Reached(now tables.Time, u tables.Upstream) bool {
-	return u.HasStatus && !u.Cause.Failing() && now.Sub(u.StatusAt) <= ReachWindow
+	return u.HasStatus && !u.Cause.Failing() && now.Sub(u.StatusAt) <= ReachWindow && !late(now, u)
+}
+
+// late reports whether an answer of u is overdue.
+func late(now tables.Time, u tables.Upstream) bool {
+	return u.Unanswered && now.Sub(u.UnansweredAt) > LateAfter
 }
 
 // CountReached returns how many members of g other than except are reached.
--- a/internal/systems/detect/options.go
+++ b/internal/systems/detect/options.go
@@ -11,20 +11,33 @@
 
 // Options are the settings of a System.
 type Options struct {
-	// CandidateInterval is the time between probes of a group for which this VM may coordinate a failover.
-	CandidateInterval time.Duration
-	// Interval is the time between probes of other groups.
-	Interval time.Duration
+	// PrimaryInterval is the least time between probes of the primary of a group
+	// for which this VM may coordinate a failover.
+	PrimaryInterval time.Duration
+	// PrimaryProbes bounds the probes of all those primaries together, per second.
+	PrimaryProbes int
+	// RoundInterval is the time between probes of all servers of such a group.
+	RoundInterval time.Duration
+	// IdleInterval is the time between probes of all servers of other groups.
+	IdleInterval time.Duration
 	// FreshAfter is how long a probe stays unanswered before a new connection is tried beside it.
 	FreshAfter time.Duration
 	// PathLostAfter is how long a connection stays silent beside a new one that answers before it counts as lost.
 	PathLostAfter time.Duration
 	// PauseAfter is the time between ticks beyond which this process itself was paused.
 	PauseAfter time.Duration
-	// PublishInterval is the time between publications of an unchanged observation of a primary.
+	// PublishInterval is the time between publications of an unchanged observation of a healthy primary.
 	PublishInterval time.Duration
+	// FailingInterval is the same for a failing primary.
+	FailingInterval time.Duration
+	// ReplyAfter is the age of the own last publication beyond which a failing
+	// observation of another proxy is answered at once.
+	ReplyAfter time.Duration
 	// MinPublishInterval is the least time between two publications about one upstream.
 	MinPublishInterval time.Duration
+	// FullMesh is the largest number of VMs that all hear every publication;
+	// among more, the group's candidates do.
+	FullMesh int
 	// Candidates returns the VMs that may coordinate a failover of a group, in order of rank.
 	Candidates func(w *tables.World, group tables.GroupID) []tables.VMID
 }
@@ -32,13 +45,18 @@
 // DefaultOptions returns the settings used in production.
 func DefaultOptions(candidates func(*tables.World, tables.GroupID) []tables.VMID) Options {
 	return Options{
-		CandidateInterval:  50 * time.Millisecond,
-		Interval:           250 * time.Millisecond,
+		PrimaryInterval:    50 * time.Millisecond,
+		PrimaryProbes:      60,
+		RoundInterval:      time.Second,
+		IdleInterval:       2 * time.Second,
 		FreshAfter:         250 * time.Millisecond,
 		PathLostAfter:      time.Second,
 		PauseAfter:         250 * time.Millisecond,
-		PublishInterval:    500 * time.Millisecond,
+		PublishInterval:    5 * time.Second,
+		FailingInterval:    500 * time.Millisecond,
+		ReplyAfter:         200 * time.Millisecond,
 		MinPublishInterval: 20 * time.Millisecond,
+		FullMesh:           16,
 		Candidates:         candidates,
 	}
 }
--- a/internal/systems/detect/publish.go
+++ b/internal/systems/detect/publish.go
@@ -13,8 +13,7 @@
 func (s *System) publish(now tables.Time, w *tables.World, id tables.UpstreamID) []action.Action {
 	u, _ := w.Upstreams.Get(id)
 	g, ok := w.Groups.Get(u.Group)
-	to := Peers(w)
-	if !ok || len(to) == 0 || !u.HasStatus && !u.Cause.Failing() {
+	if !ok || !u.HasStatus && !u.Cause.Failing() {
 		return nil
 	}
 	p := s.probe(id)
@@ -22,6 +21,10 @@
 	if !s.due(now, p, u, quorum, g.Primary == id) {
 		return nil
 	}
+	to := s.audience(w, g.ID)
+	if len(to) == 0 {
+		return nil
+	}
 	p.published = true
 	p.publishedAt = now
 	p.publishedCause = u.Cause
@@ -38,9 +41,27 @@
 	if p.publishedCause != u.Cause || p.publishedQuorum != quorum {
 		return since >= s.options.MinPublishInterval
 	}
+	if u.Cause.Failing() {
+		return primary && since >= s.options.FailingInterval
+	}
 	return primary && since >= s.options.PublishInterval
 }
 
+// audience returns who hears about a group: all VMs while they are few, else
+// the group's candidates.
+func (s *System) audience(w *tables.World, id tables.GroupID) []tables.VMID {
+	if w.VMs.Len() <= s.options.FullMesh {
+		return Peers(w)
+	}
+	var out []tables.VMID
+	for _, vm := range s.options.Candidates(w, id) {
+		if vm != w.Self {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
 // hasQuorum reports whether a majority of g is reached if the upstream under id is counted.
 func hasQuorum(now tables.Time, w *tables.World, g tables.Group, id tables.UpstreamID) bool {
 	return 1+CountReached(now, w, g, id) >= tables.Majority(len(g.Members))
@@ -79,14 +100,14 @@
 // publishGroups repeats the known primaries, so that a proxy that just started
 // or lost a message learns of them.
 func (s *System) publishGroups(now tables.Time, w *tables.World) []action.Action {
-	to := Peers(w)
-	if len(to) == 0 || now < s.groupAt {
+	if now < s.groupAt {
 		return nil
 	}
 	s.groupAt = now.Add(s.options.PublishInterval + s.jitter(s.options.PublishInterval))
 	var out []action.Action
 	for id, g := range w.Groups.All() {
-		if g.Primary != "" {
+		to := s.audience(w, id)
+		if g.Primary != "" && len(to) > 0 {
 			m := peer.GroupState{Group: id, Term: g.Term, Primary: g.Primary}
 			out = append(out, action.Publish{To: to, Topic: peer.TopicGroup, Message: m})
 		}
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -156,6 +156,10 @@
 	StatusAt Time
 	// Cause is how the last probe ended.
 	Cause Cause
+	// Unanswered says that a probe sent at UnansweredAt, and none sent since, was answered.
+	Unanswered bool
+	// UnansweredAt is valid when Unanswered.
+	UnansweredAt Time
 	// FailingSince is when the first probe of the present run of failures was sent; valid when Cause is not CauseNone.
 	FailingSince Time
 }
