--- a/internal/platform/memory/objects.go
+++ b/internal/platform/memory/objects.go
@@ -23,6 +23,11 @@
 	})
 }
 
+// Replace stores body under key, also over an older body.
+func (o Objects) Replace(ctx context.Context, key string, body []byte) error {
+	return o.p.write(ctx, func() { o.p.objects[key] = slices.Clone(body) })
+}
+
 // Get implements platform.Objects.
 func (o Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	var body []byte
--- a/internal/standin/platformd/s3.go
+++ b/internal/standin/platformd/s3.go
@@ -43,20 +43,32 @@
 		writeS3Error(w, http.StatusBadRequest, "IncompleteBody")
 		return
 	}
-	objects := s.store.Objects()
-	if r.Header.Get("If-None-Match") == "*" {
-		if _, err := objects.Get(r.Context(), objectKey(r)); err == nil {
-			writeS3Error(w, http.StatusPreconditionFailed, "PreconditionFailed")
-			return
-		}
+	err = s.storeObject(r, body)
+	if errors.Is(err, platform.ErrConflict) {
+		writeS3Error(w, http.StatusPreconditionFailed, "PreconditionFailed")
+		return
 	}
-	if err := objects.Put(r.Context(), objectKey(r), body); err != nil {
+	if err != nil {
 		writeS3Error(w, http.StatusServiceUnavailable, "ServiceUnavailable")
 		return
 	}
 	w.Header().Set("ETag", contentETag(body))
 }
 
+// storeObject replaces the object, or returns ErrConflict where the request
+// asks that there be none. The first body stays when two such requests race.
+func (s *Server) storeObject(r *http.Request, body []byte) error {
+	objects := s.store.Objects()
+	key := objectKey(r)
+	if r.Header.Get("If-None-Match") != "*" {
+		return objects.Replace(r.Context(), key, body)
+	}
+	if _, err := objects.Get(r.Context(), key); err == nil {
+		return platform.ErrConflict
+	}
+	return objects.Put(r.Context(), key, body)
+}
+
 func objectKey(r *http.Request) string { return r.PathValue("bucket") + "/" + r.PathValue("key") }
 
 func contentETag(body []byte) string {
