--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -3,20 +3,24 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/statusapi"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 const adminTimeout = 5 * time.Second
 
-// adminHandler serves metrics, health and status.
+// adminHandler serves metrics, health, status and profiles.
 func (p *Proxy) adminHandler() http.Handler {
 	mux := http.NewServeMux()
+	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.bus.Register(p.registry)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -24,6 +28,8 @@
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.Handle("GET "+statusapi.Path, statusapi.Handler(p.status))
 	return mux
 }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -17,6 +17,8 @@
 const (
 	// tickInterval is the time between ticks of the core.
 	tickInterval = 10 * time.Millisecond
+	// idlePublishInterval is the time between snapshots while no event comes.
+	idlePublishInterval = 100 * time.Millisecond
 	// inboxSize bounds the events that wait for the core.
 	inboxSize = 4096
 	// eventsPerSnapshot bounds the events handled before a snapshot is published.
@@ -35,6 +37,8 @@
 	systems []system
 	perform func(now tables.Time, w *tables.World, a action.Action)
 	started time.Time
+	// publishBy is when a snapshot is due although no event changed the world.
+	publishBy tables.Time
 
 	inbox    chan event.Event
 	requests chan func(*tables.World)
@@ -110,11 +114,15 @@
 		case <-ticker.C:
 			c.drain()
 			c.tick()
+			if c.Now() < c.publishBy {
+				continue
+			}
 		}
 		c.publish()
 	}
 }
 
+// drain handles the events that wait.
 func (c *core) drain() {
 	for range eventsPerSnapshot {
 		select {
@@ -128,6 +136,7 @@
 
 func (c *core) handle(ev event.Event) {
 	now := c.Now()
+	c.publishBy = now
 	for _, s := range c.systems {
 		c.performAll(now, s.Handle(now, c.world, ev))
 	}
@@ -150,6 +159,7 @@
 
 // publish makes the snapshot of the present world visible and wakes all who wait.
 func (c *core) publish() {
+	c.publishBy = c.Now().Add(idlePublishInterval)
 	c.snapshot.Store(route.Build(c.Now(), c.world, c.snapshot.Load()))
 	next := make(chan struct{})
 	old := c.changed.Swap(&next)
--- a/internal/systems/detect/detect.go
+++ b/internal/systems/detect/detect.go
@@ -19,6 +19,8 @@
 	lastTick tables.Time
 	ticked   bool
 	groupAt  tables.Time
+	// candidacies is for how many groups this VM was a candidate at the last tick.
+	candidacies int
 	// rounds is when all servers of a group are next probed together.
 	rounds *tables.Table[tables.GroupID, tables.Time]
 }
@@ -77,15 +79,20 @@
 // Tick sends the probes and observations that are due.
 func (s *System) Tick(now tables.Time, w *tables.World) []action.Action {
 	s.forgivePause(now, w)
-	every := s.primaryInterval(w)
+	every := s.primaryInterval()
+	s.candidacies = 0
 	var out []action.Action
 	for id, g := range w.Groups.All() {
-		round := s.roundDue(now, w, id)
+		candidate := slices.Contains(s.options.Candidates(w, id), w.Self)
+		if candidate {
+			s.candidacies++
+		}
+		round := s.roundDue(now, id, candidate)
 		for _, member := range g.Members {
 			if _, ok := w.Upstreams.Get(member); !ok {
 				continue
 			}
-			fast := s.pressing(now, w, g, member)
+			fast := candidate && s.pressing(now, w, g, member)
 			out = append(out, s.tickUpstream(now, w, member, round, fast, every)...)
 		}
 	}
@@ -94,42 +101,29 @@
 
 // primaryInterval returns the time between probes of one primary: the budget of
 // probes is shared by all groups for which this VM is a candidate.
-func (s *System) primaryInterval(w *tables.World) time.Duration {
-	groups := 0
-	for id := range w.Groups.All() {
-		if s.candidate(w, id) {
-			groups++
-		}
-	}
-	shared := time.Duration(groups) * time.Second / time.Duration(s.options.PrimaryProbes)
+func (s *System) primaryInterval() time.Duration {
+	shared := time.Duration(s.candidacies) * time.Second / time.Duration(s.options.PrimaryProbes)
 	return max(s.options.PrimaryInterval, shared)
 }
 
 // roundDue reports, once, that all servers of a group are probed together, so
 // that the primary's answer can be confirmed by the others'.
-func (s *System) roundDue(now tables.Time, w *tables.World, id tables.GroupID) bool {
+func (s *System) roundDue(now tables.Time, id tables.GroupID, candidate bool) bool {
 	at, _ := s.rounds.Get(id)
 	if now < at {
 		return false
 	}
 	interval := s.options.IdleInterval
-	if s.candidate(w, id) {
+	if candidate {
 		interval = s.options.RoundInterval
 	}
 	s.rounds.Put(id, now.Add(interval))
 	return true
 }
 
-func (s *System) candidate(w *tables.World, id tables.GroupID) bool {
-	return slices.Contains(s.options.Candidates(w, id), w.Self)
-}
-
-// pressing reports whether a server is probed between rounds: the primary, and
-// all servers while the primary is in doubt, on a VM that may have to act.
+// pressing reports whether a server is probed between rounds on a VM that may
+// have to act: the primary, and all servers while the primary is in doubt.
 func (s *System) pressing(now tables.Time, w *tables.World, g tables.Group, member tables.UpstreamID) bool {
-	if !s.candidate(w, g.ID) {
-		return false
-	}
 	if member == g.Primary || g.Primary == "" {
 		return true
 	}
