Decide an acknowledgement again when its evidence has grown old

Cause: a process paused between the last check of the primary and the answer to the caller acknowledged on a check of any age.

--- a/internal/proxy/confirmer.go
+++ b/internal/proxy/confirmer.go
@@ -16,14 +16,24 @@
 	roundSpacing = 300 * time.Microsecond
 	// statusTimeout bounds one status request of a round.
 	statusTimeout = 500 * time.Millisecond
+	// evidenceWindow is how old the evidence of an acknowledgement may be when it
+	// goes to the caller. An answer that was not held up by a pause is younger.
+	evidenceWindow = statusTimeout
 	// answersQueued exceeds the requests that a group can have under way.
 	answersQueued = 64
 )
 
+// decision is the outcome of a commit.
+type decision struct {
+	outcome ack.Outcome
+	// evidenceAt is when the primary was last asked before it.
+	evidenceAt tables.Time
+}
+
 // commitWait is a commit whose caller waits.
 type commitWait struct {
 	commit  ack.Commit
-	decided chan ack.Outcome
+	decided chan decision
 	gone    bool
 }
 
@@ -57,6 +67,8 @@
 	inFlight map[tables.UpstreamID]bool
 	queued   map[tables.UpstreamID]uint64
 	notUntil tables.Time
+	// evidenceAt is when the request was sent that ended the last round.
+	evidenceAt tables.Time
 }
 
 func newConfirmer(g tables.GroupID, c *core, u *upstreams) *confirmer {
@@ -87,22 +99,33 @@
 	}
 }
 
-// acknowledge waits until cm is decided or ctx ends.
+// acknowledge waits until cm is decided or ctx ends. A decision whose evidence
+// has grown old, because this process was paused, is made again.
 func (c *confirmer) acknowledge(ctx context.Context, cm ack.Commit) (ack.Outcome, error) {
-	w := &commitWait{commit: cm, decided: make(chan ack.Outcome, 1)}
+	for {
+		d, err := c.decide(ctx, cm)
+		if err != nil || d.outcome != ack.Acknowledged || c.core.Now().Sub(d.evidenceAt) <= evidenceWindow {
+			return d.outcome, err
+		}
+	}
+}
+
+// decide waits for one decision on cm.
+func (c *confirmer) decide(ctx context.Context, cm ack.Commit) (decision, error) {
+	w := &commitWait{commit: cm, decided: make(chan decision, 1)}
 	c.mu.Lock()
 	c.arrived = append(c.arrived, w)
 	c.mu.Unlock()
 	c.poke()
 	select {
-	case o := <-w.decided:
-		return o, nil
+	case d := <-w.decided:
+		return d, nil
 	case <-ctx.Done():
 		c.mu.Lock()
 		w.gone = true
 		c.mu.Unlock()
 		c.poke()
-		return ack.StillWaiting, ctx.Err()
+		return decision{}, ctx.Err()
 	}
 }
 
@@ -214,7 +237,7 @@
 func (c *confirmer) settle() {
 	for _, r := range c.tracker.Done() {
 		if w, ok := c.waiting[r.ID]; ok {
-			w.decided <- r.Outcome
+			w.decided <- decision{outcome: r.Outcome, evidenceAt: c.evidenceAt}
 			delete(c.waiting, r.ID)
 		}
 	}
@@ -269,6 +292,7 @@
 		c.tracker.Fail(a.round, a.upstream)
 		return
 	}
+	c.evidenceAt = a.sentAt
 	for _, next := range c.tracker.Answer(a.round, a.upstream, a.status) {
 		c.askFor(ctx, next, c.core.Now())
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -299,3 +299,5 @@
 	s = b.proxies[0].status()
 	assert.Equal(t, int(s.Groups[0].Refused[0].Code), 303)
 }
+
+func testWorld() *tables.World { return tables.NewWorld("vm", "dc", "") }
