--- a/internal/faults/checker_test.go
+++ b/internal/faults/checker_test.go
@@ -26,7 +26,7 @@
 type acknowledgement struct {
 	pendingWrite
 	by tables.VMID
-	// evidenceAt is when the last replica that counted gave its answer.
+	// evidenceAt is when the replica that counted gave its answer.
 	evidenceAt tables.Time
 	decidedAt  tables.Time
 	// highest is the highest position acknowledged so far, this one included.
@@ -108,9 +108,9 @@
 	}
 }
 
-// acknowledged takes an acknowledgement. Its evidence is as old as the last
-// replica's answer that counted: at that instant the primary, which was asked
-// later and had promised no higher term, was still in office.
+// acknowledged takes an acknowledgement. In a group of three its evidence is as
+// old as the one replica's answer that covered the write: at that instant the
+// primary, which was asked later and had promised no higher term, was in office.
 func (c *checker) acknowledged(by tables.VMID, w pendingWrite, evidenceAt, now tables.Time) {
 	a := acknowledgement{pendingWrite: w, by: by, evidenceAt: evidenceAt, decidedAt: now, highest: w.commit.Position}
 	if n := len(c.acks); n > 0 && c.acks[n-1].highest.AtLeast(a.highest) {
--- a/internal/systems/ack/ack_test.go
+++ b/internal/systems/ack/ack_test.go
@@ -190,6 +190,11 @@
 	tr.Answer(1, "b", replica(3, 3, 9))
 	tr.Answer(1, "a", primary(3, 9))
 	assert.Assert(t, tr.Done() == nil)
+
+	tr.Commit(commit(2, 3, 10))
+	tr.Replace(4)
+	tr.Cancel(2)
+	assert.Equal(t, len(tr.Done()), 0)
 }
 
 func TestTrackerOfOneServerAsksThePrimary(t *testing.T) {
--- a/internal/systems/ack/tracker.go
+++ b/internal/systems/ack/tracker.go
@@ -99,10 +99,11 @@
 	t.round.phase = phaseIdle
 }
 
-// Cancel forgets a commit whose caller no longer waits.
+// Cancel forgets a commit whose caller no longer waits, decided or not: Done
+// does not return it any more.
 func (t *Tracker) Cancel(id uint64) {
-	drop := func(c Commit) bool { return c.ID == id }
-	t.waiting = slices.DeleteFunc(t.waiting, drop)
+	t.waiting = slices.DeleteFunc(t.waiting, func(c Commit) bool { return c.ID == id })
+	t.results = slices.DeleteFunc(t.results, func(r Result) bool { return r.ID == id })
 }
 
 // Waiting returns how many commits are undecided.
