Wait for a connection that gives its slot back before opening another

TestIdleSlotGoesBackToOtherProxies failed once in 5 runs under load: a request that arrived while the pool's only connection gave its idle slot back opened a second one, which costs 10 ms and one of few connections.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -60,6 +60,9 @@
 	slotFirst int
 	slotAt    time.Time
 	lastUsed  time.Time
+	// returning is when the pool began to give the slot of the idle connection
+	// back; zero while it does not. It belongs to the pool's lock.
+	returning time.Time
 	// settings is the text that made the connection's settings; it is not valid
 	// while settingsUnknown.
 	settings        string
--- a/internal/upstream/janitor.go
+++ b/internal/upstream/janitor.go
@@ -59,6 +59,8 @@
 	p.closeIdleWhere(len(p.idle), func(c *Conn) bool { return now.Sub(c.lastUsed) > idleClose })
 	p.attentive = p.closeQuestioned()
 	p.giveBackIdleSlots(now)
+	p.seek()
+	p.attentive = p.attentive || len(p.waiters) > 0
 	for _, c := range p.idle {
 		p.attentive = p.attentive || c.slot != noSlot
 	}
@@ -76,6 +78,7 @@
 		if c == nil {
 			return
 		}
+		c.returning = now
 		go p.giveBack(c)
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -175,17 +175,21 @@
 		return
 	}
 	c.lastUsed = time.Now()
-	if c.slot != noSlot && c.lastUsed.Sub(c.slotAt) > p.currentQuantum() {
+	if p.heldForQuantum(c) {
 		go p.yieldSlot(c)
 		return
 	}
 	p.offer(c)
 }
 
-func (p *Pool) currentQuantum() time.Duration {
+// heldForQuantum reports whether c has held its slot for the quantum.
+func (p *Pool) heldForQuantum(c *Conn) bool {
+	if c.slot == noSlot {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.quantum
+	return c.lastUsed.Sub(c.slotAt) > p.quantum
 }
 
 // offer hands a busy connection to the first waiter that can use it, or makes
@@ -194,6 +198,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer p.seek()
+	c.returning = time.Time{}
 	if c.slot != noSlot && !p.closed && p.handOver(c) {
 		return
 	}
--- a/internal/upstream/seek.go
+++ b/internal/upstream/seek.go
@@ -22,7 +22,7 @@
 			return
 		}
 		c := p.takeIdle(func(c *Conn) bool { return c.Term == term && c.slot == noSlot })
-		if c == nil && !p.mayOpen(term) {
+		if c == nil && (p.returningSoon(term) || !p.mayOpen(term)) {
 			return
 		}
 		if c == nil {
@@ -33,6 +33,25 @@
 	}
 }
 
+// returnPatience is how long a waiter counts on a connection whose slot is being
+// given back, before another connection is opened.
+const returnPatience = 10 * time.Millisecond
+
+// returningSoon reports whether enough connections for the waiters are about to
+// be idle without a slot. The lock must be held.
+func (p *Pool) returningSoon(term tables.Term) bool {
+	n := 0
+	for c := range p.busy {
+		if c.Term == term && !c.returning.IsZero() && time.Since(c.returning) < returnPatience {
+			n++
+		}
+	}
+	if n > 0 {
+		p.alert()
+	}
+	return n >= len(p.waiters)-p.seekers
+}
+
 // mayOpen reports whether one more connection may be opened, making room if
 // need be. The lock must be held.
 func (p *Pool) mayOpen(term tables.Term) bool {
