--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -11,7 +11,7 @@
 // What the estimates assume of a running system.
 const (
 	// plannedWriteGap is the time without writes of a group whose primary moves by plan.
-	plannedWriteGap = 500 * time.Millisecond
+	plannedWriteGap = time.Second
 	// pollersPerDataCentre is how many proxies of a data centre read the head row.
 	pollersPerDataCentre = 2
 	// pollInterval is the time between two reads of the head row by one poller.
@@ -40,8 +40,9 @@
 	TableRequests int `json:"tableRequests"`
 	// RolloutTime is when every proxy that can be reached has the change in force.
 	RolloutTime config.Duration `json:"rolloutTime"`
-	// Observed says that proxies answered; without it, declared limits stand for open connections.
-	Observed bool `json:"observed"`
+	// Counted says that proxies reported their connections; without it, declared
+	// limits stand for ConnectionsMoved, and SessionsTouched is unknown.
+	Counted bool `json:"counted"`
 }
 
 // ReplicaShare is the share of a service's slots that are on replicas, an upper
@@ -56,7 +57,7 @@
 }
 
 func estimate(old, new config.Document, observed State, changes []Change) Cost {
-	c := Cost{Observed: observed.Proxies > 0}
+	c := Cost{Counted: observed.Counted}
 	var touched []tables.GroupID
 	for _, g := range groupChanges(old, new) {
 		n := moved(g, observed)
