--- a/internal/callers/frames.go
+++ b/internal/callers/frames.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -23,8 +24,11 @@
 // frames reads a caller's messages. While it waits for the first byte of a
 // message and nothing is buffered, it holds no buffer.
 type frames struct {
-	conn  net.Conn
-	max   int
+	conn net.Conn
+	max  int
+	// timeout bounds the arrival of a large body.
+	timeout time.Duration
+
 	buf   *bufio.Reader
 	first [1]byte
 }
@@ -107,8 +111,12 @@
 }
 
 // decodeLarge reads a body as it arrives, so that an announced length alone
-// takes no memory.
+// takes no memory, and what arrived of it takes memory for a bounded time.
 func (f *frames) decodeLarge(m pgproto3.FrontendMessage, size int) error {
+	if err := f.conn.SetReadDeadline(time.Now().Add(f.timeout)); err != nil {
+		return err
+	}
+	defer func() { _ = f.conn.SetReadDeadline(time.Time{}) }()
 	var body bytes.Buffer
 	if _, err := io.CopyN(&body, f.buf, int64(size)); err != nil {
 		return err
--- a/internal/callers/fuzz_test.go
+++ b/internal/callers/fuzz_test.go
@@ -25,6 +25,7 @@
 	return n, nil
 }
 
+// SetReadDeadline implements net.Conn.
 func (c *bytesConn) SetReadDeadline(time.Time) error { return nil }
 
 // FuzzFrames checks that no bytes of a caller make the reader panic, read a
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -66,6 +66,9 @@
 	// WriteTimeout bounds how long a caller may take to accept a part of an
 	// answer; 0 means DefaultWriteTimeout.
 	WriteTimeout time.Duration
+	// FrameTimeout bounds the arrival of a message that does not fit into the
+	// read buffer; 0 means DefaultFrameTimeout.
+	FrameTimeout time.Duration
 	// TLS is offered when not nil.
 	TLS *tls.Config
 }
@@ -75,6 +78,7 @@
 const (
 	DefaultIdleInTransaction = 10 * time.Second
 	DefaultWriteTimeout      = 30 * time.Second
+	DefaultFrameTimeout      = 30 * time.Second
 )
 
 func (o Options) withDefaults() Options {
@@ -84,6 +88,9 @@
 	if o.WriteTimeout == 0 {
 		o.WriteTimeout = DefaultWriteTimeout
 	}
+	if o.FrameTimeout == 0 {
+		o.FrameTimeout = DefaultFrameTimeout
+	}
 	return o
 }
 
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -370,6 +370,37 @@
 	assert.Equal(t, readError(t, nc), "54000")
 }
 
+func TestLargeFrameThatDoesNotEndIsClosed(t *testing.T) {
+	s := startServer(t, newFakeExecutor(t), Options{FrameTimeout: 20 * time.Millisecond})
+	c := connect(t, s)
+	large := strings.Repeat("x", 100_000)
+	tag, err := query(c, large)
+	assert.NilError(t, err)
+	assert.Equal(t, len(tag), len(large))
+	part, err := (&pgproto3.Query{String: large}).Encode(nil)
+	assert.NilError(t, err)
+	_, err = c.Conn().Write(part[:len(part)/2])
+	assert.NilError(t, err)
+	assert.Equal(t, readError(t, c.Conn()), "57014")
+}
+
+// TestCallerThatDoesNotReadIsClosed fills the sockets' buffers with answers.
+func TestCallerThatDoesNotReadIsClosed(t *testing.T) {
+	e := newFakeExecutor(t)
+	s := startServer(t, e, Options{MaxFrame: 1 << 24, WriteTimeout: 50 * time.Millisecond})
+	nc := connect(t, s).Conn()
+	frame, err := (&pgproto3.Query{String: strings.Repeat("x", 1<<23)}).Encode(nil)
+	assert.NilError(t, err)
+	go func() {
+		for range 4 {
+			if _, err := nc.Write(frame); err != nil {
+				return
+			}
+		}
+	}()
+	await(t, func() bool { return e.closed.Load() == 1 })
+}
+
 func TestFlushAnswersWithoutASync(t *testing.T) {
 	s := startServer(t, newFakeExecutor(t), Options{})
 	c := connect(t, s)
--- a/internal/callers/startup.go
+++ b/internal/callers/startup.go
@@ -79,7 +79,7 @@
 // use makes the session read and write nc.
 func (c *session) use(nc net.Conn) {
 	c.net = nc
-	c.in = frames{conn: nc, max: c.server.opts.MaxFrame}
+	c.in = frames{conn: nc, max: c.server.opts.MaxFrame, timeout: c.server.opts.FrameTimeout}
 	c.be = pgproto3.NewBackend(byteReader{&c.in}, nc)
 	c.be.SetMaxBodyLen(maxStartupFrame)
 }
