Pass a read-only error of a confirmed primary to the caller whole

It was retried and then replaced by a refusal of the proxy. The new test failed before (code 204 in place of 25006); the matrix still passes.

--- a/internal/exec/harness_test.go
+++ b/internal/exec/harness_test.go
@@ -45,6 +45,14 @@
 	snapshot *route.Snapshot
 	changed  chan struct{}
 	outcome  ack.Outcome
+	muted    bool
+}
+
+// muteConfirm keeps all later points from being confirmed.
+func (c *fakeCore) muteConfirm() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.muted = true
 }
 
 func newFakeCore(t testing.TB, address string, limits upstream.Limits) *fakeCore {
@@ -86,6 +94,9 @@
 func (c *fakeCore) Confirm(g tables.GroupID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.muted {
+		return
+	}
 	row, _ := c.world.Groups.Get(g)
 	row.Confirmed = tables.ConfirmedPoint{Term: row.Term, SentAt: c.Now(), Position: tables.Position{LogTerm: 1, Index: 1}}
 	c.world.Groups.Put(g, row)
--- a/internal/exec/matrix_test.go
+++ b/internal/exec/matrix_test.go
@@ -128,6 +128,31 @@
 	}
 }
 
+func TestReadOnlyErrorOfAConfirmedPrimaryReachesTheCaller(t *testing.T) {
+	server := newScriptedServer(t)
+	defer close(server.release)
+	rig := newRig(t, server.listener.Addr().String(), upstream.Limits{Connections: 1, Slots: 1})
+	c := rig.open(nil)
+	server.arm("INSERT", faultRejected, true)
+	r := c.query("INSERT order")
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.sqlState, "25006")
+	assert.Equal(t, r.kinds, "E")
+	server.arm("INSERT", faultRejected, false)
+	c.query("INSERT order").ok(t)
+}
+
+func TestRejectionByAnUnconfirmedPrimaryIsNotRun(t *testing.T) {
+	server := newScriptedServer(t)
+	defer close(server.release)
+	rig := newRig(t, server.listener.Addr().String(), upstream.Limits{Connections: 1, Slots: 1})
+	rig.core.muteConfirm()
+	server.arm("INSERT", faultRejected, true)
+	r := rig.open(nil).query("INSERT order")
+	assert.Equal(t, r.ran(), codes.NotRun, "%v", r.err)
+	assert.Equal(t, server.executions("INSERT order"), 0)
+}
+
 func TestLateAnswerReachesNobody(t *testing.T) {
 	server := newScriptedServer(t)
 	rig := newRig(t, server.listener.Addr().String(), upstream.Limits{Connections: 1, Slots: 1})
--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -42,13 +42,15 @@
 	query  pgproto3.Query
 	single [1]pgproto3.FrontendMessage
 
-	ctx      requestContext
-	arrived  tables.Time
-	route    route.Request
-	attempt  int
-	exposed  bool
-	servedBy metrics.ServedBy
-	asOf     tables.Time
+	ctx requestContext
+	// rejectedAt is when a server first refused the request for its role.
+	rejectedAt tables.Time
+	arrived    tables.Time
+	route      route.Request
+	attempt    int
+	exposed    bool
+	servedBy   metrics.ServedBy
+	asOf       tables.Time
 	// pass is the right to use the upstream of the present attempt.
 	pass gate.Pass
 }
@@ -233,7 +235,7 @@
 		pool.Discard(c)
 		return r.broken(ctx, res.stage, d, err)
 	}
-	if res.failure == sqlStateReadOnly && d.Kind == route.KindPrimary && res.status == statusIdle && !res.committed {
+	if r.refusedByRole(d, res) {
 		pool.Discard(c)
 		return r.rejected(d)
 	}
@@ -468,8 +470,24 @@
 	return r.notAcquired(ctx, d, err)
 }
 
+// refusedByRole reports whether the answer says that the server does not lead
+// at the term. A server that was confirmed to lead since the request's first
+// rejection refuses for the statement's own sake, such as a read-only setting;
+// its error then goes to the caller.
+func (r *request) refusedByRole(d route.Decision, res exchangeResult) bool {
+	if res.failure != sqlStateReadOnly || d.Kind != route.KindPrimary || res.status != statusIdle || res.committed {
+		return false
+	}
+	point, current := r.newestPoint()
+	confirmed := current == d.Term && point.Term == d.Term && point.SentAt >= r.rejectedAt
+	return r.rejectedAt == 0 || !confirmed
+}
+
 // rejected handles a primary that answered that it does not lead at the term.
 func (r *request) rejected(d route.Decision) (bool, error) {
+	if r.rejectedAt == 0 {
+		r.rejectedAt = r.core.Now()
+	}
 	r.a.Drop()
 	r.a.Reset()
 	r.core.Confirm(r.place.group)
