Bound a load's end and let set-ups run side by side

Cause: final reads had 60 s beside a backlog that drained at one caller timeout each, so a load in which every operation failed ran for many minutes. Acknowledged writes are read first.

PORT_OFFSET shifts every port of a set-up, declarations included.

Ruled out: a bound on final reads alone, since the backlog took the longer part.

--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -40,6 +40,7 @@
 	c.Flag("proxy", "IP:port of a proxy; repeat for each.").Required().StringsVar(&o.Proxies)
 	c.Flag("rate", "Operations per second, for each workload.").Default("200").Float64Var(&o.Rate)
 	c.Flag("duration", "How long operations arrive.").Default("20s").DurationVar(&o.Duration)
+	c.Flag("drain", "Bound of what follows the duration: operations under way and the final reads.").Default("20s").DurationVar(&o.Drain)
 	c.Flag("connections", "Sessions, each with one connection, for each workload.").Default("30").IntVar(&o.Connections)
 	c.Flag("timeout", "How long a caller waits for one operation.").Default("10s").DurationVar(&o.Timeout)
 	c.Flag("roam", "Share of operations before which a session moves to a random proxy.").Default("0.05").Float64Var(&o.Roam)
--- a/cmd/cranberrystage-standin/main.go
+++ b/cmd/cranberrystage-standin/main.go
@@ -29,6 +29,7 @@
 	level := layoutCmd.Flag("log-level", "Log level of the proxies.").Default("INFO").String()
 	operator := layoutCmd.Flag("operator", "Who confirms plans.").Default("batbayar-demo").String()
 	key := layoutCmd.Flag("key", "Key file of the operator.").Default("deploy/demo-keys/demo-operator-key.pem").String()
+	offset := layoutCmd.Flag("port-offset", "Number added to every port.").Default("0").Int()
 	dirs := layoutCmd.Arg("declarations", "Directories of declarations.").Required().ExistingDirs()
 
 	var err error
@@ -36,7 +37,7 @@
 	case serveCmd.FullCommand():
 		err = serve(*path)
 	case layoutCmd.FullCommand():
-		err = writeLayout(*dirs, *dcs, layout.Options{Directory: *out, LogLevel: *level, Operator: *operator, KeyFile: *key})
+		err = writeLayout(*dirs, *dcs, layout.Options{Directory: *out, LogLevel: *level, Operator: *operator, KeyFile: *key, PortOffset: *offset})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -28,7 +28,7 @@
 func options(s *dbserver.Server) Options {
 	return Options{
 		Proxies: []string{s.Addr()}, Databases: []string{"x/1", "x/2"}, User: "u", Workload: Workloads[0],
-		Rate: 1000, Duration: 300 * time.Millisecond, Connections: 6, Timeout: 5 * time.Second, Roam: 0.1, GapProbe: 5 * time.Millisecond, Seed: 3, RunID: "t",
+		Rate: 1000, Duration: 300 * time.Millisecond, Drain: 5 * time.Second, Connections: 6, Timeout: 5 * time.Second, Roam: 0.1, GapProbe: 5 * time.Millisecond, Seed: 3, RunID: "t",
 	}
 }
 
@@ -87,6 +87,32 @@
 	assert.Equal(t, failed, 2)
 }
 
+func TestLoadEndsWhenNoOperationDoes(t *testing.T) {
+	s := server(t)
+	s.SetFaults(dbserver.Faults{IsolatedFrom: []string{"*"}})
+	opts := options(s)
+	opts.Duration, opts.Drain = 100*time.Millisecond, 400*time.Millisecond
+	began := time.Now()
+	res, err := Load(t.Context(), opts)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(began) < opts.Duration+opts.Drain+2*closeTimeout, time.Since(began))
+	assert.Equal(t, res.Report.Acknowledged, 0)
+	assert.Assert(t, res.Dropped > 0)
+}
+
+func TestFinalReadsBeginWithAcknowledgedWrites(t *testing.T) {
+	ops := []history.Op{
+		{Kind: history.KindInsert, Key: "a", Outcome: history.Unknown},
+		{Kind: history.KindPut, Key: "b", Outcome: history.Acknowledged},
+		{Kind: history.KindPut, Key: "b", Outcome: history.NotRun},
+		{Kind: history.KindRead, Key: "c", Outcome: history.Acknowledged},
+	}
+	reads := finalReads(ops)
+	assert.Equal(t, len(reads), 2)
+	assert.Equal(t, reads[0], history.Op{Kind: history.KindFinalRead, Key: "b"})
+	assert.Equal(t, reads[1], history.Op{Kind: history.KindFinalCount, Key: "a"})
+}
+
 func TestClassify(t *testing.T) {
 	pg := func(message, state string) error {
 		return errors.Wrap(&pgconn.PgError{Message: message, Code: state}, "x")
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -13,15 +13,14 @@
 
 const (
 	// backlog bounds the operations that are due and not yet begun.
-	backlog = 4096
-	// verifyTimeout bounds the final reads.
-	verifyTimeout = 60 * time.Second
-	verifyPause   = 100 * time.Millisecond
+	backlog     = 4096
+	verifyPause = 100 * time.Millisecond
 )
 
 // Load runs one load and checks its history. Operations arrive at seeded
 // random times whether or not earlier ones have ended, and their latency
-// counts from the arrival.
+// counts from the arrival. Half of opts.Drain after the last arrival is left to
+// operations that are still under way, the rest to the final reads.
 func Load(ctx context.Context, opts Options) (*Result, error) {
 	if err := opts.check(); err != nil {
 		return nil, err
@@ -32,12 +31,16 @@
 	callers := runCallers(ctx, &opts, r)
 	stop()
 	end := opts.clock()
+	ctx, cancel := context.WithDeadline(ctx, opts.started.Add(opts.Duration+opts.Drain))
+	defer cancel()
 	final := verify(ctx, &opts, r.ops, callers)
 	return newResult(&opts, r, final, end), nil
 }
 
 // runCallers performs the load and returns the sessions at its end.
 func runCallers(ctx context.Context, opts *Options, r *recorder) []*caller {
+	ctx, cancel := context.WithDeadline(ctx, opts.started.Add(opts.Duration+opts.Drain/2))
+	defer cancel()
 	b := &board{registers: make([]atomic.Pointer[string], opts.Connections)}
 	due := make(chan time.Duration, backlog)
 	callers := make([]*caller, opts.Connections)
@@ -47,6 +50,10 @@
 		callers[i] = c
 		running.Go(func() {
 			for at := range due {
+				if ctx.Err() != nil {
+					r.drop()
+					continue
+				}
 				k := opts.Workload.pick(c.rnd)
 				r.add(k, c.perform(ctx, k), at)
 			}
@@ -129,10 +136,8 @@
 }
 
 // verify reads everything that was written from the primary, with the load's
-// own sessions.
+// own sessions, until ctx ends.
 func verify(ctx context.Context, opts *Options, ops []history.Op, callers []*caller) []history.Op {
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
 	work := make(chan history.Op, len(ops))
 	for _, op := range finalReads(ops) {
 		work <- op
@@ -145,6 +150,9 @@
 		running.Go(func() {
 			defer c.leave()
 			for op := range work {
+				if ctx.Err() != nil {
+					return
+				}
 				op = c.readFinal(ctx, op)
 				mu.Lock()
 				out = append(out, op)
@@ -156,15 +164,30 @@
 	return out
 }
 
-// finalReads returns one read for each register and item.
+// finalReads returns one read for each register and item, those with an
+// acknowledged write first.
 func finalReads(ops []history.Op) []history.Op {
-	type subject struct{ database, key string }
 	seen := make(map[subject]bool)
+	var out []history.Op
+	acknowledged := func(o *history.Op) bool { return o.Outcome == history.Acknowledged }
+	others := func(o *history.Op) bool { return !acknowledged(o) }
+	for _, wanted := range []func(*history.Op) bool{acknowledged, others} {
+		out = append(out, newFinalReads(ops, seen, wanted)...)
+	}
+	return out
+}
+
+// subject is a register or item of one database.
+type subject struct{ database, key string }
+
+// newFinalReads returns a read for each subject of a wanted write that is not
+// in seen, and adds it there.
+func newFinalReads(ops []history.Op, seen map[subject]bool, wanted func(*history.Op) bool) []history.Op {
 	var out []history.Op
 	for i := range ops {
 		op := &ops[i]
 		s := subject{op.Database, op.Key}
-		if !op.IsWrite() || seen[s] {
+		if !op.IsWrite() || seen[s] || !wanted(op) {
 			continue
 		}
 		seen[s] = true
--- a/internal/bench/options.go
+++ b/internal/bench/options.go
@@ -37,6 +37,8 @@
 	Rate float64
 	// Duration is how long operations arrive.
 	Duration time.Duration
+	// Drain bounds what follows Duration: the end of operations under way and the final reads.
+	Drain time.Duration
 	// Connections is the number of sessions, each with one connection.
 	Connections int
 	// Timeout is how long a caller waits for one operation.
@@ -76,6 +78,8 @@
 		return errors.New("no proxy is given")
 	case len(o.Databases) == 0:
 		return errors.New("no database is given")
+	case o.Drain <= 0:
+		return errors.New("the drain must be above 0")
 	case o.Rate <= 0:
 		return errors.New("the rate must be above 0")
 	case o.Connections < len(o.Databases):
--- a/internal/standin/layout/layout.go
+++ b/internal/standin/layout/layout.go
@@ -6,9 +6,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
-	"strings"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
@@ -30,6 +32,9 @@
 	controlOffset = 1000
 )
 
+// declarations is the subdirectory of the declarations.
+const declarations = "declarations"
+
 // The emulated servers keep these times.
 const (
 	connectionSetUp = 10 * time.Millisecond
@@ -49,14 +54,24 @@
 	Operator string
 	// KeyFile is the operator's key file.
 	KeyFile string
+	// PortOffset is added to every port, so that several set-ups can run side by side.
+	PortOffset int
 }
 
 // Write writes one settings file per process: platform.jsonc,
 // server-ID.jsonc, proxy-N.jsonc with N from 1, and ctl.jsonc for operators.
+// The declarations that fit them go to declarations/all.jsonc.
 func Write(doc config.Document, o Options) error {
-	if err := os.MkdirAll(o.Directory, 0o755); err != nil {
+	if err := os.MkdirAll(filepath.Join(o.Directory, declarations), 0o755); err != nil {
 		return errors.Wrap(err, "make the directory")
 	}
+	doc, err := shiftPorts(doc, o.PortOffset)
+	if err != nil {
+		return err
+	}
+	if err := o.write(filepath.Join(declarations, "all"), doc); err != nil {
+		return err
+	}
 	if err := o.writePlatform(); err != nil {
 		return err
 	}
@@ -82,14 +97,30 @@
 	return errors.Wrap(os.WriteFile(path, append(b, '\n'), 0o644), "write settings")
 }
 
-func local(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+func (o Options) local(port int) string { return fmt.Sprintf("127.0.0.1:%d", port+o.PortOffset) }
+
+// shiftPorts returns doc with offset added to the port of every upstream.
+func shiftPorts(doc config.Document, offset int) (config.Document, error) {
+	doc.Groups = slices.Clone(doc.Groups)
+	for g := range doc.Groups {
+		ups := slices.Clone(doc.Groups[g].Upstreams)
+		doc.Groups[g].Upstreams = ups
+		for i := range ups {
+			var err error
+			if ups[i].Address, err = shiftPort(ups[i].Address, offset); err != nil {
+				return config.Document{}, err
+			}
+		}
+	}
+	return doc, nil
+}
 
 func vmID(i int) tables.VMID { return tables.VMID(fmt.Sprintf("vm-%d", i+1)) }
 
 func (o Options) writePlatform() error {
-	s := run.Settings{Platform: local(platformPort)}
+	s := run.Settings{Platform: o.local(platformPort)}
 	for i, dc := range o.DataCentres {
-		s.VMs = append(s.VMs, platform.ListedVM{ID: string(vmID(i)), DataCentre: string(dc), PeerAddress: local(peerBase + i)})
+		s.VMs = append(s.VMs, platform.ListedVM{ID: string(vmID(i)), DataCentre: string(dc), PeerAddress: o.local(peerBase + i)})
 	}
 	return o.write("platform", s)
 }
@@ -115,13 +146,19 @@
 }
 
 // controlAddress returns the address of faults and counters of the server at address.
-func controlAddress(address string) (string, error) {
-	var port int
-	host, text, _ := strings.Cut(address, ":")
-	if _, err := fmt.Sscan(text, &port); err != nil {
-		return "", errors.Errorf("address %q has no port", address)
+func controlAddress(address string) (string, error) { return shiftPort(address, controlOffset) }
+
+// shiftPort returns address with offset added to its port.
+func shiftPort(address string, offset int) (string, error) {
+	host, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", errors.Wrap(err, "address of a server")
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		return "", errors.Errorf("address %q has no port number", address)
 	}
-	return fmt.Sprintf("%s:%d", host, port+controlOffset), nil
+	return net.JoinHostPort(host, strconv.Itoa(port+offset)), nil
 }
 
 func server(u, primary config.Upstream) dbserver.Config {
@@ -169,9 +206,9 @@
 	SecretKey string `json:"secretKey"`
 }
 
-func objects() proxyObjects {
+func (o Options) objects() proxyObjects {
 	return proxyObjects{
-		Endpoint:  local(platformPort),
+		Endpoint:  o.local(platformPort),
 		Bucket:    settings.DefaultBucket,
 		AccessKey: "demo",
 		SecretKey: "demo-secret",
@@ -189,13 +226,13 @@
 
 func (o Options) control() controlFile {
 	c := controlFile{
-		Platform: proxyPlatform{URL: "http://" + local(platformPort)},
-		Objects:  objects(),
+		Platform: proxyPlatform{URL: "http://" + o.local(platformPort)},
+		Objects:  o.objects(),
 		Operator: o.Operator,
 		KeyFile:  o.KeyFile,
 	}
 	for i := range o.DataCentres {
-		c.Proxies = append(c.Proxies, local(adminBase+i))
+		c.Proxies = append(c.Proxies, o.local(adminBase+i))
 	}
 	return c
 }
@@ -208,17 +245,17 @@
 	p := proxyFile{
 		VM:           vmID(i),
 		DataCentre:   o.DataCentres[i],
-		Callers:      proxyCallers{Addresses: []string{local(callerBase + i)}},
-		PeerAddress:  local(peerBase + i),
-		AdminAddress: local(adminBase + i),
-		Platform:     proxyPlatform{URL: "http://" + local(platformPort)},
-		Objects:      objects(),
+		Callers:      proxyCallers{Addresses: []string{o.local(callerBase + i)}},
+		PeerAddress:  o.local(peerBase + i),
+		AdminAddress: o.local(adminBase + i),
+		Platform:     proxyPlatform{URL: "http://" + o.local(platformPort)},
+		Objects:      o.objects(),
 		Upstreams:    map[string]credential{"control": {User: "control"}, "pool": {User: "pool"}},
 		LogLevel:     o.LogLevel,
 	}
 	for j := range o.DataCentres {
 		if j != i {
-			p.SeedPeers = append(p.SeedPeers, local(peerBase+j))
+			p.SeedPeers = append(p.SeedPeers, o.local(peerBase+j))
 		}
 	}
 	return p
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -7,6 +7,6 @@
 trap stop_all EXIT
 set_up
 "$bin/cranberrystage-bench" cost \
-  --direct 127.0.0.1:7111 --direct 127.0.0.1:7112 --direct 127.0.0.1:7113 \
-  --proxy 127.0.0.1:6432 --database stock-ledger/stock1 \
+  --direct "$(at 7111)" --direct "$(at 7112)" --direct "$(at 7113)" \
+  --proxy "$(at 6432)" --database stock-ledger/stock1 \
   --user shop --password shop-demo --connections "${CONNECTIONS:-3}" --duration "${1:-2s}"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,7 +7,7 @@
 trap stop_all EXIT
 set_up
 "$bin/cranberrystage-bench" demo \
-  --proxy 127.0.0.1:6432 --proxy 127.0.0.1:6433 --proxy 127.0.0.1:6434 \
+  --proxy "$(at 6432)" --proxy "$(at 6433)" --proxy "$(at 6434)" \
   --batbayar-user shop --batbayar-password shop-demo \
   --batbayar-database stock-ledger/stock1 --batbayar-database stock-ledger/stock2 --batbayar-database stock-ledger/stock3 \
   --agency-user crew --agency-password crew-demo \
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -7,8 +7,8 @@
 trap 'exit 0' INT TERM
 set_up
 cat <<TEXT
-Proxies for callers: 127.0.0.1:6432, 127.0.0.1:6433, 127.0.0.1:6434
-  psql 'host=127.0.0.1 port=6432 dbname=stock-ledger/stock1 user=shop password=shop-demo'
+Proxies for callers: $(at 6432), $(at 6433), $(at 6434)
+  psql 'host=127.0.0.1 port=$(port 6432) dbname=stock-ledger/stock1 user=shop password=shop-demo'
 Status: bin/cranberrystage-ctl --settings $run_dir/ctl.jsonc status
 Logs and settings: $run_dir
 Interrupt to stop.
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,8 +5,16 @@
 # Where settings, logs and process ids of the set-up go.
 run_dir=${RUN_DIR:-$(mktemp -d)}
 bin=${BIN:-bin}
+# Added to every port, so that several set-ups can run side by side.
+offset=${PORT_OFFSET:-0}
 declarations="deploy/batbayar deploy/agency"
 
+# port NUMBER: prints the port that a port of the plain set-up has here.
+port() { echo $(($1 + offset)); }
+
+# at NUMBER: prints the address of a port of the plain set-up.
+at() { echo "127.0.0.1:$(port "$1")"; }
+
 # start NAME COMMAND...: runs a command in the background, its output in a log.
 start() {
   local name=$1
@@ -50,22 +58,22 @@
 
 # set_up: starts everything and returns once all proxies are ready.
 set_up() {
-  "$bin/cranberrystage-standin" layout --out "$run_dir" $declarations
-  local f name
+  "$bin/cranberrystage-standin" layout --out "$run_dir" --port-offset "$offset" $declarations
+  local f name n
   start platform "$bin/cranberrystage-standin" serve "$run_dir/platform.jsonc"
   for f in "$run_dir"/server-*.jsonc; do
     name=$(basename "$f" .jsonc)
     start "$name" "$bin/cranberrystage-standin" serve "$f"
   done
-  await 7001 /vms
+  await "$(port 7001)" /vms
   local id
-  id=$("$bin/cranberrystage-ctl" --settings "$run_dir/ctl.jsonc" --json plan $declarations | sed -n 's/.*"id": *"\([0-9a-f]*\)".*/\1/p' | head -n 1)
+  id=$("$bin/cranberrystage-ctl" --settings "$run_dir/ctl.jsonc" --json plan "$run_dir/declarations" | sed -n 's/.*"id": *"\([0-9a-f]*\)".*/\1/p' | head -n 1)
   "$bin/cranberrystage-ctl" --settings "$run_dir/ctl.jsonc" confirm "$id" >"$run_dir/confirm.log"
   for f in "$run_dir"/proxy-*.jsonc; do
     name=$(basename "$f" .jsonc)
     start "$name" "$bin/cranberrystage-proxy" "$f"
   done
-  for port in 6632 6633 6634; do
-    await "$port" /readyz
+  for n in 6632 6633 6634; do
+    await "$(port "$n")" /readyz
   done
 }
