--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -79,6 +79,8 @@
 		logins[i].register(demo, w.Name)
 	}
 
+	ex := newExperiment(app)
+
 	var co bench.CostOptions
 	cost := app.Command("cost", "Compare direct access, the proxy and a naive proxy.")
 	cost.Flag("direct", "IP:port of a server of the group; repeat for each, the primary is measured.").Required().StringsVar(&co.Direct)
@@ -114,6 +116,8 @@
 			d.KillPrimaryOf = append(d.KillPrimaryOf, server)
 		}
 		return ds.run(ctx, out, d)
+	case ex.command.FullCommand():
+		return ex.run(ctx, out, progress)
 	default:
 		return runCost(ctx, out, co, *costJSON)
 	}
--- a/internal/bench/cost.go
+++ b/internal/bench/cost.go
@@ -84,7 +84,7 @@
 func Cost(ctx context.Context, opts CostOptions) ([]CostRow, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	primary, err := findPrimary(ctx, opts.Direct)
+	primary, err := FindPrimary(ctx, opts.Direct)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/options.go
+++ b/internal/bench/options.go
@@ -88,6 +88,19 @@
 	return nil
 }
 
+// Connect opens a connection to a database at the first proxy that takes it.
+func (o *Options) Connect(ctx context.Context, database string) (*pgx.Conn, error) {
+	var last error
+	for _, address := range o.Proxies {
+		conn, err := o.open(ctx, address, database, "")
+		if err == nil {
+			return conn, nil
+		}
+		last = err
+	}
+	return nil, &connectError{cause: last}
+}
+
 // open connects to a server. session is handed over if it is not empty.
 func (o *Options) open(ctx context.Context, address, database, session string) (*pgx.Conn, error) {
 	cfg, err := pgx.ParseConfig("postgres://" + address + "/?sslmode=disable")
--- a/internal/bench/primary.go
+++ b/internal/bench/primary.go
@@ -34,11 +34,11 @@
 	return Server{Address: address, PID: n}, nil
 }
 
-// findPrimary returns the address that leads at the highest term.
-func findPrimary(ctx context.Context, addresses []string) (string, error) {
+// FindPrimary returns the address that leads at the highest term.
+func FindPrimary(ctx context.Context, addresses []string) (string, error) {
 	found, term := "", tables.Term(0)
 	for _, address := range addresses {
-		st, err := status(ctx, address)
+		st, err := ServerStatus(ctx, address)
 		if err == nil && st.Role == tables.RolePrimary && st.Fenced > term {
 			found, term = address, st.Fenced
 		}
@@ -49,7 +49,8 @@
 	return found, nil
 }
 
-func status(ctx context.Context, address string) (tables.Status, error) {
+// ServerStatus asks a server for its account of itself.
+func ServerStatus(ctx context.Context, address string) (tables.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	c := group.NewClient(address, controlUser, "", "bench")
@@ -63,7 +64,7 @@
 	for i, s := range servers {
 		addresses[i] = s.Address
 	}
-	address, err := findPrimary(ctx, addresses)
+	address, err := FindPrimary(ctx, addresses)
 	for _, s := range servers {
 		if s.Address == address {
 			return s, err
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -94,6 +94,16 @@
 	return res
 }
 
+// AgedReplicaShare returns the share of aged reads that replicas answered.
+func (r *Result) AgedReplicaShare() float64 {
+	for _, row := range r.Rows {
+		if row.Class == string(classAged) {
+			return row.Replica
+		}
+	}
+	return 0
+}
+
 func newRow(workload string, k class, f *figures) Row {
 	return Row{
 		Workload:  workload,
@@ -135,6 +145,18 @@
 // WriteText prints the results as tables and ends with the line
 // "N passed, N failed". It returns the number of failed checks.
 func WriteText(w io.Writer, results []*Result) (failed int, err error) {
+	if err := WriteTables(w, results); err != nil {
+		return 0, err
+	}
+	var all []Verdict
+	for _, res := range results {
+		all = append(all, res.Verdicts...)
+	}
+	return WriteVerdicts(w, all)
+}
+
+// WriteTables prints the figures of results.
+func WriteTables(w io.Writer, results []*Result) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	say := func(format string, args ...any) { _, _ = fmt.Fprintf(tw, format, args...) }
 	say("workload\toperation\tsucceeded\tnot run\tunknown\treplica\tp50\tp99\tmax\n")
@@ -147,19 +169,21 @@
 	for _, res := range results {
 		writeDetails(say, res)
 	}
-	passed := 0
 	say("\n")
-	for _, res := range results {
-		for _, v := range res.Verdicts {
-			say("%s\t%s\t%s\n", word(v.Passed), v.Name, v.Detail)
-			if v.Passed {
-				passed++
-			} else {
-				failed++
-			}
+	return errors.Wrap(tw.Flush(), "write report")
+}
+
+// WriteVerdicts prints one line for each verdict and ends with the line
+// "N passed, N failed". It returns the number of failed checks.
+func WriteVerdicts(w io.Writer, verdicts []Verdict) (failed int, err error) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, v := range verdicts {
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%s\n", word(v.Passed), v.Name, v.Detail)
+		if !v.Passed {
+			failed++
 		}
 	}
-	say("%d passed, %d failed\n", passed, failed)
+	_, _ = fmt.Fprintf(tw, "%d passed, %d failed\n", len(verdicts)-failed, failed)
 	return failed, errors.Wrap(tw.Flush(), "write report")
 }
 
--- /dev/null
+++ b/internal/experiment/configuration.go
@@ -0,0 +1,248 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/plan"
+	"github.com/cranberrystage/cranberrystage/internal/platform/memory"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// inForceGoal is how soon every proxy must have a confirmed version.
+	inForceGoal = 6 * time.Second
+	// inForceLimit is how long a late version is waited for.
+	inForceLimit  = 15 * time.Second
+	confirmRounds = 4
+	platformDelay = 2 * time.Second
+	// lostAnswers is how many calls of the platform lose their answer.
+	lostAnswers = 8
+	// drainGoal is how soon a leaving upstream must receive no new work.
+	drainGoal  = 3 * time.Second
+	drainWatch = 3 * time.Second
+)
+
+// checkInForce checks that every proxy has the version in time.
+func (r *run) checkInForce(ctx context.Context, version uint64) {
+	took, ok := r.awaitVersion(ctx, version, inForceLimit)
+	r.check(ok && took < inForceGoal, fmt.Sprintf("version %d in force on every proxy", version), "after %s", took.Round(time.Millisecond))
+	r.figure("until a version was in force", took)
+}
+
+func changeConfiguration(ctx context.Context, r *run) error {
+	o, err := newOperator(r.setUp.ControlSettings)
+	if err != nil {
+		return err
+	}
+	if err := r.until(ctx, faultAt); err != nil {
+		return err
+	}
+	for range confirmRounds {
+		p, err := o.propose(ctx, growQueue)
+		if err != nil {
+			return err
+		}
+		res, err := o.confirm(ctx, p.ID)
+		if err != nil {
+			return err
+		}
+		r.checkInForce(ctx, res.Head.Version)
+	}
+	return nil
+}
+
+// growQueueBy returns a change that conflicts with that of any other n.
+func growQueueBy(n int) func(*config.Document) error {
+	return func(doc *config.Document) error {
+		doc.Services[0].QueueLimit += n
+		return nil
+	}
+}
+
+func confirmConflicting(ctx context.Context, r *run) error {
+	o, err := newOperator(r.setUp.ControlSettings)
+	if err != nil {
+		return err
+	}
+	if err := r.until(ctx, faultAt); err != nil {
+		return err
+	}
+	for range confirmRounds {
+		var plans [2]plan.Plan
+		for i := range plans {
+			if plans[i], err = o.propose(ctx, growQueueBy(i+1)); err != nil {
+				return err
+			}
+		}
+		r.confirmBoth(ctx, o, plans)
+	}
+	return nil
+}
+
+// confirmBoth confirms two plans at the same moment; one must win.
+func (r *run) confirmBoth(ctx context.Context, o *operator, plans [2]plan.Plan) {
+	var results [2]plan.Result
+	var errs [2]error
+	var g errgroup.Group
+	for i, p := range plans {
+		g.Go(func() error {
+			results[i], errs[i] = o.confirm(ctx, p.ID)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	winner := 0
+	if errs[0] != nil {
+		winner = 1
+	}
+	r.check(errs[winner] == nil && hasCode(errs[1-winner], codes.StaleBase), "one of two conflicting plans wins",
+		"%v; %v", errs[0], errs[1])
+	if errs[winner] == nil {
+		r.checkInForce(ctx, results[winner].Head.Version)
+	}
+}
+
+// slowPlatform confirms a plan while the platform is slow, and another while
+// its answers are lost.
+func slowPlatform(ctx context.Context, r *run) error {
+	o, err := newOperator(r.setUp.ControlSettings)
+	if err != nil {
+		return err
+	}
+	for _, f := range []memory.Fault{
+		{Kind: memory.FaultSlow, Delay: platformDelay},
+		{Kind: memory.FaultLoseAnswer, Calls: lostAnswers},
+	} {
+		p, err := o.propose(ctx, growQueue)
+		if err != nil {
+			return err
+		}
+		if err := r.confirmUnder(ctx, o, p, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// confirmUnder confirms a plan with a fault of the platform in force.
+func (r *run) confirmUnder(ctx context.Context, o *operator, p plan.Plan, f memory.Fault) error {
+	if err := r.setUp.setPlatformFault(ctx, f); err != nil {
+		return err
+	}
+	began := r.clock()
+	res, err := o.insist(ctx, p.ID)
+	r.check(err == nil, "plan confirmed with the platform "+f.Kind.String(), "%v", err)
+	r.figure("confirm with the platform "+f.Kind.String(), r.clock()-began)
+	if err == nil {
+		r.check(res.Head.Version == p.BaseVersion+1, "plan took effect once", "version %d from base %d", res.Head.Version, p.BaseVersion)
+		r.checkInForce(ctx, res.Head.Version)
+	}
+	return r.setUp.setPlatformFault(ctx, memory.Fault{})
+}
+
+// setLeaving changes whether an upstream is leaving.
+func setLeaving(doc *config.Document, ids []tables.UpstreamID, leaving bool) error {
+	for g := range doc.Groups {
+		ups := doc.Groups[g].Upstreams
+		for i := range ups {
+			for _, id := range ids {
+				if ups[i].ID == id {
+					ups[i].Leaving = leaving
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// drain makes servers leave and checks that they get no new work soon.
+func (r *run) drain(ctx context.Context, leaving []Server) error {
+	o, err := newOperator(r.setUp.ControlSettings)
+	if err != nil {
+		return err
+	}
+	var ids []tables.UpstreamID
+	for _, s := range leaving {
+		ids = append(ids, s.ID)
+	}
+	p, err := o.propose(ctx, func(doc *config.Document) error { return setLeaving(doc, ids, true) })
+	if err != nil {
+		return err
+	}
+	if _, err := o.confirm(ctx, p.ID); err != nil {
+		return err
+	}
+	if err := sleep(ctx, drainGoal); err != nil {
+		return err
+	}
+	return r.checkIdle(ctx, leaving, drainWatch)
+}
+
+// checkIdle checks that servers get no statement for a while.
+func (r *run) checkIdle(ctx context.Context, servers []Server, watch time.Duration) error {
+	before := make([]int64, len(servers))
+	for i, s := range servers {
+		st, err := s.stats(ctx)
+		if err != nil {
+			return err
+		}
+		before[i] = st.Statements
+	}
+	if err := sleep(ctx, watch); err != nil {
+		return err
+	}
+	for i, s := range servers {
+		st, err := s.stats(ctx)
+		if err != nil {
+			return err
+		}
+		n := st.Statements - before[i]
+		r.check(n == 0 && before[i] > 0, "no new work on "+string(s.ID)+" "+drainGoal.String()+" after the confirm",
+			"%d statements, %d before", n, before[i])
+	}
+	return nil
+}
+
+func drainReplica(ctx context.Context, r *run) error {
+	if err := r.until(ctx, faultAt); err != nil {
+		return err
+	}
+	var leaving []Server
+	for _, g := range r.setUp.victims() {
+		p, err := r.primaryOf(ctx, g)
+		if err != nil {
+			return err
+		}
+		for _, s := range r.setUp.members(g) {
+			if s.ID != p.ID {
+				leaving = append(leaving, s)
+				break
+			}
+		}
+	}
+	r.harmed = r.setUp.victims()
+	return r.drain(ctx, leaving)
+}
+
+func drainPrimary(ctx context.Context, r *run) error {
+	if err := r.until(ctx, faultAt); err != nil {
+		return err
+	}
+	found, err := r.primaries(ctx)
+	if err != nil {
+		return err
+	}
+	var leaving []Server
+	for _, p := range found {
+		leaving = append(leaving, p.Server)
+	}
+	if err := r.drain(ctx, leaving); err != nil {
+		return err
+	}
+	return r.checkReplaced(ctx, found)
+}
--- /dev/null
+++ b/internal/experiment/list.go
@@ -0,0 +1,74 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/bench"
+	"github.com/pkg/errors"
+)
+
+// Goals for the span without a successful write.
+const (
+	killedGoal      = 300 * time.Millisecond
+	silentGoal      = 2 * time.Second
+	withoutPlatform = killedGoal * 11 / 10
+)
+
+// Goals for the share of reads on replicas at the agency's mix.
+const (
+	agencyWorkload = "agency"
+	agedShareGoal  = 0.95
+	readShareGoal  = 0.90
+)
+
+// All lists every experiment.
+var All = []Experiment{
+	{Name: "undisturbed", Text: "No fault.", GapGoal: killedGoal, after: checkReplicaShare},
+	{Name: "primary-killed", Text: "Primaries get SIGKILL.", GapGoal: killedGoal, fault: killPrimary},
+	{Name: "primary-frozen", Text: "Primaries get SIGSTOP and, 6 s later, SIGCONT.", GapGoal: silentGoal, fault: freezePrimary},
+	{Name: "primary-isolated", Text: "Primaries answer nobody for 6 s.", GapGoal: silentGoal, fault: isolatePrimary},
+	{Name: "primary-slow", Text: "Statements on primaries take 100 ms longer for 6 s.", fault: slowPrimary},
+	{Name: "connections-silent", Text: "Open connections to primaries go silent for good.", fault: silenceConnections},
+	{Name: "replica-stopped", Text: "One replica of each harmed group applies nothing for 6 s.", fault: delayReplicas},
+	{Name: "replicas-late", Text: "All replicas of the harmed groups apply records 3 s late for 6 s.", fault: lateReplicas},
+	{Name: "proxy-killed", Text: "A proxy with open transactions gets SIGKILL.", fault: killProxy},
+	{Name: "proxy-terminated", Text: "A proxy gets SIGTERM.", fault: terminateProxy, after: noneUnknown},
+	{Name: "proxy-paused", Text: "A proxy gets SIGSTOP and, 3 s later, SIGCONT.", fault: pauseProxy},
+	{Name: "platform-down", Text: "The platform is down for the whole run; primaries get SIGKILL.", GapGoal: withoutPlatform, fault: killPrimaryWithoutPlatform},
+	{Name: "platform-slow", Text: "Plans are confirmed while the platform takes 2 s, and while it loses answers.", fault: slowPlatform},
+	{Name: "conflicting-confirms", Text: "Two plans from one base are confirmed at the same moment.", fault: confirmConflicting},
+	{Name: "configuration", Text: "Plans are confirmed one after the other.", fault: changeConfiguration},
+	{Name: "drain-replica", Text: "A replica of each harmed group leaves.", fault: drainReplica},
+	{Name: "drain-primary", Text: "Primaries leave.", GapGoal: silentGoal, fault: drainPrimary},
+}
+
+// Find returns the experiment called name.
+func Find(name string) (Experiment, error) {
+	for _, e := range All {
+		if e.Name == name {
+			return e, nil
+		}
+	}
+	return Experiment{}, errors.Errorf("there is no experiment %q", name)
+}
+
+// Names returns the names of all experiments.
+func Names() []string {
+	names := make([]string, len(All))
+	for i, e := range All {
+		names[i] = e.Name
+	}
+	return names
+}
+
+// checkReplicaShare compares the share of reads on replicas with the goals.
+func checkReplicaShare(r *run, results []*bench.Result) {
+	for _, res := range results {
+		if res.Workload != agencyWorkload {
+			continue
+		}
+		aged := res.AgedReplicaShare()
+		r.check(aged >= agedShareGoal, "agency: aged reads on replicas", "%.1f%%, goal %.0f%%", 100*aged, 100*agedShareGoal)
+		r.check(res.ReadReplica >= readShareGoal, "agency: reads on replicas", "%.1f%%, goal %.0f%%", 100*res.ReadReplica, 100*readShareGoal)
+	}
+}
