Probe gaps at a steady pace; let the emulator follow and count like a server

Cause: the gap of an isolated primary showed 2.44 s although the promotion had ended 1.05 s after the fault.

Probes now take an idle session or a new one, through every proxy in turn. A replica drops its request when whom it follows changes, as a restarted WAL receiver does. A connection that the other side has closed before its startup is answered is not counted.

Ruled out: shorter caller timeouts for probes, which would turn waits into unknown outcomes.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -191,3 +191,20 @@
 	assert.NilError(t, WriteCostJSON(&out, rows))
 	assert.Equal(t, strings.Count(out.String(), "naive proxy"), 4)
 }
+
+func TestProbesKeepTheirPaceBesideOneThatHangs(t *testing.T) {
+	s := server(t)
+	opts := options(s)
+	opts.started = time.Now()
+	opts.Timeout = 400 * time.Millisecond
+	r := newRecorder()
+	p := newProber(&opts, &board{}, 0, r)
+	first := <-p.idle
+	assert.NilError(t, first.connect(t.Context()))
+	s.SilenceConnections()
+	p.idle <- first
+	p.run(t.Context())
+	f := r.byClass[classProbe]
+	assert.Equal(t, f.unknown, 1)
+	assert.Assert(t, f.succeeded > 10, f.succeeded)
+}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -61,7 +61,7 @@
 	}
 	if opts.GapProbe > 0 {
 		for i := range opts.Databases {
-			running.Go(func() { probeGaps(ctx, newCaller(opts, b, i), r) })
+			running.Go(func() { newProber(opts, b, i, r).run(ctx) })
 		}
 	}
 	arrive(ctx, opts, due, r)
@@ -70,16 +70,6 @@
 	return callers
 }
 
-// probeGaps writes to one database at a steady pace until the load's end.
-func probeGaps(ctx context.Context, c *caller, r *recorder) {
-	defer c.leave()
-	c.name += "-probe"
-	for c.opts.clock() < c.opts.Duration && pause(ctx, c.opts.GapProbe) {
-		at := c.opts.clock()
-		r.add(classProbe, c.probe(ctx), at)
-	}
-}
-
 // arrive hands out operations at random times until the load's end.
 func arrive(ctx context.Context, opts *Options, due chan<- time.Duration, r *recorder) {
 	rnd := rand.New(rand.NewPCG(opts.Seed, 0))
--- a/internal/standin/dbserver/conn.go
+++ b/internal/standin/dbserver/conn.go
@@ -141,6 +141,9 @@
 	}
 	term, _ := strconv.ParseUint(m.Parameters[ParamTerm], 10, 64)
 	c.term = tables.Term(term)
+	if gone(c.net) {
+		return false
+	}
 	if c.user != replicationUser {
 		if !c.server.admitConnection() {
 			c.be.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "53300", Message: "too many connections"})
--- a/internal/standin/dbserver/replica.go
+++ b/internal/standin/dbserver/replica.go
@@ -52,8 +52,27 @@
 	}
 }
 
+// whileFollowing returns a context that ends once the server follows another
+// primary, so that a request to a silent one does not outlast the change.
+func (s *Server) whileFollowing(ctx context.Context, address string, term tables.Term) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			now, at, _, changed := s.db.following()
+			if now != address || at != term {
+				cancel()
+				return
+			}
+			waitFor(ctx, changed, time.Second)
+		}
+	}()
+	return ctx, cancel
+}
+
 // pullFrom follows the primary at address while the server follows it at term.
 func (s *Server) pullFrom(ctx context.Context, address string, term tables.Term) error {
+	ctx, stop := s.whileFollowing(ctx, address, term)
+	defer stop()
 	dialCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	url := fmt.Sprintf("postgres://%s@%s/replication?sslmode=disable&application_name=%s@%s",
--- /dev/null
+++ b/internal/standin/dbserver/replica_test.go
@@ -0,0 +1,51 @@
+package dbserver
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+func TestReplicaLeavesASilentPrimaryForTheNextAtOnce(t *testing.T) {
+	start := func(cfg Config) *Server {
+		cfg.Listen, cfg.Slots, cfg.Connections = "127.0.0.1:0", 10, 10
+		s, err := New(cfg, slog.New(slog.DiscardHandler))
+		assert.NilError(t, err)
+		go func() { _ = s.Run(t.Context()) }()
+		return s
+	}
+	a := start(Config{ID: "a", Primary: true})
+	b := start(Config{ID: "b", PrimaryID: "a", PrimaryAddress: a.Addr()})
+	c := start(Config{ID: "c", PrimaryID: "a", PrimaryAddress: a.Addr()})
+	has := func(s *Server, pos tables.Position) poll.Check {
+		return func(poll.LogT) poll.Result {
+			if s.db.status().Last.AtLeast(pos) {
+				return poll.Success()
+			}
+			return poll.Continue("at %v", s.db.status().Last)
+		}
+	}
+	pos, err := a.db.commit(0, nil)
+	assert.NilError(t, err)
+	poll.WaitOn(t, has(c, pos), poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	poll.WaitOn(t, has(b, pos), poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	a.SetFaults(Faults{IsolatedFrom: []string{"*"}})
+
+	// c's next request to a gets no answer; the change must end it.
+	time.Sleep(2 * pullWait)
+	for _, s := range []*Server{b, c} {
+		_, err = s.db.fence(2)
+		assert.NilError(t, err)
+	}
+	_, err = b.db.promote(2)
+	assert.NilError(t, err)
+	_, err = c.db.follow("b", b.Addr(), 2)
+	assert.NilError(t, err)
+	pos, err = b.db.commit(0, nil)
+	assert.NilError(t, err)
+	poll.WaitOn(t, has(c, pos), poll.WithTimeout(pullTimeout/4), poll.WithDelay(time.Millisecond))
+}
