--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -80,6 +80,7 @@
 	}
 
 	ex := newExperiment(app)
+	nv := newNaive(app)
 
 	var co bench.CostOptions
 	cost := app.Command("cost", "Compare direct access, the proxy and a naive proxy.")
@@ -118,6 +119,8 @@
 		return ds.run(ctx, out, d)
 	case ex.command.FullCommand():
 		return ex.run(ctx, out, progress)
+	case nv.command.FullCommand():
+		return nv.run(ctx)
 	default:
 		return runCost(ctx, out, co, *costJSON)
 	}
--- a/cmd/cranberrystage-bench/main_test.go
+++ b/cmd/cranberrystage-bench/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -39,3 +40,25 @@
 	err := run(t.Context(), []string{"load", "--proxy", "127.0.0.1:1", "--user", "u", "--database", "d", "--rate", "0"}, &out, &out)
 	assert.ErrorContains(t, err, "rate")
 }
+
+func TestNaiveProxyEndsWhenInterrupted(t *testing.T) {
+	s, err := dbserver.New(dbserver.Config{ID: "a", Listen: "127.0.0.1:0", Primary: true, Slots: 100, Connections: 100}, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	go func() { _ = s.Run(t.Context()) }()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() {
+		ended <- run(ctx, []string{"naive", "--listen", "127.0.0.1:0", "--primary", s.Addr()}, &bytes.Buffer{}, &bytes.Buffer{})
+	}()
+	cancel()
+	assert.NilError(t, <-ended)
+}
+
+func TestExperimentRefusesWrongEndpoints(t *testing.T) {
+	var out bytes.Buffer
+	args := []string{"experiment", "undisturbed", "--proxy", "x", "--platform", "x", "--control-settings", "x",
+		"--batbayar-user", "u", "--batbayar-password", "p", "--batbayar-database", "x/1",
+		"--agency-user", "u", "--agency-password", "p", "--agency-database", "y/1"}
+	assert.ErrorContains(t, run(t.Context(), append(args, "--server", "a/b=c", "--proxy-process", "x"), &out, &out), "GROUP/ID")
+	assert.ErrorContains(t, run(t.Context(), append(args, "--server", "a/b=c,d,42", "--proxy-process", "x"), &out, &out), "CALLERS")
+}
--- /dev/null
+++ b/cmd/cranberrystage-bench/naive.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cranberrystage/cranberrystage/internal/naive"
+)
+
+// naiveCommand serves the naive proxy that measurements compare with.
+type naiveCommand struct {
+	command         *kingpin.CmdClause
+	listen, primary string
+}
+
+func newNaive(app *kingpin.Application) *naiveCommand {
+	c := app.Command("naive", "Serve a naive proxy in front of one server until interrupted.")
+	n := &naiveCommand{command: c}
+	c.Flag("listen", "IP:port for callers.").Required().StringVar(&n.listen)
+	c.Flag("primary", "IP:port of the server.").Required().StringVar(&n.primary)
+	return n
+}
+
+func (n *naiveCommand) run(ctx context.Context) error {
+	p, err := naive.New(n.listen, n.primary)
+	if err != nil {
+		return err
+	}
+	return p.Run(ctx)
+}
