--- a/internal/standin/dbserver/replica.go
+++ b/internal/standin/dbserver/replica.go
@@ -98,10 +98,10 @@
 }
 
 func (s *Server) pullOnce(ctx context.Context, pc *pgconn.PgConn, term tables.Term, index uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	sql := fmt.Sprintf("SELECT cs_pull(%d, %d)", term, index)
-	results, err := pc.Exec(ctx, sql).ReadAll()
+	results, err := pc.Exec(pullCtx, sql).ReadAll()
 	if err != nil {
 		return errors.Wrap(err, "pull")
 	}
--- a/internal/standin/dbserver/replica_test.go
+++ b/internal/standin/dbserver/replica_test.go
@@ -49,3 +49,24 @@
 	assert.NilError(t, err)
 	poll.WaitOn(t, has(c, pos), poll.WithTimeout(pullTimeout/4), poll.WithDelay(time.Millisecond))
 }
+
+func TestReplicationDelayMayExceedThePullTimeout(t *testing.T) {
+	const delay = pullTimeout + pullTimeout/2
+	a, err := New(Config{ID: "a", Listen: "127.0.0.1:0", Primary: true, Slots: 10, Connections: 10}, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	go func() { _ = a.Run(t.Context()) }()
+	b, err := New(Config{ID: "b", Listen: "127.0.0.1:0", PrimaryID: "a", PrimaryAddress: a.Addr(), Slots: 10, Connections: 10}, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	b.SetFaults(Faults{ReplicationDelay: delay})
+	pos, err := a.db.commit(0, nil)
+	assert.NilError(t, err)
+	began := time.Now()
+	go func() { _ = b.Run(t.Context()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.db.status().Last.AtLeast(pos) {
+			return poll.Success()
+		}
+		return poll.Continue("behind")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	assert.Assert(t, time.Since(began) >= delay, time.Since(began))
+}
