--- a/cmd/cranberrystage-bench/experiment.go
+++ b/cmd/cranberrystage-bench/experiment.go
@@ -29,6 +29,7 @@
 	}
 	c.Flag("server", "GROUP/ID=ADDRESS,CONTROL,PID of a database server; repeat for each.").Required().StringsVar(&e.servers)
 	c.Flag("proxy-process", "CALLERS,ADMIN,PID of a proxy; repeat for each, the last one is harmed.").Required().StringsVar(&e.proxies)
+	c.Flag("late-admin", "Admin IP:port of a proxy that is started during the load.").StringVar(&e.setUp.LateAdmin)
 	c.Flag("platform", "IP:port of the platform.").Required().StringVar(&e.setUp.Platform)
 	c.Flag("control-settings", "Settings file of the operators' tool.").Required().StringVar(&e.setUp.ControlSettings)
 	c.Arg("name", "Experiment.").Required().EnumVar(&e.name, experiment.Names()...)
--- a/internal/experiment/configuration.go
+++ b/internal/experiment/configuration.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/plan"
 	"github.com/cranberrystage/cranberrystage/internal/platform/memory"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -25,6 +26,8 @@
 	// drainGoal is how soon a leaving upstream must receive no new work.
 	drainGoal  = 3 * time.Second
 	drainWatch = 3 * time.Second
+	// lateLimit is how long a late proxy is waited for.
+	lateLimit = 30 * time.Second
 )
 
 // checkInForce checks that every proxy has the version in time.
@@ -145,6 +148,53 @@
 	return r.setUp.setPlatformFault(ctx, memory.Fault{})
 }
 
+// awaitLateProxy confirms a plan, makes the platform unavailable and waits for
+// a proxy that is started meanwhile; it must take the plan from its peers.
+func awaitLateProxy(ctx context.Context, r *run) error {
+	if r.setUp.LateAdmin == "" {
+		return errors.New("no late proxy is given")
+	}
+	o, err := newOperator(r.setUp.ControlSettings)
+	if err != nil {
+		return err
+	}
+	p, err := o.propose(ctx, growQueue)
+	if err != nil {
+		return err
+	}
+	res, err := o.confirm(ctx, p.ID)
+	if err != nil {
+		return err
+	}
+	r.checkInForce(ctx, res.Head.Version)
+	if err := r.setUp.setPlatformFault(ctx, memory.Fault{Kind: memory.FaultDown}); err != nil {
+		return err
+	}
+	return r.checkLate(ctx, Proxy{Admin: r.setUp.LateAdmin}, res.Head.Version)
+}
+
+// checkLate checks that a proxy which is not there yet has the version in time
+// once it is.
+func (r *run) checkLate(ctx context.Context, late Proxy, version uint64) error {
+	if _, err := late.status(ctx); err == nil {
+		return errors.New("the late proxy was there before the platform failed")
+	}
+	started := poll(ctx, lateLimit, func() bool {
+		_, err := late.status(ctx)
+		return err == nil
+	})
+	r.check(started, "late proxy started", "at %s", r.clock().Round(time.Millisecond))
+	began := r.clock()
+	ok := poll(ctx, inForceLimit, func() bool {
+		st, err := late.status(ctx)
+		return err == nil && st.ConfigVersion >= version && st.Ready
+	})
+	took := r.clock() - began
+	r.check(ok && took < inForceGoal, "late proxy took the configuration from its peers", "after %s", took.Round(time.Millisecond))
+	r.figure("until the late proxy was ready", took)
+	return ctx.Err()
+}
+
 // setLeaving changes whether an upstream is leaving.
 func setLeaving(doc *config.Document, ids []tables.UpstreamID, leaving bool) error {
 	for g := range doc.Groups {
--- a/internal/experiment/list.go
+++ b/internal/experiment/list.go
@@ -38,6 +38,7 @@
 	{Name: "platform-slow", Text: "Plans are confirmed while the platform takes 2 s, and while it loses answers.", fault: slowPlatform},
 	{Name: "conflicting-confirms", Text: "Two plans from one base are confirmed at the same moment.", fault: confirmConflicting},
 	{Name: "configuration", Text: "Plans are confirmed one after the other.", fault: changeConfiguration},
+	{Name: "late-proxy", Text: "A proxy starts while the platform is down.", fault: awaitLateProxy},
 	{Name: "drain-replica", Text: "A replica of each harmed group leaves.", fault: drainReplica},
 	{Name: "overload", Text: "One database is offered 2 and 5 times what its primary can do.", alone: overload},
 	{Name: "drain-primary", Text: "Primaries leave.", GapGoal: silentGoal, fault: drainPrimary},
--- a/internal/experiment/operator_test.go
+++ b/internal/experiment/operator_test.go
@@ -99,3 +99,10 @@
 	assert.NilError(t, setLeaving(&doc, []tables.UpstreamID{"stock1-b"}, true))
 	assert.Assert(t, doc.Groups[0].Upstreams[1].Leaving && !doc.Groups[0].Upstreams[0].Leaving)
 }
+
+func TestLateProxyMustNotBeEarly(t *testing.T) {
+	_, s := newTestOperator(t, func() uint64 { return 9 })
+	r := &run{setUp: s, began: time.Now()}
+	assert.ErrorContains(t, r.checkLate(t.Context(), s.Proxies[0], 2), "before")
+	assert.ErrorContains(t, awaitLateProxy(t.Context(), r), "no late proxy")
+}
--- a/internal/experiment/setup.go
+++ b/internal/experiment/setup.go
@@ -47,6 +47,9 @@
 	Servers []Server
 	// Proxies are all proxies.
 	Proxies []Proxy
+	// LateAdmin is the admin address of a proxy that is started during the
+	// load; empty for none.
+	LateAdmin string
 	// Platform is the platform's IP:port.
 	Platform string
 	// ControlSettings is the path of the operators' settings file.
--- a/scripts/experiments.sh
+++ b/scripts/experiments.sh
@@ -12,7 +12,7 @@
 limit=${LIMIT:-100}
 all="undisturbed primary-killed primary-frozen primary-isolated primary-slow connections-silent
 replica-stopped replicas-late proxy-killed proxy-terminated proxy-paused platform-down platform-slow
-conflicting-confirms configuration drain-replica drain-primary overload"
+conflicting-confirms configuration late-proxy drain-replica drain-primary overload"
 
 # field FILE NAME: prints the value of a text field of a settings file.
 field() { sed -n 's/.*"'"$2"'": "\([^"]*\)".*/\1/p' "$1" | head -n 1; }
@@ -34,10 +34,19 @@
 run_one() (
   RUN_DIR="$out/$1-$seed"
   mkdir -p "$RUN_DIR"
+  if [ "$1" = late-proxy ]; then
+    LATE=proxy-4
+    DATA_CENTRES=ub-east,tunis,ub-east,tunis
+  fi
   . scripts/setup.sh
   trap stop_all EXIT
   set_up
-  timeout "$limit" "$bin/cranberrystage-bench" experiment "$1" $(endpoints) \
+  late_admin=""
+  if [ -n "$late" ]; then
+    late_admin="--late-admin $(at 6635)"
+    (sleep 6 && start "$late" "$bin/cranberrystage-proxy" "$run_dir/$late.jsonc") &
+  fi
+  timeout "$limit" "$bin/cranberrystage-bench" experiment "$1" $(endpoints) $late_admin \
     --platform "$(at 7001)" --control-settings "$run_dir/ctl.jsonc" \
     --batbayar-user shop --batbayar-password shop-demo \
     --batbayar-database stock-ledger/stock1 --batbayar-database stock-ledger/stock2 --batbayar-database stock-ledger/stock3 \
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -7,6 +7,9 @@
 bin=${BIN:-bin}
 # Added to every port, so that several set-ups can run side by side.
 offset=${PORT_OFFSET:-0}
+# One proxy for each; the proxy named by LATE is left to the caller to start.
+data_centres=${DATA_CENTRES:-ub-east,tunis,ub-east}
+late=${LATE:-}
 declarations="deploy/batbayar deploy/agency"
 
 # port NUMBER: prints the port that a port of the plain set-up has here.
@@ -58,7 +61,7 @@
 
 # set_up: starts everything and returns once all proxies are ready.
 set_up() {
-  "$bin/cranberrystage-standin" layout --out "$run_dir" --port-offset "$offset" $declarations
+  "$bin/cranberrystage-standin" layout --out "$run_dir" --port-offset "$offset" --data-centres "$data_centres" $declarations
   local f name n
   start platform "$bin/cranberrystage-standin" serve "$run_dir/platform.jsonc"
   for f in "$run_dir"/server-*.jsonc; do
@@ -71,6 +74,7 @@
   "$bin/cranberrystage-ctl" --settings "$run_dir/ctl.jsonc" confirm "$id" >"$run_dir/confirm.log"
   for f in "$run_dir"/proxy-*.jsonc; do
     name=$(basename "$f" .jsonc)
+    [ "$name" != "$late" ] || continue
     start "$name" "$bin/cranberrystage-proxy" "$f"
   done
   for n in 6632 6633 6634; do
