Confirm only what a batch executed; a group without points keeps its term

Cause: before the first confirmed point a prepare on the primary was answered with code 202, since the term of a group without points was read as 0.

--- a/internal/callers/batch.go
+++ b/internal/callers/batch.go
@@ -18,6 +18,17 @@
 	Partial bool
 }
 
+// Executes reports whether the batch runs a statement, or ends one that ran
+// before a Flush. A batch that only prepares or closes statements returns no data.
+func (b *Batch) Executes() bool {
+	for _, m := range b.Messages {
+		if _, ok := m.(*pgproto3.Execute); ok {
+			return true
+		}
+	}
+	return len(b.Messages) == 0
+}
+
 // add appends m and returns its approximate size in bytes.
 func (b *Batch) add(m pgproto3.FrontendMessage) int {
 	b.Messages = append(b.Messages, m)
--- a/internal/exec/request.go
+++ b/internal/exec/request.go
@@ -390,7 +390,7 @@
 	if res.committed {
 		return r.acknowledge(ctx, d, res)
 	}
-	if res.failure == "" && r.s.status == statusIdle && d.Kind == route.KindPrimary {
+	if res.failure == "" && r.s.status == statusIdle && d.Kind == route.KindPrimary && r.batch.Executes() {
 		if err := r.confirmSince(ctx, r.confirmFrom(started), d.Term); err != nil {
 			return err
 		}
@@ -442,9 +442,12 @@
 
 func (r *request) newestPoint() (tables.ConfirmedPoint, tables.Term) {
 	g, ok := r.core.Snapshot().Group(r.place.group)
-	if !ok || len(g.Points) == 0 {
+	if !ok {
 		return tables.ConfirmedPoint{}, 0
 	}
+	if len(g.Points) == 0 {
+		return tables.ConfirmedPoint{}, g.Term
+	}
 	return g.Points[0], g.Term
 }
 
