Spread configuration as deltas checked by hash

The heartbeat says whether its sender takes deltas, so that programs without them go on getting documents.

The core keeps the encoded revision and its steps; the action SendDocument is replaced by a Publish, and the test on it now checks the message too.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -165,6 +165,8 @@
 	Version uint64 `json:"version"`
 	// Hash is the document's content hash.
 	Hash string `json:"hash"`
+	// BaseHash is the content hash of the document in force before; empty at version 1.
+	BaseHash string `json:"baseHash,omitempty"`
 	// PlanID is the plan that was confirmed.
 	PlanID string `json:"planId"`
 	// Operator confirmed it.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 
+	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
@@ -35,6 +36,8 @@
 	ConfigVersion uint64 `msgpack:"c"`
 	// Leaving says that the sender is shutting down.
 	Leaving bool `msgpack:"l"`
+	// Deltas says that the sender takes deltas to ConfigVersion's document.
+	Deltas bool `msgpack:"x,omitempty"`
 	// Probe asks the receiver, which the sender takes for silent, for a heartbeat.
 	Probe bool `msgpack:"p,omitempty"`
 }
@@ -91,12 +94,15 @@
 	Primary tables.UpstreamID `msgpack:"p"`
 }
 
-// Config hands a whole configuration document to a peer that reported an older version.
+// Config hands a configuration to a peer that reported an older version:
+// either the steps from that version or the whole document.
 type Config struct {
-	// Version is the version of Document.
+	// Version is the version that it leads to.
 	Version uint64 `msgpack:"v"`
-	// Document is the JSON text of the configuration.
+	// Document is the JSON text of the configuration; empty if Steps are given.
 	Document []byte `msgpack:"b"`
+	// Steps lead from the receiver's version to Version.
+	Steps []config.Step `msgpack:"s,omitempty"`
 }
 
 // Bus sends and receives messages between proxies.
--- a/internal/plan/confirm.go
+++ b/internal/plan/confirm.go
@@ -44,13 +44,14 @@
 	if cur.Head.Version != record.BaseVersion {
 		return s.settled(ctx, record, a)
 	}
-	return s.commit(ctx, cur, newHead(record, a, now))
+	return s.commit(ctx, cur, newHead(cur.Head, record, a, now))
 }
 
-func newHead(r Record, a Approval, now time.Time) config.Head {
+func newHead(base config.Head, r Record, a Approval, now time.Time) config.Head {
 	return config.Head{
 		Version:     r.BaseVersion + 1,
 		Hash:        r.DocumentHash,
+		BaseHash:    base.Hash,
 		PlanID:      a.PlanID,
 		Operator:    a.Operator,
 		ConfirmedAt: now.UTC(),
--- a/internal/plan/store.go
+++ b/internal/plan/store.go
@@ -72,6 +72,9 @@
 	if err := s.Objects.Put(ctx, config.ObjectPrefix+hash, body); err != nil {
 		return platformDown(err)
 	}
+	if err := s.putDelta(ctx, p, doc); err != nil {
+		return err
+	}
 	record, id, err := p.encode()
 	if err != nil {
 		return err
@@ -82,6 +85,34 @@
 	return nil
 }
 
+// putDelta stores the delta from the document in force to doc, which spares the
+// proxies from loading the whole document. There is none for the first document.
+func (s Store) putDelta(ctx context.Context, p Plan, doc config.Document) error {
+	cur, err := s.Current(ctx)
+	if err != nil {
+		return err
+	}
+	if cur.Head.Version == 0 || cur.Head.Version != p.BaseVersion {
+		return nil
+	}
+	old, err := config.NewRevision(cur.Document)
+	if err != nil {
+		return err
+	}
+	new, err := config.NewRevision(doc)
+	if err != nil {
+		return err
+	}
+	body, err := config.Diff(old, new).Encode()
+	if err != nil {
+		return err
+	}
+	if err := s.Objects.Put(ctx, config.DeltaKey(old.Hash, new.Hash), body); err != nil {
+		return platformDown(err)
+	}
+	return nil
+}
+
 func (s Store) record(ctx context.Context, id string) (Record, error) {
 	body, err := s.Objects.Get(ctx, config.ObjectPrefix+id)
 	if errors.Is(err, platform.ErrNotFound) {
--- a/internal/proxy/performer.go
+++ b/internal/proxy/performer.go
@@ -40,9 +40,6 @@
 	probe     time.Duration
 	log       *slog.Logger
 	applied   func(version uint64, doc config.Document)
-
-	// document is the encoded configuration in force; it belongs to the core's loop.
-	document []byte
 }
 
 // perform starts a. It is called from the core's loop.
@@ -72,8 +69,8 @@
 		go p.readHead()
 	case action.LoadDocument:
 		go p.loadDocument(a)
-	case action.SendDocument:
-		p.sendDocument(w, a)
+	case action.LoadDelta:
+		go p.loadDelta(a)
 	case action.ApplyDocument:
 		p.applyDocument(a)
 	case action.CloseConnections:
@@ -226,21 +223,22 @@
 	p.core.Report(done)
 }
 
-func (p *performer) sendDocument(w *tables.World, a action.SendDocument) {
-	vm, ok := w.VMs.Get(a.To)
-	if !ok || w.ConfigVersion == 0 {
-		return
+func (p *performer) loadDelta(a action.LoadDelta) {
+	ctx, cancel := p.platformContext()
+	defer cancel()
+	done := event.DeltaLoaded{Version: a.Version, Hash: a.Hash}
+	body, err := p.objects.Get(ctx, config.DeltaKey(a.BaseHash, a.Hash))
+	if err == nil {
+		done.Delta, err = config.DecodeDelta(body)
+	}
+	if err != nil {
+		p.log.Info("Could not load a configuration delta.", "version", a.Version, "error", err)
 	}
-	p.bus.Send(vm.PeerAddress, peer.TopicConfig, peer.Config{Version: w.ConfigVersion, Document: p.document})
+	done.Outcome = readOutcome(err)
+	p.core.Report(done)
 }
 
 func (p *performer) applyDocument(a action.ApplyDocument) {
-	body, _, err := a.Document.Encode()
-	if err != nil {
-		p.log.Error("Could not encode the configuration.", "version", a.Version, "error", err)
-		return
-	}
-	p.document = body
 	p.upstreams.apply(a.Document)
 	p.applied(a.Version, a.Document)
 	p.log.Info("Put a configuration in force.", "version", a.Version)
--- a/internal/systems/action/action.go
+++ b/internal/systems/action/action.go
@@ -94,10 +94,14 @@
 	Hash string
 }
 
-// SendDocument hands the document in force to a peer; it has no end event.
-type SendDocument struct {
-	// To is the receiver.
-	To tables.VMID
+// LoadDelta reads a delta from the object store; it ends in event.DeltaLoaded.
+type LoadDelta struct {
+	// Version is the version that the delta leads to.
+	Version uint64
+	// BaseHash is the content hash of the document it applies to.
+	BaseHash string
+	// Hash is the content hash of the document it leads to.
+	Hash string
 }
 
 // ApplyDocument puts a document in force here; it has no end event.
@@ -136,7 +140,7 @@
 func (ListVMs) action()           {}
 func (ReadHead) action()          {}
 func (LoadDocument) action()      {}
-func (SendDocument) action()      {}
+func (LoadDelta) action()         {}
 func (ApplyDocument) action()     {}
 func (CloseConnections) action()  {}
 func (TerminateSessions) action() {}
--- a/internal/systems/configure/cluster_test.go
+++ b/internal/systems/configure/cluster_test.go
@@ -149,7 +149,73 @@
 func documents(c *systemstest.Cluster) int {
 	total := 0
 	for _, vm := range c.VMs {
-		total += vm.DocumentsSent
+		total += vm.ConfigsSent
+	}
+	return total
+}
+
+// BenchmarkChangeBytes reports what one VM sends and loads for one change of
+// one group, and what that makes each second at changesPerDay.
+func BenchmarkChangeBytes(b *testing.B) {
+	const changesPerDay = 6200
+	for _, groups := range []int{36, 360, 3600} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			for b.Loop() {
+				c := newCluster(1, 30, 6)
+				c.Document = documentOf(groups)
+				c.Head = config.Head{Version: 1, Hash: "1"}
+				c.Run(10 * time.Second)
+				before := configBytes(c)
+				const changes = 5
+				for range changes {
+					declareLeaving(b, c)
+					c.RunUntil(time.Minute, inForce(c))
+				}
+				each := float64(configBytes(c)-before) / float64(len(c.VMs)) / changes
+				b.ReportMetric(each, "bytes/vm/change")
+				b.ReportMetric(each*changesPerDay/(24*time.Hour).Seconds(), "bytes/vm/s")
+			}
+		})
+	}
+}
+
+func documentOf(groups int) config.Document {
+	var doc config.Document
+	for g := range groups {
+		id := fmt.Sprintf("group-%04d", g)
+		group := config.Group{ID: tables.GroupID(id), FirstPrimary: tables.UpstreamID(id + "-0")}
+		for u := range 3 {
+			group.Upstreams = append(group.Upstreams, config.Upstream{
+				ID:         tables.UpstreamID(fmt.Sprintf("%s-%d", id, u)),
+				DataCentre: tables.DataCentreID(fmt.Sprintf("dc-%02d", u)),
+				Address:    fmt.Sprintf("10.%d.%d.%d:5432", u, g/250, g%250),
+				Slots:      3, Connections: 20,
+			})
+		}
+		doc.Groups = append(doc.Groups, group)
+	}
+	return doc
+}
+
+// declareLeaving confirms a version with one more server leaving.
+func declareLeaving(b *testing.B, c *systemstest.Cluster) {
+	old, err := config.NewRevision(c.Document)
+	assert.NilError(b, err)
+	doc := documentOf(len(c.Document.Groups))
+	doc.Groups[c.Head.Version].Upstreams[2].Leaving = true
+	rev, err := config.NewRevision(doc)
+	assert.NilError(b, err)
+	c.Document, c.Delta = doc, config.Diff(old, rev)
+	body, err := c.Delta.Encode()
+	assert.NilError(b, err)
+	c.DocumentSize, c.DeltaSize = len(rev.Body), len(body)
+	c.Head = config.Head{Version: c.Head.Version + 1, Hash: rev.Hash, BaseHash: old.Hash}
+}
+
+func configBytes(c *systemstest.Cluster) int {
+	total := 0
+	for _, vm := range c.VMs {
+		total += vm.ConfigBytes
 	}
 	return total
 }
--- a/internal/systems/configure/configure.go
+++ b/internal/systems/configure/configure.go
@@ -1,7 +1,8 @@
 // Package configure brings the configuration in force on this VM and spreads
 // it. A few pollers of each data centre read the platform's head row; a VM
 // that learns of a newer version from a peer's heartbeat asks that peer for the
-// document by a heartbeat of its own. Versions only grow.
+// configuration by a heartbeat of its own. A VM that is a few versions behind
+// gets the deltas, any other the whole document. Versions only grow.
 package configure
 
 import (
@@ -40,6 +41,7 @@
 // System keeps the configuration of one world. It is not safe for concurrent use.
 type System struct {
 	apply    ApplyFunc
+	log      config.Log
 	rng      *rand.Rand
 	nextPoll tables.Time
 	// reading says that a read of the head is out, until readBy.
@@ -67,6 +69,8 @@
 		return s.handleHead(now, w, e)
 	case event.DocumentLoaded:
 		return s.handleDocument(now, w, e)
+	case event.DeltaLoaded:
+		return s.handleDelta(now, w, e)
 	case event.PeerMessage:
 		return s.handleMessage(now, w, e.Message)
 	}
@@ -107,9 +111,29 @@
 	}
 	s.loading = e.Head.Version
 	s.loadBy = now.Add(readTimeout)
+	if w.ConfigDeltas && e.Head.BaseHash == s.log.Current().Hash {
+		return []action.Action{action.LoadDelta{Version: e.Head.Version, BaseHash: e.Head.BaseHash, Hash: e.Head.Hash}}
+	}
 	return []action.Action{action.LoadDocument{Version: e.Head.Version, Hash: e.Head.Hash}}
 }
 
+// handleDelta puts the delta's result in force, or loads the whole document if
+// there is no delta for the document at hand.
+func (s *System) handleDelta(now tables.Time, w *tables.World, e event.DeltaLoaded) []action.Action {
+	if e.Version <= w.ConfigVersion {
+		return nil
+	}
+	if e.Outcome == event.OutcomeOK && e.Delta.ResultHash == e.Hash {
+		rev, err := config.Apply(s.log.Current(), e.Delta)
+		if err == nil {
+			return s.put(now, w, e.Version, rev)
+		}
+	}
+	s.loading = e.Version
+	s.loadBy = now.Add(readTimeout)
+	return []action.Action{action.LoadDocument{Version: e.Version, Hash: e.Hash}}
+}
+
 func (s *System) handleDocument(now tables.Time, w *tables.World, e event.DocumentLoaded) []action.Action {
 	if e.Version == s.loading {
 		s.loading = 0
@@ -117,7 +141,7 @@
 	if e.Outcome != event.OutcomeOK {
 		return nil
 	}
-	return s.put(now, w, e.Version, e.Document)
+	return s.putDocument(now, w, e.Version, e.Document)
 }
 
 func (s *System) handleMessage(now tables.Time, w *tables.World, message any) []action.Action {
@@ -130,14 +154,14 @@
 	return nil
 }
 
-// handleHeartbeat sends the document to a peer that has an older one and asks
+// handleHeartbeat sends the configuration to a peer that has an older one and asks
 // a peer that has a newer one.
 func (s *System) handleHeartbeat(now tables.Time, w *tables.World, h peer.Heartbeat) []action.Action {
 	switch {
 	case h.From == w.Self:
 		return nil
 	case h.ConfigVersion < w.ConfigVersion:
-		return s.send(now, h.From)
+		return s.send(now, h)
 	case h.ConfigVersion > w.ConfigVersion:
 		return s.pull(now, w, h)
 	default:
@@ -145,12 +169,19 @@
 	}
 }
 
-func (s *System) send(now tables.Time, to tables.VMID) []action.Action {
-	if at, ok := s.allowSendAt.Get(to); ok && now < at {
+func (s *System) send(now tables.Time, h peer.Heartbeat) []action.Action {
+	if at, ok := s.allowSendAt.Get(h.From); ok && now < at || s.log.Version() == 0 {
 		return nil
 	}
-	s.allowSendAt.Put(to, now.Add(sendInterval))
-	return []action.Action{action.SendDocument{To: to}}
+	s.allowSendAt.Put(h.From, now.Add(sendInterval))
+	m := peer.Config{Version: s.log.Version()}
+	steps, ok := s.log.Since(h.ConfigVersion)
+	if ok && h.Deltas {
+		m.Steps = steps
+	} else {
+		m.Document = s.log.Current().Body
+	}
+	return []action.Action{action.Publish{To: []tables.VMID{h.From}, Topic: peer.TopicConfig, Message: m}}
 }
 
 // expireSends drops the entries that no longer hold a document back.
@@ -175,6 +206,7 @@
 		DataCentre:    w.DataCentre,
 		PeerAddress:   w.PeerAddress,
 		ConfigVersion: w.ConfigVersion,
+		Deltas:        w.ConfigDeltas,
 		Leaving:       self.Leaving,
 	}
 	return []action.Action{action.Publish{To: []tables.VMID{h.From}, Topic: peer.TopicHeartbeat, Message: request}}
@@ -184,19 +216,48 @@
 	if m.Version <= w.ConfigVersion {
 		return nil
 	}
+	if len(m.Steps) > 0 {
+		return s.handleSteps(now, w, m)
+	}
 	doc, err := config.Decode(m.Document)
 	if err != nil {
 		return nil
 	}
-	return s.put(now, w, m.Version, doc)
+	return s.putDocument(now, w, m.Version, doc)
+}
+
+// handleSteps puts the result of the steps in force. Steps that start at the
+// version in force and yet don't fit make this VM ask for the whole document.
+func (s *System) handleSteps(now tables.Time, w *tables.World, m peer.Config) []action.Action {
+	if m.Steps[len(m.Steps)-1].To != m.Version {
+		return nil
+	}
+	rev, err := s.log.Follow(m.Steps)
+	if err != nil {
+		w.ConfigDeltas = w.ConfigDeltas && m.Steps[0].From != w.ConfigVersion
+		return nil
+	}
+	return s.put(now, w, m.Version, rev)
 }
 
-// put brings doc in force if its version is newer.
-func (s *System) put(now tables.Time, w *tables.World, version uint64, doc config.Document) []action.Action {
+func (s *System) putDocument(now tables.Time, w *tables.World, version uint64, doc config.Document) []action.Action {
 	if version <= w.ConfigVersion {
 		return nil
 	}
-	enterVersion(w, version, doc)
-	s.apply(now, w, doc)
-	return []action.Action{action.ApplyDocument{Version: version, Document: doc}}
+	rev, err := config.NewRevision(doc)
+	if err != nil {
+		return nil
+	}
+	return s.put(now, w, version, rev)
+}
+
+// put brings rev in force if its version is newer.
+func (s *System) put(now tables.Time, w *tables.World, version uint64, rev config.Revision) []action.Action {
+	if version <= w.ConfigVersion || !s.log.Put(version, rev) {
+		return nil
+	}
+	w.ConfigDeltas = true
+	enterVersion(w, version, rev.Document)
+	s.apply(now, w, rev.Document)
+	return []action.Action{action.ApplyDocument{Version: version, Document: rev.Document}}
 }
--- a/internal/systems/configure/configure_test.go
+++ b/internal/systems/configure/configure_test.go
@@ -94,12 +94,18 @@
 
 func TestPeersExchangeVersions(t *testing.T) {
 	s, w := newFixture()
-	Apply(w, 5, document(1))
+	s.Handle(0, w, event.DocumentLoaded{Version: 5, Document: document(1)})
+	body, _, err := document(1).Encode()
+	assert.NilError(t, err)
 	hear := func(now tables.Time, version uint64) []action.Action {
 		h := peer.Heartbeat{From: "vm-1", ConfigVersion: version}
 		return s.Handle(now, w, event.PeerMessage{Message: h})
 	}
-	assert.DeepEqual(t, hear(0, 4), []action.Action{action.SendDocument{To: "vm-1"}})
+	assert.DeepEqual(t, hear(0, 4), []action.Action{action.Publish{
+		To:      []tables.VMID{"vm-1"},
+		Topic:   peer.TopicConfig,
+		Message: peer.Config{Version: 5, Document: body},
+	}})
 	assert.Equal(t, len(hear(second/2, 4)), 0)
 	assert.Equal(t, len(hear(second, 4)), 1)
 	assert.Equal(t, len(hear(second, 5)), 0)
--- a/internal/systems/event/event.go
+++ b/internal/systems/event/event.go
@@ -129,6 +129,19 @@
 	Document config.Document
 }
 
+// DeltaLoaded ends a LoadDelta.
+type DeltaLoaded struct {
+	// Version is the version that the delta leads to.
+	Version uint64
+	// Hash is the content hash of the document it leads to.
+	Hash string
+	// Outcome is OutcomeOK or OutcomeFailed.
+	Outcome Outcome
+	// Delta is valid when Outcome is OutcomeOK.
+	Delta config.Delta
+}
+
+func (DeltaLoaded) event()     {}
 func (ProbeDone) event()       {}
 func (StatementFailed) event() {}
 func (GroupUsed) event()       {}
--- a/internal/systems/membership/membership.go
+++ b/internal/systems/membership/membership.go
@@ -238,6 +238,7 @@
 		DataCentre:    w.DataCentre,
 		PeerAddress:   w.PeerAddress,
 		ConfigVersion: w.ConfigVersion,
+		Deltas:        w.ConfigDeltas,
 		Leaving:       self.Leaving,
 	}
 }
--- a/internal/systems/systemstest/cluster.go
+++ b/internal/systems/systemstest/cluster.go
@@ -40,15 +40,16 @@
 	Running bool
 	// BytesSent counts its messages with frame overhead, in bytes.
 	BytesSent int
-	// DocumentsSent counts the documents that it sent to peers.
-	DocumentsSent int
+	// ConfigsSent counts the documents and deltas that it sent to peers.
+	ConfigsSent int
+	// ConfigBytes counts their bytes, and those of the ones it loaded.
+	ConfigBytes int
 	// Versions are the configuration versions it brought in force, in order.
 	Versions []uint64
 
-	systems  []System
-	started  time.Duration
-	document config.Document
-	epoch    int
+	systems []System
+	started time.Duration
+	epoch   int
 }
 
 // Cluster is many VMs and their platform. Its fields may change between runs.
@@ -67,6 +68,10 @@
 	Head config.Head
 	// Document is the document of Head.
 	Document config.Document
+	// Delta leads to Document; it is read if Head names its base.
+	Delta config.Delta
+	// DocumentSize and DeltaSize are the encoded sizes, in bytes.
+	DocumentSize, DeltaSize int
 	// Now is the virtual time.
 	Now time.Duration
 
@@ -183,17 +188,18 @@
 		switch a := a.(type) {
 		case action.Publish:
 			c.publish(vm, a.To, a.Message)
-		case action.SendDocument:
-			c.sendDocument(vm, a.To)
 		case action.ApplyDocument:
-			vm.document = a.Document
 			vm.Versions = append(vm.Versions, a.Version)
 		case action.ListVMs:
 			c.reply(vm, event.VMsListed{Outcome: c.outcome(vm), VMs: c.List})
 		case action.ReadHead:
 			c.reply(vm, c.readHead(vm))
 		case action.LoadDocument:
+			vm.ConfigBytes += c.DocumentSize
 			c.reply(vm, event.DocumentLoaded{Version: a.Version, Outcome: c.outcome(vm), Document: c.Document})
+		case action.LoadDelta:
+			vm.ConfigBytes += c.DeltaSize
+			c.reply(vm, event.DeltaLoaded{Version: a.Version, Hash: a.Hash, Outcome: c.outcome(vm), Delta: c.Delta})
 		}
 	}
 }
@@ -213,15 +219,6 @@
 	return event.HeadRead{Outcome: outcome, Head: c.Head}
 }
 
-func (c *Cluster) sendDocument(vm *VM, to tables.VMID) {
-	body, _, err := vm.document.Encode()
-	if err != nil {
-		panic(err)
-	}
-	vm.DocumentsSent++
-	c.publish(vm, []tables.VMID{to}, peer.Config{Version: vm.World.ConfigVersion, Document: body})
-}
-
 func (c *Cluster) publish(vm *VM, to []tables.VMID, message any) {
 	payload, err := msgpack.Marshal(message)
 	if err != nil {
@@ -229,6 +226,10 @@
 	}
 	for _, id := range to {
 		vm.BytesSent += frameOverhead + len(payload)
+		if _, ok := message.(peer.Config); ok {
+			vm.ConfigsSent++
+			vm.ConfigBytes += frameOverhead + len(payload)
+		}
 		receiver := c.byID[id]
 		if receiver.Running && c.reaches(vm, receiver) {
 			c.reply(receiver, event.PeerMessage{Message: message})
--- a/internal/tables/world.go
+++ b/internal/tables/world.go
@@ -109,6 +109,8 @@
 	Rows *Table[GroupID, StoredGroupRow]
 	// ConfigVersion is the version of the configuration in force here.
 	ConfigVersion uint64
+	// ConfigDeltas says that peers may send deltas to that configuration.
+	ConfigDeltas bool
 	// LeavingVMs are the VMs that the configuration has leaving, in ascending order.
 	LeavingVMs []VMID
 }
