Read a group's platform row only when it is needed

Every candidate read its rows every 5 s: 3,600 groups with 5 candidates make 3,600 reads a second, over what the platform gives. The row is needed for grants and to write a new primary, and a write on an old copy ends in a conflict that reads it again. An unchanged row is now read every 10 to 15 minutes, about 24 reads a second in all; a row that left the tables with its group is read at once, and reads that fail back off to one in one or two minutes, so that the end of an outage is no burst.

--- a/internal/systems/failover/options.go
+++ b/internal/systems/failover/options.go
@@ -43,7 +43,8 @@
 	EvidenceMargin time.Duration
 	// GrantsHeld is how many unused terms this VM keeps per group.
 	GrantsHeld int
-	// RowInterval is the time between reads of an unchanged platform row.
+	// RowInterval is the least time between reads of a platform row that is
+	// known and needs no write; a write that finds it changed reads it sooner.
 	RowInterval time.Duration
 	// WriteInterval is the least time between two writes of a platform row.
 	WriteInterval time.Duration
@@ -70,7 +71,7 @@
 		ObservationWindow: 1500 * time.Millisecond,
 		EvidenceMargin:    20 * time.Millisecond,
 		GrantsHeld:        3,
-		RowInterval:       5 * time.Second,
+		RowInterval:       10 * time.Minute,
 		WriteInterval:     500 * time.Millisecond,
 		PlatformTimeout:   2 * time.Second,
 		Candidates:        candidates,
--- a/internal/systems/failover/row.go
+++ b/internal/systems/failover/row.go
@@ -15,6 +15,9 @@
 // its grant is dropped from the list, since Next never decreases.
 const maxListedGrants = 32
 
+// maxBackoffDoublings bounds how often the pause between failing reads doubles.
+const maxBackoffDoublings = 7
+
 // upkeep is the state of one platform row.
 type upkeep struct {
 	// grants are the terms that this process was granted and has not used, ascending.
@@ -22,12 +25,14 @@
 	grants  []tables.Term
 	reading bool
 	readAt  tables.Time
-	nextAt  tables.Time
-	writing bool
-	write   action.WriteGroupRow
-	granted tables.Term
-	sentAt  tables.Time
-	writeAt tables.Time
+	// failures counts the reads that failed since the last answer.
+	failures int
+	nextAt   tables.Time
+	writing  bool
+	write    action.WriteGroupRow
+	granted  tables.Term
+	sentAt   tables.Time
+	writeAt  tables.Time
 }
 
 // takeGrant removes and returns the lowest grant above term, with all below it.
@@ -59,10 +64,10 @@
 	if st.upkeep.reading && now.Sub(st.upkeep.readAt) < s.options.PlatformTimeout {
 		return nil
 	}
-	if st.upkeep.reading || now >= st.upkeep.nextAt {
+	stored, ok := w.Rows.Get(g.ID)
+	if st.upkeep.reading || now >= st.upkeep.nextAt || st.upkeep.forgotten(ok) {
 		return s.readRow(now, g.ID, &st.upkeep)
 	}
-	stored, ok := w.Rows.Get(g.ID)
 	if !ok || now < st.upkeep.writeAt {
 		return nil
 	}
@@ -77,10 +82,13 @@
 	return []action.Action{st.upkeep.write}
 }
 
+// forgotten says that the row was read and has left the tables since.
+func (u *upkeep) forgotten(known bool) bool { return !known && u.failures == 0 }
+
 func (s *System) readRow(now tables.Time, id tables.GroupID, u *upkeep) []action.Action {
 	u.reading = true
 	u.readAt = now
-	u.nextAt = now.Add(s.options.RowInterval + s.jitter(s.options.RowInterval/4))
+	u.nextAt = now.Add(s.options.RowInterval + s.jitter(s.options.RowInterval/2))
 	return []action.Action{action.ReadGroupRow{Group: id}}
 }
 
@@ -122,10 +130,12 @@
 	st := s.state(e.Group)
 	st.upkeep.reading = false
 	if e.Outcome == event.OutcomeFailed || e.Outcome == event.OutcomeUnknown {
-		st.upkeep.nextAt = now.Add(s.options.WriteInterval + s.jitter(s.options.WriteInterval))
+		st.upkeep.nextAt = now.Add(s.readBackoff(st.upkeep.failures))
+		st.upkeep.failures++
 		s.groups.Put(e.Group, st)
 		return nil
 	}
+	st.upkeep.failures = 0
 	s.groups.Put(e.Group, st)
 	old, known := w.Rows.Get(e.Group)
 	if known && e.Version < old.Version {
@@ -135,6 +145,12 @@
 	return detect.Learn(w, e.Group, e.Row.Term, e.Row.Primary)
 }
 
+// readBackoff returns the pause after a read that failed, with this many failures before it.
+func (s *System) readBackoff(failures int) time.Duration {
+	pause := s.options.WriteInterval << min(failures, maxBackoffDoublings)
+	return pause + s.jitter(pause)
+}
+
 // rowWritten ends a write. A write that failed or whose outcome is unknown is
 // repeated under the same id; any other end makes the known row old.
 func (s *System) rowWritten(now tables.Time, e event.GroupRowWritten) {
