--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # How long the demonstration loads the proxies.
 DEMO_TIME := 20s
 
-.PHONY: build test lint demo run faults bench clean
+.PHONY: build test lint demo run faults bench slopes clean
 
 build:
 	@mkdir -p $(BIN)
@@ -34,3 +34,7 @@
 # What a proxy costs against direct access and a naive proxy.
 bench: build
 	scripts/bench.sh
+
+# What control costs against size, measured in one process.
+slopes: build
+	$(BIN)/cranberrystage-bench slopes
--- a/cmd/cranberrystage-bench/main.go
+++ b/cmd/cranberrystage-bench/main.go
@@ -92,6 +92,9 @@
 	cost.Flag("rounds", "How often all measurements take turns.").Default("3").IntVar(&co.Rounds)
 	costJSON := cost.Flag("json", "Print JSON lines.").Bool()
 
+	slopes := app.Command("slopes", "Measure in this process what control costs against size.")
+	slopesJSON := slopes.Flag("json", "Print JSON lines.").Bool()
+
 	command, err := app.Parse(args)
 	if err != nil {
 		return errors.Wrap(err, "command line")
@@ -113,6 +116,8 @@
 			d.KillPrimaryOf = append(d.KillPrimaryOf, server)
 		}
 		return ds.run(ctx, out, d)
+	case slopes.FullCommand():
+		return runSlopes(ctx, out, *slopesJSON)
 	default:
 		return runCost(ctx, out, co, *costJSON)
 	}
@@ -184,6 +189,17 @@
 	return errors.Wrap(f.Close(), "close history")
 }
 
+func runSlopes(ctx context.Context, out io.Writer, asJSON bool) error {
+	slopes, err := bench.Slopes(ctx)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return bench.WriteSlopesJSON(out, slopes)
+	}
+	return bench.WriteSlopesText(out, slopes)
+}
+
 func runCost(ctx context.Context, out io.Writer, co bench.CostOptions, asJSON bool) error {
 	rows, err := bench.Cost(ctx, co)
 	if err != nil {
--- a/internal/systems/systemstest/cluster.go
+++ b/internal/systems/systemstest/cluster.go
@@ -1,5 +1,6 @@
 // Package systemstest runs systems of many VMs against each other in virtual
-// time, with message loss, partitions and platform outages. It is for tests.
+// time, with message loss, partitions and platform outages. It is for tests and
+// measurements.
 package systemstest
 
 import (
