Fit probes and pools to many VMs and servers

Above 16 VMs the probes of all primaries share 10 a second, so that a silent primary is noticed within about a second more; up to 16 VMs nothing changes. Pools are made at first use.

--- a/internal/bench/slopes_core.go
+++ b/internal/bench/slopes_core.go
@@ -14,6 +14,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/systems/reap"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 const (
@@ -29,12 +30,18 @@
 	rowSpan = time.Hour
 	// rowTick is the time between ticks while reads of rows are counted.
 	rowTick = 500 * time.Millisecond
-	// selfVM and otherVM are the VMs of a measured core.
-	selfVM, otherVM tables.VMID = "vm-0000", "vm-0001"
+	// coreVMs is how many VMs a measured core knows, more than hear every observation.
+	coreVMs = 40
+	// candidatesPerGroup is how many VMs may coordinate a failover of a group.
+	candidatesPerGroup = 5
+	// frameBytes is the size of a frame between VMs beside its message.
+	frameBytes = 40
+	// selfVM is the VM of a measured core.
+	selfVM tables.VMID = "vm-0000"
 )
 
 var (
-	watchedSizes = []int{5, 10, 20, 40, 80, 160}
+	watchedSizes = []int{4, 8, 16, 32, 64, 128}
 	rowSizes     = []int{2, 4, 8, 16}
 )
 
@@ -65,6 +72,8 @@
 	now                   tables.Time
 	rows                  *tables.Table[tables.GroupID, tables.StoredGroupRow]
 	probes, reads, writes int
+	// published counts the bytes of the messages to other VMs.
+	published int
 }
 
 type controlSystem interface {
@@ -74,9 +83,13 @@
 
 // newControlCore returns a core that watches groups, as a candidate or only for its callers.
 func newControlCore(groups int, candidate bool) *controlCore {
-	order := []tables.VMID{otherVM}
+	vms := make([]tables.VMID, coreVMs)
+	for i := range vms {
+		vms[i] = tables.VMID(fmt.Sprintf("vm-%04d", i))
+	}
+	order := vms[1 : 1+candidatesPerGroup]
 	if candidate {
-		order = []tables.VMID{selfVM, otherVM}
+		order = vms[:candidatesPerGroup]
 	}
 	candidates := func(*tables.World, tables.GroupID) []tables.VMID { return order }
 	random := rand.New(rand.NewPCG(1, 1))
@@ -89,7 +102,7 @@
 			reap.New(reap.DefaultOptions(candidates)),
 		},
 	}
-	for _, id := range []tables.VMID{selfVM, otherVM} {
+	for _, id := range vms {
 		c.world.VMs.Put(id, tables.VM{ID: id, DataCentre: "dc-00", Live: true})
 	}
 	configure.Apply(c.world, 1, slopeDocument(groups))
@@ -124,6 +137,10 @@
 	case action.Probe:
 		c.probes++
 		return event.ProbeDone{Upstream: a.Upstream, SentAt: c.now, Status: c.status(a.Upstream), Fresh: a.Fresh}
+	case action.Publish:
+		if body, err := msgpack.Marshal(a.Message); err == nil {
+			c.published += len(a.To) * (frameBytes + len(body))
+		}
 	case action.ReadGroupRow:
 		c.reads++
 		stored, _ := c.rows.Get(a.Group)
@@ -156,20 +173,22 @@
 		name      string
 		candidate bool
 	}{{"candidate", true}, {"callers only", false}} {
-		var cpu, probes []SlopePoint
+		var cpu, probes, published []SlopePoint
 		for _, n := range watchedSizes {
 			c := newControlCore(n, role.candidate)
 			c.run(coreWarmUp, coreTick, func() {})
-			c.probes = 0
+			c.probes, c.published = 0, 0
 			started := time.Now()
 			c.run(coreSpan, coreTick, func() {})
 			seconds := coreSpan.Seconds()
 			cpu = append(cpu, SlopePoint{n, 100 * time.Since(started).Seconds() / seconds})
 			probes = append(probes, SlopePoint{n, float64(c.probes) / seconds})
+			published = append(published, SlopePoint{n, float64(c.published) / seconds})
 		}
 		slopes = append(slopes,
 			newSlope("core, "+role.name, "% of a core", "watched groups", cpu),
-			newSlope("status probes, "+role.name, "probes/s", "watched groups", probes))
+			newSlope("status probes, "+role.name, "probes/s", "watched groups", probes),
+			newSlope("observations sent, "+role.name, "B/s", "watched groups", published))
 	}
 	return append(slopes, rowSlopes()...), nil
 }
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -33,9 +33,18 @@
 	now         func() tables.Time
 
 	mu sync.RWMutex
+	// declared are all servers of the configuration in force.
+	declared map[tables.UpstreamID]declaredUpstream
+	// by are the remotes of the servers that were used since they were declared.
 	by map[tables.UpstreamID]*remote
 }
 
+// declaredUpstream is a server as the configuration in force has it.
+type declaredUpstream struct {
+	upstream   config.Upstream
+	queueLimit int
+}
+
 func newUpstreams(s settings.Upstreams, vm tables.VMID, dc tables.DataCentreID) *upstreams {
 	return &upstreams{
 		settings:    s,
@@ -46,21 +55,23 @@
 
 // apply makes the remotes match the document.
 func (u *upstreams) apply(doc config.Document) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	seen := make(map[tables.UpstreamID]bool)
+	declared := make(map[tables.UpstreamID]declaredUpstream)
 	limits := queueLimits(doc)
 	for _, g := range doc.Groups {
 		for _, d := range g.Upstreams {
-			seen[d.ID] = true
-			u.ensure(d, limits[g.ID])
+			declared[d.ID] = declaredUpstream{upstream: d, queueLimit: limits[g.ID]}
 		}
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.declared = declared
 	for id, r := range u.by {
-		if !seen[id] {
-			delete(u.by, id)
-			r.close()
+		if d, ok := declared[id]; ok {
+			u.ensure(d.upstream, d.queueLimit)
+			continue
 		}
+		delete(u.by, id)
+		r.close()
 	}
 }
 
@@ -127,11 +138,24 @@
 	go r.control.Close()
 }
 
+// get returns the remote of a declared server; it is made at first use.
 func (u *upstreams) get(id tables.UpstreamID) (*remote, bool) {
 	u.mu.RLock()
-	defer u.mu.RUnlock()
 	r, ok := u.by[id]
-	return r, ok
+	u.mu.RUnlock()
+	if ok {
+		return r, true
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	d, ok := u.declared[id]
+	if !ok {
+		return nil, false
+	}
+	if _, made := u.by[id]; !made {
+		u.ensure(d.upstream, d.queueLimit)
+	}
+	return u.by[id], true
 }
 
 // limit sets the pool's share of an upstream's connections.
@@ -144,6 +168,7 @@
 func (u *upstreams) closeAll() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.declared = nil
 	for id, r := range u.by {
 		delete(u.by, id)
 		r.close()
--- a/internal/systems/detect/detect.go
+++ b/internal/systems/detect/detect.go
@@ -101,7 +101,11 @@
 			groups++
 		}
 	}
-	shared := time.Duration(groups) * time.Second / time.Duration(s.options.PrimaryProbes)
+	budget := s.options.PrimaryProbes
+	if w.VMs.Len() > s.options.FullMesh {
+		budget = s.options.LargePrimaryProbes
+	}
+	shared := time.Duration(groups) * time.Second / time.Duration(budget)
 	return max(s.options.PrimaryInterval, shared)
 }
 
--- a/internal/systems/detect/detect_test.go
+++ b/internal/systems/detect/detect_test.go
@@ -1,6 +1,7 @@
 package detect
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -327,6 +328,17 @@
 	assert.Assert(t, len(probesOf("a", all)) <= 25, "%d", len(probesOf("a", all)))
 }
 
+func TestManyVMsProbePrimariesLessOften(t *testing.T) {
+	w, s := newWorld(), newSystem()
+	for i := range s.options.FullMesh {
+		id := tables.VMID(fmt.Sprintf("other-%02d", i))
+		w.VMs.Put(id, tables.VM{ID: id})
+	}
+	all := run(s, w, 0, at(4000), healthy)
+	assert.Assert(t, len(probesOf("a", all)) <= 50, "%d", len(probesOf("a", all)))
+	assert.Assert(t, len(probesOf("a", all)) >= 35, "%d", len(probesOf("a", all)))
+}
+
 func TestAllServersArePressingWhileThePrimaryIsInDoubt(t *testing.T) {
 	w, s := newWorld(), newSystem()
 	all := run(s, w, 0, at(4000), failingA(at(2000), tables.CauseRefused))
--- a/internal/systems/detect/options.go
+++ b/internal/systems/detect/options.go
@@ -16,6 +16,8 @@
 	PrimaryInterval time.Duration
 	// PrimaryProbes bounds the probes of all those primaries together, per second.
 	PrimaryProbes int
+	// LargePrimaryProbes is the same bound where there are more VMs than FullMesh.
+	LargePrimaryProbes int
 	// RoundInterval is the time between probes of all servers of such a group.
 	RoundInterval time.Duration
 	// IdleInterval is the time between probes of all servers of other groups.
@@ -47,6 +49,7 @@
 	return Options{
 		PrimaryInterval:    50 * time.Millisecond,
 		PrimaryProbes:      60,
+		LargePrimaryProbes: 10,
 		RoundInterval:      time.Second,
 		IdleInterval:       2 * time.Second,
 		FreshAfter:         250 * time.Millisecond,
