--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # How long the demonstration loads the proxies.
 DEMO_TIME := 20s
 
-.PHONY: build test lint demo run faults bench experiments clean
+.PHONY: build test lint demo run faults bench experiments slopes clean
 
 build:
 	@mkdir -p $(BIN)
@@ -38,3 +38,7 @@
 # One fault at a time over separate processes; EXPERIMENTS names some, else all.
 experiments: build
 	scripts/experiments.sh $(EXPERIMENTS)
+
+# What control costs against size, measured in one process.
+slopes: build
+	$(BIN)/cranberrystage-bench slopes
--- a/internal/proxy/confirmer.go
+++ b/internal/proxy/confirmer.go
@@ -16,6 +16,8 @@
 	roundSpacing = 300 * time.Microsecond
 	// statusTimeout bounds one status request of a round.
 	statusTimeout = 500 * time.Millisecond
+	// roundLimit bounds the age of a round's first answers.
+	roundLimit = statusTimeout
 	// evidenceWindow is how old the evidence of an acknowledgement may be when it
 	// goes to the caller. An answer that was not held up by a pause is younger.
 	evidenceWindow = statusTimeout
@@ -67,6 +69,8 @@
 	inFlight map[tables.UpstreamID]bool
 	queued   map[tables.UpstreamID]uint64
 	notUntil tables.Time
+	// roundAt is when the last round began.
+	roundAt tables.Time
 	// evidenceAt is when the request was sent that ended the last round.
 	evidenceAt tables.Time
 }
@@ -174,7 +178,7 @@
 	if wantPoint {
 		c.askAll(ctx, now)
 	}
-	for _, a := range c.nextAsks() {
+	for _, a := range c.nextAsks(now) {
 		c.askFor(ctx, a, now)
 	}
 	c.settle()
@@ -185,11 +189,14 @@
 }
 
 // nextAsks begins a round, or asks those again whose answers covered nothing,
-// so that a round does not wait for a server that never answers.
-func (c *confirmer) nextAsks() []ack.Ask {
-	if c.tracker.Active() {
+// so that a round does not wait for a server that never answers. A round that a
+// pause of this process made old rests on old answers and is begun anew.
+func (c *confirmer) nextAsks(now tables.Time) []ack.Ask {
+	if c.tracker.Active() && now.Sub(c.roundAt) <= roundLimit {
 		return c.tracker.Retry()
 	}
+	c.tracker.Abort()
+	c.roundAt = now
 	return c.tracker.Start()
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -123,9 +123,10 @@
 
 func (p *Proxy) listen() error {
 	opts := callers.Options{
-		MaxCallers:     p.settings.Callers.MaxCallers,
-		MaxFrame:       p.settings.Callers.MaxFrameBytes,
-		StartupTimeout: time.Duration(p.settings.Timeouts.Handshake),
+		MaxCallers:        p.settings.Callers.MaxCallers,
+		MaxFrame:          p.settings.Callers.MaxFrameBytes,
+		StartupTimeout:    time.Duration(p.settings.Timeouts.Handshake),
+		IdleInTransaction: time.Duration(p.settings.Timeouts.IdleInTransaction),
 	}
 	if f := p.settings.Callers.CertificateFile; f != "" {
 		cert, err := tls.LoadX509KeyPair(f, p.settings.Callers.KeyFile)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -108,9 +108,7 @@
 }
 
 func (c *checker) timeouts(s Timeouts) {
-	c.positive("timeouts.connect", s.Connect)
-	c.positive("timeouts.probeInterval", s.ProbeInterval)
 	c.positive("timeouts.probe", s.Probe)
 	c.positive("timeouts.handshake", s.Handshake)
-	c.positive("timeouts.idle", s.Idle)
+	c.positive("timeouts.idleInTransaction", s.IdleInTransaction)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,16 +14,14 @@
 
 // Default values of optional fields.
 const (
-	DefaultMaxCallers       = 10_000
-	DefaultMaxFrameBytes    = 16 << 20
-	DefaultPlatformTimeout  = 2 * time.Second
-	DefaultConnectTimeout   = time.Second
-	DefaultProbeInterval    = 200 * time.Millisecond
-	DefaultProbeTimeout     = 500 * time.Millisecond
-	DefaultHandshakeTimeout = 5 * time.Second
-	DefaultIdleTimeout      = 30 * time.Minute
-	DefaultShutdownGrace    = 30 * time.Second
-	DefaultBucket           = "cranberrystage"
+	DefaultMaxCallers        = 10_000
+	DefaultMaxFrameBytes     = 16 << 20
+	DefaultPlatformTimeout   = 2 * time.Second
+	DefaultProbeTimeout      = time.Second
+	DefaultHandshakeTimeout  = 5 * time.Second
+	DefaultIdleInTransaction = 10 * time.Second
+	DefaultShutdownGrace     = 30 * time.Second
+	DefaultBucket            = "cranberrystage"
 )
 
 // Secret is text that must not reach logs.
@@ -130,16 +128,12 @@
 
 // Timeouts bound how long the proxy waits.
 type Timeouts struct {
-	// Connect bounds opening a connection to an upstream.
-	Connect config.Duration `json:"connect"`
-	// ProbeInterval is the time between two status probes of one upstream.
-	ProbeInterval config.Duration `json:"probeInterval"`
 	// Probe bounds one status probe.
 	Probe config.Duration `json:"probe"`
 	// Handshake bounds a caller's start-up and login.
 	Handshake config.Duration `json:"handshake"`
-	// Idle closes a caller connection that sends nothing for this long.
-	Idle config.Duration `json:"idle"`
+	// IdleInTransaction ends a caller whose open transaction waits for its next request for this long.
+	IdleInTransaction config.Duration `json:"idleInTransaction"`
 }
 
 // Defaults returns the settings before a file is read.
@@ -150,11 +144,9 @@
 		Objects:       Objects{Bucket: DefaultBucket, Timeout: config.Duration(DefaultPlatformTimeout)},
 		ShutdownGrace: config.Duration(DefaultShutdownGrace),
 		Timeouts: Timeouts{
-			Connect:       config.Duration(DefaultConnectTimeout),
-			ProbeInterval: config.Duration(DefaultProbeInterval),
-			Probe:         config.Duration(DefaultProbeTimeout),
-			Handshake:     config.Duration(DefaultHandshakeTimeout),
-			Idle:          config.Duration(DefaultIdleTimeout),
+			Probe:             config.Duration(DefaultProbeTimeout),
+			Handshake:         config.Duration(DefaultHandshakeTimeout),
+			IdleInTransaction: config.Duration(DefaultIdleInTransaction),
 		},
 	}
 }
--- a/internal/systems/detect/detect.go
+++ b/internal/systems/detect/detect.go
@@ -79,7 +79,7 @@
 // Tick sends the probes and observations that are due.
 func (s *System) Tick(now tables.Time, w *tables.World) []action.Action {
 	s.forgivePause(now, w)
-	every := s.primaryInterval()
+	every := s.primaryInterval(w)
 	s.candidacies = 0
 	var out []action.Action
 	for id, g := range w.Groups.All() {
@@ -101,8 +101,12 @@
 
 // primaryInterval returns the time between probes of one primary: the budget of
 // probes is shared by all groups for which this VM is a candidate.
-func (s *System) primaryInterval() time.Duration {
-	shared := time.Duration(s.candidacies) * time.Second / time.Duration(s.options.PrimaryProbes)
+func (s *System) primaryInterval(w *tables.World) time.Duration {
+	budget := s.options.PrimaryProbes
+	if w.VMs.Len() > s.options.FullMesh {
+		budget = s.options.LargePrimaryProbes
+	}
+	shared := time.Duration(s.candidacies) * time.Second / time.Duration(budget)
 	return max(s.options.PrimaryInterval, shared)
 }
 
