--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/scramverifier"
+	"github.com/cranberrystage/cranberrystage/internal/testrun"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
@@ -99,16 +100,7 @@
 	}
 	s, err := New("127.0.0.1:0", e, opts, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = s.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-done
-	})
+	testrun.Go(t, s.Run)
 	return s
 }
 
--- a/internal/exec/harness_test.go
+++ b/internal/exec/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/cranberrystage/cranberrystage/internal/testrun"
 	"github.com/cranberrystage/cranberrystage/internal/upstream"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/prometheus/client_golang/prometheus"
@@ -143,16 +144,7 @@
 	cfg := dbserver.Config{ID: string(testUpstream), Primary: true, PrimaryID: string(testUpstream), Listen: "127.0.0.1:0", Slots: 3, Connections: 20}
 	s, err := dbserver.New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = s.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-done
-	})
+	testrun.Go(t, s.Run)
 	r := newRig(t, s.Addr(), upstream.Limits{Connections: connections, Slots: 3})
 	r.server = s
 	return r
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
 	"github.com/cranberrystage/cranberrystage/internal/standin/platformd"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/cranberrystage/cranberrystage/internal/testrun"
 	"github.com/jackc/pgx/v5"
 	"github.com/xdg-go/scram"
 	"gotest.tools/v3/assert"
@@ -160,16 +161,7 @@
 	assert.NilError(b.t, err)
 	p, err := New(s, pl, quiet())
 	assert.NilError(b.t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = p.Run(ctx)
-	}()
-	b.t.Cleanup(func() {
-		stop()
-		<-done
-	})
+	testrun.Go(b.t, p.Run)
 	b.await(func() bool { return p.ready() })
 	b.proxies = append(b.proxies, p)
 	return p
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/group"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/cranberrystage/cranberrystage/internal/testrun"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 )
@@ -23,16 +24,7 @@
 	cfg.ID, cfg.Primary, cfg.PrimaryID, cfg.Listen = "a", true, "a", "127.0.0.1:0"
 	s, err := dbserver.New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = s.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-done
-	})
+	testrun.Go(t, s.Run)
 	return s
 }
 
