--- a/internal/peer/tcpbus/bus.go
+++ b/internal/peer/tcpbus/bus.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"slices"
@@ -53,6 +54,8 @@
 	MinBackoff time.Duration
 	// MaxBackoff is the longest wait after failures; 2 s.
 	MaxBackoff time.Duration
+	// TLS, if not nil, protects both directions; see package peertls.
+	TLS *tls.Config
 	// Logger receives the bus's log; discarded if nil.
 	Logger *slog.Logger
 }
@@ -113,6 +116,9 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	opts = opts.withDefaults()
+	if opts.TLS != nil {
+		listener = tls.NewListener(listener, opts.TLS)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Bus{
 		opts:          opts,
--- a/internal/peer/tcpbus/outbound.go
+++ b/internal/peer/tcpbus/outbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -90,11 +91,29 @@
 		_ = conn.Close()
 		return err
 	}
+	if conn, err = o.protect(ctx, conn); err != nil {
+		return err
+	}
 	o.conn = conn
 	o.bus.wg.Go(func() { closeOnEnd(conn) })
 	return nil
 }
 
+// protect runs the TLS handshake if the bus uses TLS; conn is closed on an error.
+func (o *outbound) protect(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if o.bus.opts.TLS == nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.bus.opts.DialTimeout)
+	defer cancel()
+	protected := tls.Client(conn, o.bus.opts.TLS)
+	if err := protected.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "tls handshake")
+	}
+	return protected, nil
+}
+
 // closeOnEnd closes conn once the peer has; a peer never sends on it.
 func closeOnEnd(conn net.Conn) {
 	_, _ = io.Copy(io.Discard, conn)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/peer/peertls"
 	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
@@ -72,7 +73,7 @@
 	p := &Proxy{settings: s, log: log, registry: prometheus.NewRegistry(), cancel: cancel}
 	p.metrics = metrics.New(p.registry)
 	p.upstreams = newUpstreams(s.Upstreams, s.VM, s.DataCentre)
-	bus, err := tcpbus.New(s.PeerAddress, tcpbus.Options{Logger: logging.For(log, "peers")})
+	bus, err := newBus(s, log)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -98,6 +99,22 @@
 	return p, nil
 }
 
+func newBus(s settings.Proxy, log *slog.Logger) (*tcpbus.Bus, error) {
+	opts := tcpbus.Options{Logger: logging.For(log, "peers")}
+	if s.PeerTLS.On() {
+		cfg, err := peertls.Load(peertls.Files{
+			Certificate: s.PeerTLS.CertificateFile,
+			Key:         s.PeerTLS.KeyFile,
+			Authority:   s.PeerTLS.AuthorityFile,
+		})
+		if err != nil {
+			return nil, err
+		}
+		opts.TLS = cfg
+	}
+	return tcpbus.New(s.PeerAddress, opts)
+}
+
 // systems returns the decision core in the order in which it runs.
 func (p *Proxy) systems() []system {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -26,6 +26,7 @@
 	c.address("peerAddress", p.PeerAddress)
 	c.address("adminAddress", p.AdminAddress)
 	c.addresses("seedPeers", p.SeedPeers)
+	c.peerTLS(p.PeerTLS)
 	c.callers(p.Callers)
 	c.platform(p.Platform)
 	c.objects(p.Objects)
@@ -75,6 +76,18 @@
 	}
 }
 
+func (c *checker) peerTLS(s PeerTLS) {
+	set := 0
+	for _, f := range []string{s.CertificateFile, s.KeyFile, s.AuthorityFile} {
+		if f != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		c.add("peerTLS", "certificateFile, keyFile and authorityFile go together")
+	}
+}
+
 func (c *checker) callers(s Callers) {
 	if len(s.Addresses) == 0 {
 		c.add("callers.addresses", "is required")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,8 @@
 	Callers Callers `json:"callers"`
 	// PeerAddress is the IP:port for frames between proxies.
 	PeerAddress string `json:"peerAddress"`
+	// PeerTLS protects the frames between proxies; empty means plain TCP.
+	PeerTLS PeerTLS `json:"peerTLS"`
 	// AdminAddress is the IP:port of metrics, health and status over HTTP.
 	AdminAddress string `json:"adminAddress"`
 	// SeedPeers are peer addresses to try while the platform's VM list is not at hand.
@@ -64,6 +66,19 @@
 	ShutdownGrace config.Duration `json:"shutdownGrace"`
 }
 
+// PeerTLS names the PEM files for connections between proxies.
+type PeerTLS struct {
+	// CertificateFile is this proxy's certificate.
+	CertificateFile string `json:"certificateFile"`
+	// KeyFile is the certificate's key.
+	KeyFile string `json:"keyFile"`
+	// AuthorityFile holds the certificates of the authority that signs proxies' certificates.
+	AuthorityFile string `json:"authorityFile"`
+}
+
+// On reports whether connections between proxies use TLS.
+func (p PeerTLS) On() bool { return p.CertificateFile != "" }
+
 // Callers is the side that callers connect to.
 type Callers struct {
 	// Addresses are the IP:port pairs to listen on.
