Check the claimed length of a member list before decoding it

Cause: a frame of nine bytes that claims 2^31 members made the codec allocate 128 GiB and ended the process. Ruled out: the decoder's own limit, which the library does not apply to slices.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,6 +8,8 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Topics of the messages between proxies.
@@ -63,7 +65,34 @@
 // Members spreads changes among VMs that send each other no heartbeats.
 type Members struct {
 	// Members are the VMs that changed.
-	Members []Member `msgpack:"m"`
+	Members MemberList `msgpack:"m"`
+}
+
+// MaxMembers bounds the VMs of one message.
+const MaxMembers = 10_000
+
+// MemberList is a list whose claimed length is checked before memory is taken
+// for it: the codec itself would allocate what a few bytes claim.
+type MemberList []Member
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *MemberList) DecodeMsgpack(dec *msgpack.Decoder) error {
+	n, err := dec.DecodeArrayLen()
+	if err != nil {
+		return errors.Wrap(err, "length of members")
+	}
+	if n > MaxMembers {
+		return errors.Errorf("%d members are too many", n)
+	}
+	*l = nil
+	for range n {
+		var m Member
+		if err := dec.Decode(&m); err != nil {
+			return errors.Wrap(err, "member")
+		}
+		*l = append(*l, m)
+	}
+	return nil
 }
 
 // Observation is what one proxy saw of one upstream.
