--- a/internal/peer/tcpbus/codec.go
+++ b/internal/peer/tcpbus/codec.go
@@ -1,6 +1,8 @@
 package tcpbus
 
 import (
+	"bytes"
+
 	"github.com/cranberrystage/cranberrystage/internal/peer"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
@@ -37,8 +39,13 @@
 	}
 }
 
+// decodeAs decodes a payload whose claimed lengths were walked first: the codec
+// would take memory for what a few bytes claim.
 func decodeAs[T any](payload []byte, check func(T) error) (any, error) {
 	var m T
+	if err := msgpack.NewDecoder(bytes.NewReader(payload)).Skip(); err != nil {
+		return nil, errors.Wrapf(err, "walk %T", m)
+	}
 	if err := msgpack.Unmarshal(payload, &m); err != nil {
 		return nil, errors.Wrapf(err, "decode %T", m)
 	}
