--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,7 +6,10 @@
 import (
 	"context"
 
+	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Topics of the messages between proxies.
@@ -35,6 +38,8 @@
 	ConfigVersion uint64 `msgpack:"c"`
 	// Leaving says that the sender is shutting down.
 	Leaving bool `msgpack:"l"`
+	// Deltas says that the sender takes deltas to ConfigVersion's document.
+	Deltas bool `msgpack:"x,omitempty"`
 	// Probe asks the receiver, which the sender takes for silent, for a heartbeat.
 	Probe bool `msgpack:"p,omitempty"`
 }
@@ -60,7 +65,34 @@
 // Members spreads changes among VMs that send each other no heartbeats.
 type Members struct {
 	// Members are the VMs that changed.
-	Members []Member `msgpack:"m"`
+	Members MemberList `msgpack:"m"`
+}
+
+// MaxMembers bounds the VMs of one message.
+const MaxMembers = 10_000
+
+// MemberList is a list whose claimed length is checked before memory is taken
+// for it: the codec itself would allocate what a few bytes claim.
+type MemberList []Member
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *MemberList) DecodeMsgpack(dec *msgpack.Decoder) error {
+	n, err := dec.DecodeArrayLen()
+	if err != nil {
+		return errors.Wrap(err, "length of members")
+	}
+	if n > MaxMembers {
+		return errors.Errorf("%d members are too many", n)
+	}
+	*l = nil
+	for range n {
+		var m Member
+		if err := dec.Decode(&m); err != nil {
+			return errors.Wrap(err, "member")
+		}
+		*l = append(*l, m)
+	}
+	return nil
 }
 
 // Observation is what one proxy saw of one upstream.
@@ -91,12 +123,15 @@
 	Primary tables.UpstreamID `msgpack:"p"`
 }
 
-// Config hands a whole configuration document to a peer that reported an older version.
+// Config hands a configuration to a peer that reported an older version:
+// either the steps from that version or the whole document.
 type Config struct {
-	// Version is the version of Document.
+	// Version is the version that it leads to.
 	Version uint64 `msgpack:"v"`
-	// Document is the JSON text of the configuration.
+	// Document is the JSON text of the configuration; empty if Steps are given.
 	Document []byte `msgpack:"b"`
+	// Steps lead from the receiver's version to Version.
+	Steps []config.Step `msgpack:"s,omitempty"`
 }
 
 // Bus sends and receives messages between proxies.
--- a/internal/proxy/confirmer.go
+++ b/internal/proxy/confirmer.go
@@ -16,14 +16,26 @@
 	roundSpacing = 300 * time.Microsecond
 	// statusTimeout bounds one status request of a round.
 	statusTimeout = 500 * time.Millisecond
+	// roundLimit bounds the age of a round's first answers.
+	roundLimit = statusTimeout
+	// evidenceWindow is how old the evidence of an acknowledgement may be when it
+	// goes to the caller. An answer that was not held up by a pause is younger.
+	evidenceWindow = statusTimeout
 	// answersQueued exceeds the requests that a group can have under way.
 	answersQueued = 64
 )
 
+// decision is the outcome of a commit.
+type decision struct {
+	outcome ack.Outcome
+	// evidenceAt is when the primary was last asked before it.
+	evidenceAt tables.Time
+}
+
 // commitWait is a commit whose caller waits.
 type commitWait struct {
 	commit  ack.Commit
-	decided chan ack.Outcome
+	decided chan decision
 	gone    bool
 }
 
@@ -57,6 +69,10 @@
 	inFlight map[tables.UpstreamID]bool
 	queued   map[tables.UpstreamID]uint64
 	notUntil tables.Time
+	// roundAt is when the last round began.
+	roundAt tables.Time
+	// evidenceAt is when the request was sent that ended the last round.
+	evidenceAt tables.Time
 }
 
 func newConfirmer(g tables.GroupID, c *core, u *upstreams) *confirmer {
@@ -87,22 +103,33 @@
 	}
 }
 
-// acknowledge waits until cm is decided or ctx ends.
+// acknowledge waits until cm is decided or ctx ends. A decision whose evidence
+// has grown old, because this process was paused, is made again.
 func (c *confirmer) acknowledge(ctx context.Context, cm ack.Commit) (ack.Outcome, error) {
-	w := &commitWait{commit: cm, decided: make(chan ack.Outcome, 1)}
+	for {
+		d, err := c.decide(ctx, cm)
+		if err != nil || d.outcome != ack.Acknowledged || c.core.Now().Sub(d.evidenceAt) <= evidenceWindow {
+			return d.outcome, err
+		}
+	}
+}
+
+// decide waits for one decision on cm.
+func (c *confirmer) decide(ctx context.Context, cm ack.Commit) (decision, error) {
+	w := &commitWait{commit: cm, decided: make(chan decision, 1)}
 	c.mu.Lock()
 	c.arrived = append(c.arrived, w)
 	c.mu.Unlock()
 	c.poke()
 	select {
-	case o := <-w.decided:
-		return o, nil
+	case d := <-w.decided:
+		return d, nil
 	case <-ctx.Done():
 		c.mu.Lock()
 		w.gone = true
 		c.mu.Unlock()
 		c.poke()
-		return ack.StillWaiting, ctx.Err()
+		return decision{}, ctx.Err()
 	}
 }
 
@@ -135,7 +162,7 @@
 	wantPoint := c.admit()
 	c.tracker.Replace(g.Term)
 	c.settle()
-	if !wantPoint && (c.tracker.Active() || c.tracker.Waiting() == 0) {
+	if !wantPoint && !c.tracker.Active() && c.tracker.Waiting() == 0 {
 		return 0
 	}
 	now := c.core.Now()
@@ -151,21 +178,28 @@
 	if wantPoint {
 		c.askAll(ctx, now)
 	}
-	for _, a := range c.tracker.Start() {
+	for _, a := range c.nextAsks(now) {
 		c.askFor(ctx, a, now)
 	}
 	c.settle()
-	return c.retryDelay()
-}
-
-// retryDelay asks for another look if commits wait and no round is under way.
-func (c *confirmer) retryDelay() time.Duration {
-	if c.tracker.Waiting() > 0 && !c.tracker.Active() {
+	if c.tracker.Waiting() > 0 {
 		return roundSpacing
 	}
 	return 0
 }
 
+// nextAsks begins a round, or asks those again whose answers covered nothing,
+// so that a round does not wait for a server that never answers. A round that a
+// pause of this process made old rests on old answers and is begun anew.
+func (c *confirmer) nextAsks(now tables.Time) []ack.Ask {
+	if c.tracker.Active() && now.Sub(c.roundAt) <= roundLimit {
+		return c.tracker.Retry()
+	}
+	c.tracker.Abort()
+	c.roundAt = now
+	return c.tracker.Start()
+}
+
 // follow makes the tracker match the group's members.
 func (c *confirmer) follow(g *route.Group) {
 	same := c.tracker != nil && len(c.members) == len(g.Members)
@@ -214,7 +248,7 @@
 func (c *confirmer) settle() {
 	for _, r := range c.tracker.Done() {
 		if w, ok := c.waiting[r.ID]; ok {
-			w.decided <- r.Outcome
+			w.decided <- decision{outcome: r.Outcome, evidenceAt: c.evidenceAt}
 			delete(c.waiting, r.ID)
 		}
 	}
@@ -269,6 +303,7 @@
 		c.tracker.Fail(a.round, a.upstream)
 		return
 	}
+	c.evidenceAt = a.sentAt
 	for _, next := range c.tracker.Answer(a.round, a.upstream, a.status) {
 		c.askFor(ctx, next, c.core.Now())
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
 	"github.com/cranberrystage/cranberrystage/internal/standin/platformd"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/cranberrystage/cranberrystage/internal/testrun"
 	"github.com/jackc/pgx/v5"
 	"github.com/xdg-go/scram"
 	"gotest.tools/v3/assert"
@@ -160,16 +161,7 @@
 	assert.NilError(b.t, err)
 	p, err := New(s, pl, quiet())
 	assert.NilError(b.t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = p.Run(ctx)
-	}()
-	b.t.Cleanup(func() {
-		stop()
-		<-done
-	})
+	testrun.Go(b.t, p.Run)
 	b.await(func() bool { return p.ready() })
 	b.proxies = append(b.proxies, p)
 	return p
@@ -299,3 +291,21 @@
 	s = b.proxies[0].status()
 	assert.Equal(t, int(s.Groups[0].Refused[0].Code), 303)
 }
+
+func testWorld() *tables.World { return tables.NewWorld("vm", "dc", "") }
+
+func TestFrozenReplicaDoesNotHoldUpWrites(t *testing.T) {
+	b := newBench(t, 1)
+	ctx := context.Background()
+	c := b.connect(0, nil)
+	b.servers[1].SetFaults(dbserver.Faults{IsolatedFrom: []string{"*"}})
+	b.servers[2].SetFaults(dbserver.Faults{ReplicationDelay: 5 * time.Millisecond})
+	var slowest time.Duration
+	for i := range 10 {
+		start := time.Now()
+		_, err := c.Exec(ctx, "INSERT INTO orders (k, v) VALUES ($1, 'x')", fmt.Sprintf("k%d", i))
+		assert.NilError(t, err)
+		slowest = max(slowest, time.Since(start))
+	}
+	assert.Assert(t, slowest < statusTimeout, "%s", slowest)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,16 +14,14 @@
 
 // Default values of optional fields.
 const (
-	DefaultMaxCallers       = 10_000
-	DefaultMaxFrameBytes    = 16 << 20
-	DefaultPlatformTimeout  = 2 * time.Second
-	DefaultConnectTimeout   = time.Second
-	DefaultProbeInterval    = 200 * time.Millisecond
-	DefaultProbeTimeout     = 500 * time.Millisecond
-	DefaultHandshakeTimeout = 5 * time.Second
-	DefaultIdleTimeout      = 30 * time.Minute
-	DefaultShutdownGrace    = 30 * time.Second
-	DefaultBucket           = "cranberrystage"
+	DefaultMaxCallers        = 10_000
+	DefaultMaxFrameBytes     = 16 << 20
+	DefaultPlatformTimeout   = 2 * time.Second
+	DefaultProbeTimeout      = time.Second
+	DefaultHandshakeTimeout  = 5 * time.Second
+	DefaultIdleInTransaction = 10 * time.Second
+	DefaultShutdownGrace     = 30 * time.Second
+	DefaultBucket            = "cranberrystage"
 )
 
 // Secret is text that must not reach logs.
@@ -48,6 +46,8 @@
 	Callers Callers `json:"callers"`
 	// PeerAddress is the IP:port for frames between proxies.
 	PeerAddress string `json:"peerAddress"`
+	// PeerTLS protects the frames between proxies; empty means plain TCP.
+	PeerTLS PeerTLS `json:"peerTLS"`
 	// AdminAddress is the IP:port of metrics, health and status over HTTP.
 	AdminAddress string `json:"adminAddress"`
 	// SeedPeers are peer addresses to try while the platform's VM list is not at hand.
@@ -66,6 +66,19 @@
 	ShutdownGrace config.Duration `json:"shutdownGrace"`
 }
 
+// PeerTLS names the PEM files for connections between proxies.
+type PeerTLS struct {
+	// CertificateFile is this proxy's certificate.
+	CertificateFile string `json:"certificateFile"`
+	// KeyFile is the certificate's key.
+	KeyFile string `json:"keyFile"`
+	// AuthorityFile holds the certificates of the authority that signs proxies' certificates.
+	AuthorityFile string `json:"authorityFile"`
+}
+
+// On reports whether connections between proxies use TLS.
+func (p PeerTLS) On() bool { return p.CertificateFile != "" }
+
 // Callers is the side that callers connect to.
 type Callers struct {
 	// Addresses are the IP:port pairs to listen on.
@@ -130,16 +143,12 @@
 
 // Timeouts bound how long the proxy waits.
 type Timeouts struct {
-	// Connect bounds opening a connection to an upstream.
-	Connect config.Duration `json:"connect"`
-	// ProbeInterval is the time between two status probes of one upstream.
-	ProbeInterval config.Duration `json:"probeInterval"`
 	// Probe bounds one status probe.
 	Probe config.Duration `json:"probe"`
 	// Handshake bounds a caller's start-up and login.
 	Handshake config.Duration `json:"handshake"`
-	// Idle closes a caller connection that sends nothing for this long.
-	Idle config.Duration `json:"idle"`
+	// IdleInTransaction ends a caller whose open transaction waits for its next request for this long.
+	IdleInTransaction config.Duration `json:"idleInTransaction"`
 }
 
 // Defaults returns the settings before a file is read.
@@ -150,11 +159,9 @@
 		Objects:       Objects{Bucket: DefaultBucket, Timeout: config.Duration(DefaultPlatformTimeout)},
 		ShutdownGrace: config.Duration(DefaultShutdownGrace),
 		Timeouts: Timeouts{
-			Connect:       config.Duration(DefaultConnectTimeout),
-			ProbeInterval: config.Duration(DefaultProbeInterval),
-			Probe:         config.Duration(DefaultProbeTimeout),
-			Handshake:     config.Duration(DefaultHandshakeTimeout),
-			Idle:          config.Duration(DefaultIdleTimeout),
+			Probe:             config.Duration(DefaultProbeTimeout),
+			Handshake:         config.Duration(DefaultHandshakeTimeout),
+			IdleInTransaction: config.Duration(DefaultIdleInTransaction),
 		},
 	}
 }
