Let RESET and DISCARD ALL concern tags; name a misspelt VM; make the report's directory

Cause: tried by hand through psql and the operators' tools. - RESET cranberrystage.max_age answered RESET and changed nothing: the tag stayed, so the next INSERT went to a replica and failed with 25006. RESET ALL and DISCARD ALL kept tags as well, and a driver's pool hands such a connection to its next user. RESET now returns a tag to its startup value, as RESET ALL and DISCARD ALL do for all of them; the session's own writes stay seen.

--- a/cmd/cranberrystage-proxy/main.go
+++ b/cmd/cranberrystage-proxy/main.go
@@ -16,7 +16,8 @@
 
 // Exit codes.
 const (
-	exitFailed   = 1
+	exitFailed = 1
+	// exitSettings means wrong arguments or settings.
 	exitSettings = 2
 )
 
@@ -24,7 +25,10 @@
 	app := kingpin.New("cranberrystage-proxy", "Database proxy with session consistency.")
 	path := app.Arg("settings", "Settings file, JSON with comments.").Required().ExistingFile()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "cranberrystage-proxy: %v, try --help\n", err)
+		os.Exit(exitSettings)
+	}
 	s, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/settings"
+	"github.com/cranberrystage/cranberrystage/internal/statusapi"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
@@ -34,6 +36,9 @@
 	if err != nil {
 		return err
 	}
+	if c.kind == kindVM && leaving {
+		c.warnOfUnknownVM(ctx, s)
+	}
 	p, err := c.propose(ctx, s, store, cur, doc)
 	if err != nil || !c.confirmNow {
 		return err
@@ -45,6 +50,18 @@
 	return err
 }
 
+// warnOfUnknownVM hints at a misspelt name. It refuses nothing: a VM that no
+// proxy reports may be out of their reach.
+func (c *command) warnOfUnknownVM(ctx context.Context, s settings.Control) {
+	for _, st := range statuses(c.ask(ctx, s)) {
+		isPeer := slices.ContainsFunc(st.Peers, func(p statusapi.Peer) bool { return string(p.VM) == c.id })
+		if string(st.VM) == c.id || isPeer {
+			return
+		}
+	}
+	fmt.Fprintf(c.Stderr, "no proxy that answered reports VM %q; check the name\n", c.id)
+}
+
 // withLeaving returns a copy of doc in which one upstream or VM is leaving or not.
 func withLeaving(doc config.Document, kind, id string, leaving bool) (config.Document, error) {
 	if kind == kindVM {
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -114,13 +114,14 @@
 	}
 	e.tally.caller(place.service.Name, 1)
 	cs := &callerSession{
-		exec:     e,
-		service:  place.service.Name,
-		database: s.Database,
-		tags:     t,
-		session:  sess,
-		prepared: make(prepared),
-		status:   statusIdle,
+		exec:      e,
+		service:   place.service.Name,
+		database:  s.Database,
+		tags:      t,
+		firstTags: t,
+		session:   sess,
+		prepared:  make(prepared),
+		status:    statusIdle,
 	}
 	cs.settings.startWith(first)
 	return cs, nil
--- a/internal/exec/local.go
+++ b/internal/exec/local.go
@@ -23,6 +23,9 @@
 	case "set":
 		set, ok := tags.ParseSet(sql)
 		return localStatement{tag: "SET", run: func(s *callerSession) error { return s.declare(set) }}, ok
+	case "reset":
+		reset, ok := tags.ParseReset(sql)
+		return localStatement{tag: "RESET", run: func(s *callerSession) error { return s.tags.Reset(reset.Name, s.firstTags) }}, ok
 	case "discard":
 		words := sqltext.Words(sql, 2)
 		return localStatement{tag: "DISCARD ALL", run: (*callerSession).discardAll}, len(words) == 2 && words[1] == "all"
@@ -38,7 +41,7 @@
 	if s.status != statusIdle {
 		return codes.New(codes.SessionState, codes.NotRun, 0, "DISCARD ALL in a transaction")
 	}
-	s.settings.apply([]change{{kind: changeResetAll}})
+	s.applySettings([]change{{kind: changeResetAll}})
 	clear(s.prepared)
 	return nil
 }
--- a/internal/exec/session.go
+++ b/internal/exec/session.go
@@ -37,9 +37,11 @@
 	service  tables.ServiceID
 	database string
 	tags     tags.Tags
-	session  session.Session
-	prepared prepared
-	settings settingsList
+	// firstTags are those that the caller's startup parameters gave.
+	firstTags tags.Tags
+	session   session.Session
+	prepared  prepared
+	settings  settingsList
 	// pending are the changes of settings in the open transaction.
 	pending  []change
 	status   byte
@@ -242,7 +244,17 @@
 		return
 	}
 	if !res.rolledBack && res.failure == "" {
-		s.settings.apply(s.pending)
+		s.applySettings(s.pending)
 	}
 	s.pending = nil
 }
+
+// applySettings records changes that took effect. RESET ALL concerns tags too.
+func (s *callerSession) applySettings(changes []change) {
+	s.settings.apply(changes)
+	for _, c := range changes {
+		if c.kind == changeResetAll {
+			s.tags = s.firstTags
+		}
+	}
+}
--- a/internal/exec/state_test.go
+++ b/internal/exec/state_test.go
@@ -97,6 +97,22 @@
 	}
 }
 
+func TestResetConcernsTags(t *testing.T) {
+	rig := newEmulatorRig(t, 1)
+	a := rig.open(map[string]string{"cranberrystage.priority": "5"})
+	for _, reset := range []string{"RESET cranberrystage.max_age", "RESET ALL", "DISCARD ALL"} {
+		a.query("SET cranberrystage.max_age = '3s'").ok(t)
+		assert.Assert(t, a.s.tags.MaxAge != nil, reset)
+		a.query(reset).ok(t)
+		assert.DeepEqual(t, a.s.tags, a.s.firstTags)
+	}
+	assert.Equal(t, a.s.tags.Priority, 5)
+	a.query("SET cranberrystage.priority = 7").ok(t)
+	a.query("RESET cranberrystage.priority").ok(t)
+	assert.Equal(t, a.s.tags.Priority, 5)
+	assert.Equal(t, code(a.query("RESET cranberrystage.maxage").err), codes.BadTag)
+}
+
 func TestOtherSessionStateIsRefused(t *testing.T) {
 	rig := newEmulatorRig(t, 1)
 	a := rig.open(nil)
--- a/internal/proxy/performer.go
+++ b/internal/proxy/performer.go
@@ -96,11 +96,20 @@
 		st, err := call(ctx, r.control)
 		done.Status = st
 		done.Outcome = controlOutcome(err)
-		p.log.Info("Asked a server for a change of term.", "group", g, "upstream", u, "term", term, "step", step, "outcome", done.Outcome, "error", err)
+		p.logControl(g, u, term, step, err)
 	}
 	p.core.Report(done)
 }
 
+func (p *performer) logControl(g tables.GroupID, u tables.UpstreamID, term tables.Term, step tables.Step, err error) {
+	log := p.log.With("group", g, "upstream", u, "term", term, "step", step)
+	if err != nil {
+		log.Warn("A server did not change its term.", "error", err)
+		return
+	}
+	log.Info("A server changed its term.")
+}
+
 // controlOutcome maps a control call's error. A call without an answer may have
 // taken effect.
 func controlOutcome(err error) event.Outcome {
@@ -263,7 +272,10 @@
 	ctx, cancel := context.WithTimeout(p.ctx, controlTimeout)
 	defer cancel()
 	n, err := r.control.TerminateVM(ctx, a.VM)
-	if n > 0 || err != nil {
-		p.log.Info("Ended the sessions of a VM that is gone.", "upstream", a.Upstream, "vm", a.VM, "sessions", n, "error", err)
+	switch {
+	case err != nil:
+		p.log.Warn("Could not end the sessions of a VM that is gone.", "upstream", a.Upstream, "vm", a.VM, "error", err)
+	case n > 0:
+		p.log.Info("Ended the sessions of a VM that is gone.", "upstream", a.Upstream, "vm", a.VM, "sessions", n)
 	}
 }
--- a/internal/reportcmd/collect.go
+++ b/internal/reportcmd/collect.go
@@ -150,7 +150,10 @@
 	if p.saveTo == "" {
 		return nil
 	}
-	const mode = 0o644
+	const dirMode, mode = 0o755, 0o644
+	if err := os.MkdirAll(p.saveTo, dirMode); err != nil {
+		return errors.Wrap(err, "directory of samples")
+	}
 	name := fileSource(source) + "-" + at.UTC().Format(fileTime) + fileExtension
 	return errors.Wrap(os.WriteFile(filepath.Join(p.saveTo, name), body, mode), "save sample")
 }
--- a/internal/reportcmd/reportcmd.go
+++ b/internal/reportcmd/reportcmd.go
@@ -89,7 +89,7 @@
 	app.Flag("out", "File to write instead of standard output.").StringVar(&c.out)
 	app.Flag("every", "Time between two samples of a URL.").Default("10s").DurationVar(&c.every)
 	app.Flag("samples", "Number of samples of each URL.").Default("2").IntVar(&c.samples)
-	app.Flag("save", "Directory in which to keep the samples of URLs as files.").ExistingDirVar(&c.saveTo)
+	app.Flag("save", "Directory in which to keep the samples of URLs as files; made if it doesn't exist.").StringVar(&c.saveTo)
 	app.Arg("source", "URL of a proxy's metrics, sample file, or directory of sample files.").Required().StringsVar(&c.sources)
 }
 
--- a/internal/reportcmd/reportcmd_test.go
+++ b/internal/reportcmd/reportcmd_test.go
@@ -47,7 +47,7 @@
 		_, _ = fmt.Fprint(w, "# TYPE cranberrystage_requests_total counter\n", counter(0, 90*asked), counter(301, 10*asked))
 	}))
 	defer server.Close()
-	dir := t.TempDir()
+	dir := filepath.Join(t.TempDir(), "samples")
 	code, polled, errs := run(t, declarations, "--format=json", "--samples=3", "--every=1m", "--save", dir, server.URL)
 	assert.Equal(t, code, ExitOK, errs)
 	var r burn.Report
--- a/internal/standin/dbserver/exec.go
+++ b/internal/standin/dbserver/exec.go
@@ -186,7 +186,7 @@
 	c.cancel.Store(&cancel)
 	defer c.cancel.Store(nil)
 	waitFor(ctx, nil, d)
-	return ctx.Err()
+	return errors.Wrap(ctx.Err(), "canceling statement due to user request")
 }
 
 func (c *conn) write(s engine.Statement, args []string) ([]string, string, error) {
--- a/internal/tables/world.go
+++ b/internal/tables/world.go
@@ -64,6 +64,20 @@
 	StepFollow
 )
 
+// String names the step for logs.
+func (s Step) String() string {
+	switch s {
+	case StepFence:
+		return "fence"
+	case StepPromote:
+		return "promote"
+	case StepFollow:
+		return "follow"
+	default:
+		return "idle"
+	}
+}
+
 // Coordination is this process's attempt to give a group a new primary.
 type Coordination struct {
 	// Group is the database group.
--- a/internal/tags/comment.go
+++ b/internal/tags/comment.go
@@ -167,6 +167,17 @@
 	return Assignment{Name: name, Value: value}, ok
 }
 
+// ParseReset reads RESET cranberrystage.name. It reports false for every other
+// statement.
+func ParseReset(sql string) (Assignment, bool) {
+	rest, ok := cutWord(strings.Trim(sql, blank+";"), "reset")
+	if !ok || len(rest) <= len(Prefix) || !strings.EqualFold(rest[:len(Prefix)], Prefix) {
+		return Assignment{}, false
+	}
+	name := strings.ToLower(rest[len(Prefix):])
+	return Assignment{Name: name}, !strings.ContainsAny(name, blank+";'=")
+}
+
 func assignedValue(s string) (string, bool) {
 	value, ok := strings.CutPrefix(s, "=")
 	if !ok {
--- a/internal/tags/tags.go
+++ b/internal/tags/tags.go
@@ -121,6 +121,32 @@
 	return true, t.Set(short, value)
 }
 
+// Reset returns one tag, by its name without Prefix, to what first says. The
+// error is a *codes.Error with codes.BadTag.
+func (t *Tags) Reset(name string, first Tags) error {
+	field := FieldMaxAge
+	switch name {
+	case NameMaxAge:
+		t.MaxAge = first.MaxAge
+	case NameIdempotent:
+		t.Idempotent, field = first.Idempotent, FieldIdempotent
+	case NameRequestID:
+		t.RequestID, field = first.RequestID, FieldRequestID
+	case NameDeadline:
+		t.Deadline, field = first.Deadline, FieldDeadline
+	case NameSession:
+		t.Session, field = first.Session, FieldSession
+	case NameIntent:
+		t.Intent, field = first.Intent, FieldIntent
+	case NamePriority:
+		t.Priority, field = first.Priority, FieldPriority
+	default:
+		return bad(name, "there is no such tag")
+	}
+	t.Declared = t.Declared&^field | first.Declared&field
+	return nil
+}
+
 func (t *Tags) setMaxAge(value string) error {
 	t.Declared |= FieldMaxAge
 	if value == "" {
--- a/internal/tags/tags_test.go
+++ b/internal/tags/tags_test.go
@@ -96,6 +96,27 @@
 	}
 }
 
+func TestParseReset(t *testing.T) {
+	for _, c := range []struct {
+		sql  string
+		want string
+		ok   bool
+	}{
+		{"RESET cranberrystage.max_age", "max_age", true},
+		{"reset Cranberrystage.Max_Age ;", "max_age", true},
+		{"RESET cranberrystage.", "", false},
+		{"RESET cranberrystage.max_age; DROP TABLE t", "", false},
+		{"RESET ALL", "", false},
+		{"RESET search_path", "", false},
+	} {
+		got, ok := ParseReset(c.sql)
+		assert.Equal(t, ok, c.ok, c.sql)
+		if ok {
+			assert.Equal(t, got, Assignment{Name: c.want}, c.sql)
+		}
+	}
+}
+
 func service() config.Service {
 	five := config.Duration(5 * time.Second)
 	return config.Service{
@@ -189,3 +210,24 @@
 		_, _ = FromComment("SELECT v FROM t WHERE k = 'x' /*max_age='3s',idempotent='true'*/")
 	}
 }
+
+func TestResetReturnsToTheFirstValue(t *testing.T) {
+	names := []string{NameMaxAge, NameIdempotent, NameRequestID, NameDeadline, NameSession, NameIntent, NamePriority}
+	values := map[string]string{NameMaxAge: "1s", NameIdempotent: "true", NameDeadline: "2s", NamePriority: "3"}
+	for _, name := range names {
+		value := values[name]
+		if value == "" {
+			value = "x"
+		}
+		var first, set Tags
+		assert.NilError(t, set.Set(name, value))
+		assert.Assert(t, set.Declared != 0, name)
+		assert.NilError(t, set.Reset(name, first))
+		assert.DeepEqual(t, set, first)
+		assert.NilError(t, first.Set(name, value))
+		assert.NilError(t, set.Reset(name, first))
+		assert.DeepEqual(t, set, first)
+	}
+	var none Tags
+	assert.ErrorContains(t, none.Reset("maxage", none), "no such tag")
+}
