--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,4 +12,7 @@
   --batbayar-database stock-ledger/stock1 --batbayar-database stock-ledger/stock2 --batbayar-database stock-ledger/stock3 \
   --agency-user crew --agency-password crew-demo \
   --agency-database chantiers-db/chantiers1 --agency-database chantiers-db/chantiers2 --agency-database chantiers-db/chantiers3 \
-  --duration "${1:-20s}" --kill-pid "$(pid server-stock1-a)"
+  --duration "${1:-20s}" \
+  --kill-primary-of "$(at 7111)=$(pid server-stock1-a)" \
+  --kill-primary-of "$(at 7112)=$(pid server-stock1-b)" \
+  --kill-primary-of "$(at 7113)=$(pid server-stock1-c)"
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,8 @@
 # Where settings, logs and process ids of the set-up go.
 run_dir=${RUN_DIR:-$(mktemp -d)}
 bin=${BIN:-bin}
-# Added to every port, so that several set-ups can run side by side.
+# Added to every port, so that several set-ups can run side by side. Ports above
+# 32767 may be taken by outgoing connections, so 24000 is the most.
 offset=${PORT_OFFSET:-0}
 # One proxy for each; the proxy named by LATE is left to the caller to start.
 data_centres=${DATA_CENTRES:-ub-east,tunis,ub-east}
@@ -36,6 +37,20 @@
     kill "$(cat "$f")" 2>/dev/null || true
   done
   wait 2>/dev/null || true
+  [ -n "${RUN_DIR:-}" ] || rm -rf "$run_dir"
+}
+
+# check_all: fails if a started process has ended, and shows the end of its log.
+check_all() {
+  local f name
+  for f in "$run_dir"/*.pid; do
+    name=$(basename "$f" .pid)
+    if ! kill -0 "$(cat "$f")" 2>/dev/null; then
+      echo "$name has ended:" >&2
+      tail -n 5 "$run_dir/$name.log" >&2
+      return 1
+    fi
+  done
 }
 
 # ask PORT PATH: prints the status line of an HTTP answer on this machine.
@@ -56,6 +71,7 @@
     sleep 0.05
   done
   echo "no answer from port $1" >&2
+  check_all
   return 1
 }
 
@@ -80,4 +96,5 @@
   for n in 6632 6633 6634; do
     await "$(port "$n")" /readyz
   done
+  check_all
 }
