--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/statusapi"
-	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -108,12 +107,3 @@
 	}
 	return p
 }
-
-// Report implements exec.Core.
-func (p *Proxy) Report(ev event.Event) { p.core.Report(ev) }
-
-// Snapshot implements exec.Core.
-func (p *Proxy) Snapshot() *route.Snapshot { return p.core.Snapshot() }
-
-// Changed implements exec.Core.
-func (p *Proxy) Changed() <-chan struct{} { return p.core.Changed() }
--- /dev/null
+++ b/internal/proxy/path.go
@@ -0,0 +1,57 @@
+package proxy
+
+import (
+	"context"
+
+	"github.com/cranberrystage/cranberrystage/internal/exec"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
+	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
+	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/systems/route"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/cranberrystage/cranberrystage/internal/upstream"
+)
+
+// Proxy is the core as the statement path sees it.
+var _ exec.Core = (*Proxy)(nil)
+
+// Now implements exec.Core.
+func (p *Proxy) Now() tables.Time { return p.core.Now() }
+
+// Confirm implements exec.Core.
+func (p *Proxy) Confirm(g tables.GroupID) { p.confirmers.get(g).point() }
+
+// Acknowledge implements exec.Core.
+func (p *Proxy) Acknowledge(ctx context.Context, g tables.GroupID, c ack.Commit) (ack.Outcome, error) {
+	return p.confirmers.get(g).acknowledge(ctx, c)
+}
+
+// Pool implements exec.Core.
+func (p *Proxy) Pool(u tables.UpstreamID) (*upstream.Pool, bool) {
+	r, ok := p.upstreams.get(u)
+	if !ok {
+		return nil, false
+	}
+	return r.pool, true
+}
+
+// Gate implements exec.Core.
+func (p *Proxy) Gate(u tables.UpstreamID) (*gate.Gate, bool) {
+	r, ok := p.upstreams.get(u)
+	if !ok {
+		return nil, false
+	}
+	return r.gate, true
+}
+
+// Load implements exec.Core.
+func (p *Proxy) Load() *exec.Load { return &p.load }
+
+// Report implements exec.Core.
+func (p *Proxy) Report(ev event.Event) { p.core.Report(ev) }
+
+// Snapshot implements exec.Core.
+func (p *Proxy) Snapshot() *route.Snapshot { return p.core.Snapshot() }
+
+// Changed implements exec.Core.
+func (p *Proxy) Changed() <-chan struct{} { return p.core.Changed() }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,14 +13,12 @@
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/exec"
-	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/peer/peertls"
 	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
-	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
 	"github.com/cranberrystage/cranberrystage/internal/systems/configure"
 	"github.com/cranberrystage/cranberrystage/internal/systems/detect"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
@@ -29,7 +27,6 @@
 	"github.com/cranberrystage/cranberrystage/internal/systems/reap"
 	"github.com/cranberrystage/cranberrystage/internal/systems/watch"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
-	"github.com/cranberrystage/cranberrystage/internal/upstream"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
@@ -65,8 +62,6 @@
 	cancel     context.CancelFunc
 }
 
-var _ exec.Core = (*Proxy)(nil)
-
 // New binds all addresses and returns a proxy that serves once Run is called.
 func New(s settings.Proxy, pl Platform, log *slog.Logger) (*Proxy, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -210,14 +205,16 @@
 			return
 		case <-ticker.C:
 		}
-		_ = p.core.inspect(ctx, func(w *tables.World) {
-			now := p.core.Now()
-			self, _ := w.VMs.Get(w.Self)
-			p.drain(self.Leaving)
-			for _, id := range w.Upstreams.Keys() {
-				p.upstreams.limit(id, membership.ConnectionShare(w, id, now))
-			}
-		})
+		_ = p.core.inspect(ctx, p.reviewOnce)
+	}
+}
+
+func (p *Proxy) reviewOnce(w *tables.World) {
+	now := p.core.Now()
+	self, _ := w.VMs.Get(w.Self)
+	p.drain(self.Leaving || w.Leaving)
+	for _, id := range w.Upstreams.Keys() {
+		p.upstreams.limit(id, membership.ConnectionShare(w, id, now))
 	}
 }
 
@@ -262,10 +259,10 @@
 
 func (p *Proxy) shutdown() {
 	p.log.Info("proxy: Shutting down.")
-	p.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.settings.ShutdownGrace))
 	defer cancel()
 	_ = p.core.inspect(ctx, func(w *tables.World) { w.Leaving = true })
+	p.drain(true)
 	var g errgroup.Group
 	for _, s := range p.callers {
 		g.Go(func() error { return s.Shutdown(ctx) })
@@ -284,35 +281,3 @@
 	}
 	return nil
 }
-
-// Now implements exec.Core.
-func (p *Proxy) Now() tables.Time { return p.core.Now() }
-
-// Confirm implements exec.Core.
-func (p *Proxy) Confirm(g tables.GroupID) { p.confirmers.get(g).point() }
-
-// Acknowledge implements exec.Core.
-func (p *Proxy) Acknowledge(ctx context.Context, g tables.GroupID, c ack.Commit) (ack.Outcome, error) {
-	return p.confirmers.get(g).acknowledge(ctx, c)
-}
-
-// Pool implements exec.Core.
-func (p *Proxy) Pool(u tables.UpstreamID) (*upstream.Pool, bool) {
-	r, ok := p.upstreams.get(u)
-	if !ok {
-		return nil, false
-	}
-	return r.pool, true
-}
-
-// Gate implements exec.Core.
-func (p *Proxy) Gate(u tables.UpstreamID) (*gate.Gate, bool) {
-	r, ok := p.upstreams.get(u)
-	if !ok {
-		return nil, false
-	}
-	return r.gate, true
-}
-
-// Load implements exec.Core.
-func (p *Proxy) Load() *exec.Load { return &p.load }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -309,3 +309,14 @@
 	}
 	assert.Assert(t, slowest < statusTimeout, "%s", slowest)
 }
+
+func TestReviewDuringShutdownKeepsTheProxyClosed(t *testing.T) {
+	b := newBench(t, 1)
+	p := b.proxies[0]
+	assert.NilError(t, p.core.inspect(context.Background(), func(w *tables.World) {
+		w.Leaving = true
+		p.drain(true)
+		p.reviewOnce(w)
+		assert.Check(t, !p.ready())
+	}))
+}
