Report all problems of a file at once; tell callers that a proxy has no configuration

Cause: tried with wrong files and without the platform. - A proxy that had no configuration yet refused every caller with 103 AuthFailed and SQLSTATE 28P01, which drivers take for a wrong password and don't repeat. It says 402 NotReady (not run, 57P03) now. Small change in internal/callers and internal/exec; test at the socket. - With one unknown field or wrong type the values of the file were not checked, so a second run found more. A wrong log level lists the four levels. - Each stop logged one warning per peer connection that it closed itself, with the prefix twice; it logs none. - make run and make demo said only 'no answer from port N'; they print which process ended and its last line, and warn of a PORT_OFFSET in the range of outgoing connections (seen: 5 of 22 processes failed to bind at 40000).

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -46,6 +46,8 @@
 
 // Executor opens sessions.
 type Executor interface {
+	// Configured says that services and users are known.
+	Configured() bool
 	// Open returns a session, or a *codes.Error.
 	Open(s Startup) (Session, error)
 	// User returns a user's verifier.
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -37,12 +37,13 @@
 // fakeExecutor answers every query with its own text. "BEGIN" and "COMMIT"
 // change the status, "wait" ends once the test says so.
 type fakeExecutor struct {
-	user     config.User
-	started  atomic.Int64
-	finished atomic.Int64
-	closed   atomic.Int64
-	release  chan struct{}
-	cancel   chan struct{}
+	unconfigured bool
+	user         config.User
+	started      atomic.Int64
+	finished     atomic.Int64
+	closed       atomic.Int64
+	release      chan struct{}
+	cancel       chan struct{}
 }
 
 func newFakeExecutor(t testing.TB) *fakeExecutor {
@@ -51,6 +52,8 @@
 	return &fakeExecutor{user: u, release: make(chan struct{}), cancel: make(chan struct{}, 1)}
 }
 
+func (e *fakeExecutor) Configured() bool { return !e.unconfigured }
+
 func (e *fakeExecutor) User(name string) (config.User, bool) { return e.user, name == testUser }
 
 func (e *fakeExecutor) Open(Startup) (Session, error) {
@@ -465,6 +468,14 @@
 	assert.NilError(t, <-answered)
 }
 
+func TestCallersBeforeTheConfigurationAreToldToComeBack(t *testing.T) {
+	e := newFakeExecutor(t)
+	e.unconfigured = true
+	_, err := pgconn.Connect(context.Background(), url(startServer(t, e, Options{}), testUser, "disable"))
+	assert.Equal(t, sqlState(err), "57P03")
+	assert.ErrorContains(t, err, "code 402 NotReady (not run)")
+}
+
 func TestTooManyCallers(t *testing.T) {
 	s := startServer(t, newFakeExecutor(t), Options{MaxCallers: 1})
 	connect(t, s)
--- a/internal/callers/startup.go
+++ b/internal/callers/startup.go
@@ -48,6 +48,9 @@
 			if c.server.draining.Load() {
 				return c.fatal(codes.New(codes.ShuttingDown, codes.NotRun, connectRetry, ""))
 			}
+			if !c.server.executor.Configured() {
+				return c.fatal(codes.New(codes.NotReady, codes.NotRun, connectRetry, ""))
+			}
 			if overLimit {
 				return c.fatal(codes.New(codes.TooManyCallers, codes.NotRun, connectRetry, ""))
 			}
--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -64,6 +64,7 @@
 	TooManyCallers   Code = 306
 
 	ShuttingDown Code = 401
+	NotReady     Code = 402
 
 	StaleBase       Code = 501
 	PlanUnknown     Code = 502
@@ -112,6 +113,7 @@
 	{RetryBudget, "RetryBudget", "53300", "The retry budget is used up."},
 	{TooManyCallers, "TooManyCallers", "53300", "The proxy holds its limit of caller connections."},
 	{ShuttingDown, "ShuttingDown", "57P01", "The proxy is shutting down."},
+	{NotReady, "NotReady", "57P03", "The proxy has no configuration yet."},
 	{StaleBase, "StaleBase", "55000", "The plan was made from a configuration that has been replaced."},
 	{PlanUnknown, "PlanUnknown", "55000", "No plan of that id is stored."},
 	{DeclarationBad, "DeclarationBad", "55000", "The declarations contain errors."},
--- a/internal/declare/declare.go
+++ b/internal/declare/declare.go
@@ -38,9 +38,9 @@
 // jsonc.Problems with everything that is wrong.
 func Load(dirs ...string) (config.Document, error) {
 	files, problems := readDirs(dirs)
-	if len(problems) == 0 {
+	if parsed(files, problems) {
 		markLeaving(files)
-		problems = validate(files)
+		problems = problems.And(validate(files))
 	}
 	if err := problems.Err(); err != nil {
 		return config.Document{}, err
@@ -48,6 +48,14 @@
 	return merge(files), nil
 }
 
+// parsed says that the values of all files are at hand. Checks over a part of
+// them would report names of the rest as unknown.
+func parsed(files []file, problems jsonc.Problems) bool {
+	wholeFile := func(p jsonc.Problem) bool { return p.Line == 0 }
+	unparsed := func(f file) bool { return !f.source.Parsed() }
+	return !slices.ContainsFunc(problems, wholeFile) && !slices.ContainsFunc(files, unparsed)
+}
+
 func readDirs(dirs []string) ([]file, jsonc.Problems) {
 	var files []file
 	var problems jsonc.Problems
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -95,6 +95,24 @@
 	assert.Equal(t, len(problems), 2)
 }
 
+func TestWrongFieldsAndWrongValuesComeTogether(t *testing.T) {
+	dir := copySample(t)
+	replace(t, filepath.Join(dir, "services.jsonc"), `"weight": 1`, `"weight": "1"`)
+	replace(t, filepath.Join(dir, "groups.jsonc"), `"firstPrimary": "stock3-a"`, `"firstPrimary": "x"`)
+	_, err := Load(dir)
+	assert.ErrorContains(t, err, "services[0].weight: want a whole number")
+	assert.ErrorContains(t, err, `groups[2].firstPrimary: "x" is not an upstream`)
+	assert.Equal(t, strings.Count(err.Error(), "\n"), 1)
+}
+
+func TestSyntaxErrorHidesNoNames(t *testing.T) {
+	dir := copySample(t)
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "groups.jsonc"), []byte("{"), 0o600))
+	_, err := Load(dir)
+	assert.ErrorContains(t, err, "groups.jsonc:1:2: syntax")
+	assert.Equal(t, strings.Count(err.Error(), "\n"), 0)
+}
+
 func TestEmptyDirectoryIsAProblem(t *testing.T) {
 	_, err := Load(t.TempDir())
 	assert.ErrorContains(t, err, "no .jsonc file")
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -85,6 +85,9 @@
 	e.core.Report(event.GroupUsed{Group: g})
 }
 
+// Configured implements callers.Executor.
+func (e *Executor) Configured() bool { return len(e.directory.Load().places) > 0 }
+
 // User implements callers.Executor.
 func (e *Executor) User(name string) (config.User, bool) {
 	u, ok := e.directory.Load().users[name]
--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -42,6 +42,10 @@
 	}
 }
 
+// Parsed says that the file was read and its syntax is right, so that its
+// values can be checked further.
+func (s *Source) Parsed() bool { return s.lines != nil }
+
 // ReadFile decodes the file at path into dst, which points to a struct.
 func ReadFile(path string, dst any) (*Source, Problems) {
 	info, err := os.Stat(path)
--- a/internal/jsonc/problem.go
+++ b/internal/jsonc/problem.go
@@ -55,6 +55,20 @@
 	return ps
 }
 
+// And returns ps with those of more that concern other fields, sorted. A field
+// of the wrong type has kept an earlier value, about which nothing can be said.
+func (ps Problems) And(more Problems) Problems {
+	out := slices.Clone(ps)
+	for _, p := range more {
+		same := func(q Problem) bool { return q.File == p.File && q.Field == p.Field }
+		if !slices.ContainsFunc(ps, same) {
+			out = append(out, p)
+		}
+	}
+	out.Sort()
+	return out
+}
+
 // Sort orders the problems by file, line and column and keeps the order of equals.
 func (ps Problems) Sort() {
 	slices.SortStableFunc(ps, func(a, b Problem) int {
--- a/internal/peer/tcpbus/bus.go
+++ b/internal/peer/tcpbus/bus.go
@@ -137,7 +137,7 @@
 	}
 	if err != nil {
 		b.stats.dropped.Add(1)
-		b.log.Debug("peer: message dropped", "address", address, "topic", topic, "error", err)
+		b.log.Debug("Dropped a message to a peer.", "address", address, "topic", topic, "error", err)
 	}
 }
 
@@ -210,7 +210,7 @@
 		typed, err := decode(topic, msg.Payload)
 		if err != nil {
 			b.stats.messageErrors.Add(1)
-			b.log.Warn("peer: message not read", "topic", topic, "error", err)
+			b.log.Warn("Could not read a peer's message.", "topic", topic, "error", err)
 			msg.Ack()
 			continue
 		}
--- a/internal/peer/tcpbus/inbound.go
+++ b/internal/peer/tcpbus/inbound.go
@@ -22,7 +22,7 @@
 			return
 		}
 		if err != nil {
-			b.log.Warn("peer: accept failed", "error", err)
+			b.log.Warn("Could not accept a connection.", "error", err)
 			b.wait(b.opts.MinBackoff)
 			continue
 		}
@@ -48,8 +48,10 @@
 			return
 		}
 		if err != nil {
-			b.stats.frameErrors.Add(1)
-			b.log.Warn("peer: connection closed", "address", conn.RemoteAddr(), "error", err)
+			if b.ctx.Err() == nil {
+				b.stats.frameErrors.Add(1)
+				b.log.Warn("Closed a peer's connection.", "address", conn.RemoteAddr(), "error", err)
+			}
 			return
 		}
 		b.stats.framesReceived.Add(1)
--- a/internal/peer/tcpbus/outbound.go
+++ b/internal/peer/tcpbus/outbound.go
@@ -48,7 +48,7 @@
 			return
 		}
 		if err := o.send(ctx, wire); err != nil {
-			o.bus.log.Debug("peer: send failed", "address", o.address, "error", err)
+			o.bus.log.Debug("Could not send to a peer.", "address", o.address, "error", err)
 			o.disconnect()
 			if !o.queue.pushFront(wire) {
 				o.bus.stats.dropped.Add(1)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net/netip"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
@@ -82,11 +84,33 @@
 	c.addresses("callers.addresses", s.Addresses)
 	if (s.CertificateFile == "") != (s.KeyFile == "") {
 		c.add("callers.certificateFile", "certificateFile and keyFile go together")
+	} else if s.CertificateFile != "" {
+		c.certificate(s)
 	}
 	c.atLeast("callers.maxCallers", s.MaxCallers, 1)
 	c.atLeast("callers.maxFrameBytes", s.MaxFrameBytes, minFrameBytes)
 }
 
+// certificate names the field of a file that can't be read or used.
+func (c *checker) certificate(s Callers) {
+	missing := false
+	for _, f := range []struct{ field, path string }{
+		{"callers.certificateFile", s.CertificateFile},
+		{"callers.keyFile", s.KeyFile},
+	} {
+		if _, err := os.ReadFile(f.path); err != nil {
+			c.add(f.field, "%v", err)
+			missing = true
+		}
+	}
+	if missing {
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(s.CertificateFile, s.KeyFile); err != nil {
+		c.add("callers.certificateFile", "not a certificate with its key: %v", err)
+	}
+}
+
 func (c *checker) platform(s Platform) {
 	u, err := url.Parse(s.URL)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -36,8 +36,8 @@
 func LoadControl(path string) (Control, error) {
 	s := ControlDefaults()
 	src, problems := jsonc.ReadFile(path, &s)
-	if len(problems) == 0 {
-		problems = checkControl(src, s)
+	if src.Parsed() {
+		problems = problems.And(checkControl(src, s))
 	}
 	if err := problems.Err(); err != nil {
 		return Control{}, err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,11 +5,13 @@
 
 import (
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/jsonc"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
 )
 
 // Default values of optional fields.
@@ -59,11 +61,28 @@
 	// Timeouts bound how long the proxy waits.
 	Timeouts Timeouts `json:"timeouts"`
 	// LogLevel is "debug", "info", "warn" or "error".
-	LogLevel slog.Level `json:"logLevel"`
+	LogLevel Level `json:"logLevel"`
 	// ShutdownGrace is how long requests in flight may take after a shutdown was asked for.
 	ShutdownGrace config.Duration `json:"shutdownGrace"`
 }
 
+// Level is a log level by its name.
+type Level slog.Level
+
+// Level implements slog.Leveler.
+func (l Level) Level() slog.Level { return slog.Level(l) }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (l *Level) UnmarshalText(text []byte) error {
+	for _, level := range []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn, slog.LevelError} {
+		if strings.EqualFold(level.String(), string(text)) {
+			*l = Level(level)
+			return nil
+		}
+	}
+	return errors.Errorf("want debug, info, warn or error, have %q", text)
+}
+
 // Callers is the side that callers connect to.
 type Callers struct {
 	// Addresses are the IP:port pairs to listen on.
@@ -156,8 +175,8 @@
 func Load(path string) (Proxy, error) {
 	p := Defaults()
 	src, problems := jsonc.ReadFile(path, &p)
-	if len(problems) == 0 {
-		problems = check(src, p)
+	if src.Parsed() {
+		problems = problems.And(check(src, p))
 	}
 	if err := problems.Err(); err != nil {
 		return Proxy{}, err
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"log/slog"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -59,6 +60,47 @@
 	})
 }
 
+func TestUnknownAndWrongFieldsAreReportedTogether(t *testing.T) {
+	text := strings.NewReplacer(
+		`"vm": "vm-1"`, `"vm": 17`, `"peerAddress"`, `"peerAdress"`, `"http://127.0.0.1:6700"`, `"ftp://127.0.0.1"`,
+	).Replace(minimal)
+	_, err := load(t, text)
+	var problems jsonc.Problems
+	assert.Assert(t, errors.As(err, &problems))
+	var fields []string
+	for _, p := range problems {
+		fields = append(fields, p.Field)
+	}
+	assert.DeepEqual(t, fields, []string{"peerAddress", "vm", "peerAdress", "platform.url"})
+}
+
+func TestLogLevelIsOneOfFour(t *testing.T) {
+	p, err := load(t, strings.Replace(minimal, `"vm":`, `"logLevel": "Warn", "vm":`, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, p.LogLevel.Level(), slog.LevelWarn)
+	_, err = load(t, strings.Replace(minimal, `"vm":`, `"logLevel": "loud", "vm":`, 1))
+	assert.ErrorContains(t, err, `logLevel: want debug, info, warn or error, have "loud"`)
+}
+
+func TestSyntaxErrorStandsAlone(t *testing.T) {
+	_, err := load(t, `{"vm": `)
+	var problems jsonc.Problems
+	assert.Assert(t, errors.As(err, &problems))
+	assert.Equal(t, len(problems), 1)
+}
+
+func TestCertificateFilesAreRead(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.pem")
+	assert.NilError(t, os.WriteFile(bad, []byte("no certificate"), 0o600))
+	with := func(certificate, key string) string {
+		return strings.Replace(minimal, `"callers": {`, `"callers": {"certificateFile": "`+certificate+`", "keyFile": "`+key+`", `, 1)
+	}
+	_, err := load(t, with(bad, "nothing.pem"))
+	assert.ErrorContains(t, err, "callers.keyFile: open nothing.pem: no such file or directory")
+	_, err = load(t, with(bad, bad))
+	assert.ErrorContains(t, err, "callers.certificateFile: not a certificate with its key")
+}
+
 func TestUnknownFieldNamesLine(t *testing.T) {
 	_, err := load(t, strings.Replace(minimal, `"peerAddress"`, `"peerAdress"`, 1))
 	assert.ErrorContains(t, err, "proxy.jsonc:5:3: peerAdress: unknown field")
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -7,6 +7,9 @@
 bin=${BIN:-bin}
 # Added to every port, so that several set-ups can run side by side.
 offset=${PORT_OFFSET:-0}
+# The range of the plain set-up's ports.
+lowest_port=6432
+highest_port=8233
 # One proxy for each; the proxy named by LATE is left to the caller to start.
 data_centres=${DATA_CENTRES:-ub-east,tunis,ub-east}
 late=${LATE:-}
@@ -29,6 +32,25 @@
 # pid NAME: prints the process id of a started command.
 pid() { cat "$run_dir/$1.pid"; }
 
+# report_dead: prints the last words of every started process that has ended.
+report_dead() {
+  local f name
+  for f in "$run_dir"/*.pid; do
+    kill -0 "$(cat "$f")" 2>/dev/null && continue
+    name=$(basename "$f" .pid)
+    echo "$name has ended: $(tail -n 1 "$run_dir/$name.log")" >&2
+  done
+}
+
+# warn_ephemeral: warns of ports that outgoing connections may hold.
+warn_ephemeral() {
+  local first last
+  read -r first last </proc/sys/net/ipv4/ip_local_port_range 2>/dev/null || return 0
+  if [ "$(port "$highest_port")" -ge "$first" ] && [ "$(port "$lowest_port")" -le "$last" ]; then
+    echo "PORT_OFFSET=$offset reaches into ports $first-$last, which outgoing connections use; if a start fails, take at most $((first - highest_port - 1))" >&2
+  fi
+}
+
 # stop_all: ends every process that this script started, by its id.
 stop_all() {
   local f
@@ -56,11 +78,13 @@
     sleep 0.05
   done
   echo "no answer from port $1" >&2
+  report_dead
   return 1
 }
 
 # set_up: starts everything and returns once all proxies are ready.
 set_up() {
+  warn_ephemeral
   "$bin/cranberrystage-standin" layout --out "$run_dir" --port-offset "$offset" --data-centres "$data_centres" $declarations
   local f name n
   start platform "$bin/cranberrystage-standin" serve "$run_dir/platform.jsonc"
