--- a/internal/peer/tcpbus/inbound.go
+++ b/internal/peer/tcpbus/inbound.go
@@ -48,8 +48,10 @@
 			return
 		}
 		if err != nil {
-			b.stats.frameErrors.Add(1)
-			b.log.Warn("Closed a peer's connection.", "address", conn.RemoteAddr(), "error", err)
+			if b.ctx.Err() == nil {
+				b.stats.frameErrors.Add(1)
+				b.log.Warn("Closed a peer's connection.", "address", conn.RemoteAddr(), "error", err)
+			}
 			return
 		}
 		b.stats.framesReceived.Add(1)
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -8,6 +8,9 @@
 # Added to every port, so that several set-ups can run side by side. Ports above
 # 32767 may be taken by outgoing connections, so 24000 is the most.
 offset=${PORT_OFFSET:-0}
+# The range of the plain set-up's ports.
+lowest_port=6432
+highest_port=8233
 # One proxy for each; the proxy named by LATE is left to the caller to start.
 data_centres=${DATA_CENTRES:-ub-east,tunis,ub-east}
 late=${LATE:-}
@@ -30,6 +33,27 @@
 # pid NAME: prints the process id of a started command.
 pid() { cat "$run_dir/$1.pid"; }
 
+# report_dead: fails if a started process has ended, and prints its last words.
+report_dead() {
+  local f name dead=0
+  for f in "$run_dir"/*.pid; do
+    kill -0 "$(cat "$f")" 2>/dev/null && continue
+    name=$(basename "$f" .pid)
+    echo "$name has ended: $(tail -n 1 "$run_dir/$name.log")" >&2
+    dead=1
+  done
+  return $dead
+}
+
+# warn_ephemeral: warns of ports that outgoing connections may hold.
+warn_ephemeral() {
+  local first last
+  read -r first last </proc/sys/net/ipv4/ip_local_port_range 2>/dev/null || return 0
+  if [ "$(port "$highest_port")" -ge "$first" ] && [ "$(port "$lowest_port")" -le "$last" ]; then
+    echo "PORT_OFFSET=$offset reaches into ports $first-$last, which outgoing connections use; if a start fails, take at most $((first - highest_port - 1))" >&2
+  fi
+}
+
 # stop_all: ends every process that this script started, by its id.
 stop_all() {
   local f
@@ -40,19 +64,6 @@
   [ -n "${RUN_DIR:-}" ] || rm -rf "$run_dir"
 }
 
-# check_all: fails if a started process has ended, and shows the end of its log.
-check_all() {
-  local f name
-  for f in "$run_dir"/*.pid; do
-    name=$(basename "$f" .pid)
-    if ! kill -0 "$(cat "$f")" 2>/dev/null; then
-      echo "$name has ended:" >&2
-      tail -n 5 "$run_dir/$name.log" >&2
-      return 1
-    fi
-  done
-}
-
 # ask PORT PATH: prints the status line of an HTTP answer on this machine.
 ask() {
   local line
@@ -71,12 +82,13 @@
     sleep 0.05
   done
   echo "no answer from port $1" >&2
-  check_all
+  report_dead || true
   return 1
 }
 
 # set_up: starts everything and returns once all proxies are ready.
 set_up() {
+  warn_ephemeral
   "$bin/cranberrystage-standin" layout --out "$run_dir" --port-offset "$offset" --data-centres "$data_centres" $declarations
   local f name n
   start platform "$bin/cranberrystage-standin" serve "$run_dir/platform.jsonc"
@@ -96,5 +108,5 @@
   for n in 6632 6633 6634; do
     await "$(port "$n")" /readyz
   done
-  check_all
+  report_dead
 }
