--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -13,4 +13,8 @@
 Logs and settings: $run_dir
 Interrupt to stop.
 TEXT
-wait
+# Sleeps in the background so that a signal is acted on at once.
+while :; do
+  sleep 1 &
+  wait $!
+done
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -28,6 +28,7 @@
   shift
   "$@" >"$run_dir/$name.log" 2>&1 &
   echo $! >"$run_dir/$name.pid"
+  disown # the shell would report a killed process on its own
 }
 
 # pid NAME: prints the process id of a started command.
@@ -56,11 +57,16 @@
 
 # stop_all: ends every process that this script started, by its id.
 stop_all() {
-  local f
+  local f i
   for f in "$run_dir"/*.pid; do
     kill "$(cat "$f")" 2>/dev/null || true
   done
-  wait 2>/dev/null || true
+  for f in "$run_dir"/*.pid; do
+    for i in $(seq 1 100); do
+      kill -0 "$(cat "$f")" 2>/dev/null || break
+      sleep 0.05
+    done
+  done
   [ -n "${RUN_DIR:-}" ] || rm -rf "$run_dir"
 }
 
