End requests that wait for a replaced primary

Now a wait for a connection of a lower term ends at once and goes to the new primary; a statement that runs gets 250 ms for the server's rejection, then its outcome is unknown.

--- a/internal/proxy/performer.go
+++ b/internal/proxy/performer.go
@@ -260,7 +260,7 @@
 	case a.BelowTerm == 0:
 		r.pool.CloseSilent(silentBound)
 	default:
-		r.pool.CloseIdle(a.BelowTerm)
+		r.pool.CloseBelow(a.BelowTerm)
 	}
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -320,3 +320,17 @@
 		assert.Check(t, !p.ready())
 	}))
 }
+
+func TestWriteUnderWayEndsOnceItsSilentPrimaryIsReplaced(t *testing.T) {
+	b := newBench(t, 2)
+	ctx := context.Background()
+	b.await(func() bool { return len(b.proxies[0].status().Peers) > 0 && len(b.proxies[1].status().Peers) > 0 })
+	c := b.connect(0, nil)
+	_, err := c.Exec(ctx, "INSERT INTO orders (k, v) VALUES ('a', '1')")
+	assert.NilError(t, err)
+	b.servers[0].SetFaults(dbserver.Faults{IsolatedFrom: []string{"*"}})
+	start := time.Now()
+	_, err = c.Exec(ctx, "UPDATE orders SET v = '2' WHERE k = 'a'")
+	assert.ErrorContains(t, err, "unknown")
+	assert.Assert(t, time.Since(start) < 4*time.Second, "%s", time.Since(start))
+}
--- a/internal/upstream/janitor.go
+++ b/internal/upstream/janitor.go
@@ -137,15 +137,13 @@
 // closeQuestioned closes the connections in question whose answer is overdue
 // and reports whether any are left. The lock must be held.
 func (p *Pool) closeQuestioned() (left bool) {
-	if p.silence.before == 0 {
-		return false
-	}
 	for c := range p.busy {
-		if c.net.heard.Load() >= p.silence.before {
+		bound, questioned := p.patience(c)
+		if !questioned {
 			continue
 		}
 		left = true
-		if c.net.silentFor() >= p.silence.bound {
+		if c.net.silentFor() >= bound {
 			c.close()
 		}
 	}
@@ -154,3 +152,15 @@
 	}
 	return left
 }
+
+// patience returns how long an answer may be due on a busy connection that is
+// in question. The lock must be held.
+func (p *Pool) patience(c *Conn) (bound time.Duration, questioned bool) {
+	if p.outdated(c.Term) {
+		return replacedPatience, true
+	}
+	return p.silence.bound, c.net.heard.Load() < p.silence.before
+}
+
+// replacedPatience is how long a replaced primary's answer may be due.
+const replacedPatience = 250 * time.Millisecond
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +55,9 @@
 	refusals   int
 	refusedTo  time.Time
 	silence    silence
-	closed     bool
+	// replaced is the highest term at which a primary is known to stand.
+	replaced tables.Term
+	closed   bool
 
 	// attentive is set while the janitor looks again by itself soon.
 	attentive bool
@@ -123,6 +126,9 @@
 	if p.closed {
 		return nil, nil, errClosed()
 	}
+	if p.outdated(term) {
+		return nil, nil, ErrReplaced
+	}
 	if c := p.takeIdle(func(c *Conn) bool { return c.Term == term && c.slot != noSlot }); c != nil {
 		return c, nil, nil
 	}
@@ -272,16 +278,40 @@
 	}
 }
 
-// CloseIdle closes idle connections opened under a term below belowTerm; 0 closes all.
-func (p *Pool) CloseIdle(belowTerm tables.Term) {
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdleWhere(p.open, anyConn)
+	p.seek()
+}
+
+// ErrReplaced means that a primary of a later term stands; the request was not sent.
+var ErrReplaced = errors.New("upstream: a primary of a later term stands")
+
+// CloseBelow is called when a primary stands at term, here or elsewhere. It
+// closes idle connections of lower terms and ends waits for them with
+// ErrReplaced. Requests that run on such connections get a short while for the
+// server's rejection; then their connections are closed too.
+func (p *Pool) CloseBelow(term tables.Term) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeIdleWhere(p.open, func(c *Conn) bool {
-		return belowTerm == 0 || c.Term != 0 && c.Term < belowTerm
+	p.replaced = max(p.replaced, term)
+	p.closeIdleWhere(p.open, func(c *Conn) bool { return p.outdated(c.Term) })
+	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
+		if p.outdated(w.term) {
+			w.got <- delivery{err: ErrReplaced}
+		}
+		return p.outdated(w.term)
 	})
 	p.seek()
+	p.alert()
 }
 
+// outdated reports whether a connection of term writes for a replaced primary.
+// The lock must be held.
+func (p *Pool) outdated(term tables.Term) bool { return term != 0 && term < p.replaced }
+
 // Close refuses waiters, closes idle connections now and others as they are
 // released.
 func (p *Pool) Close() {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -226,10 +226,35 @@
 		p.Release(c)
 	}
 	p.Release(acquire(t, p, 3))
-	p.CloseIdle(4)
+	p.CloseBelow(4)
 	assert.Equal(t, p.Open(), 0)
 }
 
+func TestReplacedPrimaryHoldsNoRequest(t *testing.T) {
+	s := startServer(t, dbserver.Config{Slots: 1, Connections: 10})
+	p := startPool(t, s.Addr(), "vm", Limits{Connections: 2, Slots: 1})
+	running := acquire(t, p, 1)
+	s.SetFaults(dbserver.Faults{IsolatedFrom: []string{"*"}})
+	lost := make(chan error, 1)
+	go func() {
+		_, err := running.simple("SELECT 1")
+		lost <- err
+	}()
+	refused := make(chan error, 1)
+	go func() {
+		_, err := p.Acquire(context.Background(), 1)
+		refused <- err
+	}()
+	await(t, func() bool { return p.Waiting() == 1 })
+
+	p.CloseBelow(2)
+	assert.ErrorIs(t, <-refused, ErrReplaced)
+	assert.Assert(t, <-lost != nil)
+	p.Discard(running)
+	_, err := p.Acquire(context.Background(), 1)
+	assert.ErrorIs(t, err, ErrReplaced)
+}
+
 func TestWaiterThatLeavesPassesItsConnectionOn(t *testing.T) {
 	s := startServer(t, dbserver.Config{Slots: 1, Connections: 10})
 	p := startPool(t, s.Addr(), "vm", Limits{Connections: 1, Slots: 1})
--- a/internal/upstream/stress_test.go
+++ b/internal/upstream/stress_test.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		pools[victim].CloseSilent(10 * time.Millisecond)
-		pools[victim].CloseIdle(0)
+		pools[victim].CloseIdle()
 	}
 	close(stop)
 	wg.Wait()
