--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -40,6 +40,7 @@
 	stops    []context.CancelFunc
 	doc      config.Document
 	proxies  []*Proxy
+	vms      []platform.ListedVM
 }
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
@@ -161,6 +162,8 @@
 	assert.NilError(b.t, err)
 	p, err := New(s, pl, quiet())
 	assert.NilError(b.t, err)
+	b.vms = append(b.vms, platform.ListedVM{ID: string(s.VM), DataCentre: string(s.DataCentre), PeerAddress: s.PeerAddress})
+	b.platform.SetVMs(b.vms)
 	testrun.Go(b.t, p.Run)
 	b.await(func() bool { return p.ready() })
 	b.proxies = append(b.proxies, p)
