--- a/internal/faults/harness_test.go
+++ b/internal/faults/harness_test.go
@@ -112,7 +112,7 @@
 	random   *rand.Rand
 	servers  []*server
 	proxies  []*proxy
-	platform *platform
+	platform *rowTable
 	cuts     []func(a, b *host) bool
 	onStep   func(step, *proxy)
 	// onAcknowledged and onTick let a load on top follow the run; nil for none.
@@ -144,7 +144,7 @@
 		set.replicaEvery = 2 * time.Millisecond
 	}
 	s := &simulation{settings: set, random: rand.New(rand.NewPCG(set.seed, 1)), checks: newChecker()}
-	s.platform = &platform{host: host{name: "platform"}, outcomes: make(map[string]event.Outcome)}
+	s.platform = &rowTable{host: host{name: "platform"}, outcomes: make(map[string]event.Outcome)}
 	centres := []tables.DataCentreID{"east", "west", "north"}
 	for i, id := range []tables.UpstreamID{"a", "b", "c"} {
 		h := host{name: string(id), dataCentre: centres[i]}
@@ -323,8 +323,8 @@
 	}
 }
 
-// platform is the fake of the platform's table with the one row.
-type platform struct {
+// rowTable is the fake of the platform's table with the one row.
+type rowTable struct {
 	host
 	row      tables.GroupRow
 	version  uint64
@@ -362,7 +362,7 @@
 	})
 }
 
-func (f *platform) commit(s *simulation, a action.WriteGroupRow) event.Outcome {
+func (f *rowTable) commit(s *simulation, a action.WriteGroupRow) event.Outcome {
 	if f.down {
 		return event.OutcomeFailed
 	}
--- a/internal/systems/systemstest/cluster.go
+++ b/internal/systems/systemstest/cluster.go
@@ -47,7 +47,12 @@
 	ConfigBytes int
 	// Versions are the configuration versions it brought in force, in order.
 	Versions []uint64
+	// Documents are the documents of Versions.
+	Documents []config.Document
+	// Paused keeps everything that happens to it until Resume.
+	Paused bool
 
+	held    []entry
 	systems []System
 	started time.Duration
 	epoch   int
@@ -63,6 +68,8 @@
 	Cut func(a, b tables.DataCentreID) bool
 	// PlatformDown says that a data centre cannot reach the platform; nil means none.
 	PlatformDown func(dc tables.DataCentreID) bool
+	// PlatformDelay is added to each answer of the platform.
+	PlatformDelay time.Duration
 	// List is the platform's VM list.
 	List []platform.ListedVM
 	// Head is the configuration head; version 0 means that there is none.
@@ -112,6 +119,9 @@
 	vm.started = c.Now
 	vm.Running = true
 	vm.Versions = nil
+	vm.Documents = nil
+	vm.Paused = false
+	vm.held = nil
 	vm.epoch++
 	c.after(time.Duration(c.rng.Int64N(int64(TickInterval))), vm, func() { c.tick(vm) })
 }
@@ -128,13 +138,32 @@
 	for len(c.queue) > 0 && c.queue[0].at <= end {
 		e := heap.Pop(&c.queue).(entry)
 		c.Now = e.at
-		if e.vm.epoch == e.epoch {
-			e.do()
-		}
+		c.happen(e)
 	}
 	c.Now = end
 }
 
+// happen carries out e, unless its VM has stopped since or is paused.
+func (c *Cluster) happen(e entry) {
+	switch {
+	case e.vm.epoch != e.epoch:
+	case e.vm.Paused:
+		e.vm.held = append(e.vm.held, e)
+	default:
+		e.do()
+	}
+}
+
+// Resume ends a pause: what was kept happens now, in its order.
+func (c *Cluster) Resume(vm *VM) {
+	vm.Paused = false
+	held := vm.held
+	vm.held = nil
+	for _, e := range held {
+		c.happen(e)
+	}
+}
+
 // RunUntil lets time pass in steps of a tick until done or limit; it returns
 // the time that passed.
 func (c *Cluster) RunUntil(limit time.Duration, done func() bool) time.Duration {
@@ -184,6 +213,11 @@
 	c.after(c.latency(), vm, func() { c.handle(vm, ev) })
 }
 
+// replyFromPlatform hands vm the platform's answer.
+func (c *Cluster) replyFromPlatform(vm *VM, ev event.Event) {
+	c.after(c.latency()+c.PlatformDelay, vm, func() { c.handle(vm, ev) })
+}
+
 func (c *Cluster) perform(vm *VM, actions []action.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -191,16 +225,17 @@
 			c.publish(vm, a.To, a.Message)
 		case action.ApplyDocument:
 			vm.Versions = append(vm.Versions, a.Version)
+			vm.Documents = append(vm.Documents, a.Document)
 		case action.ListVMs:
-			c.reply(vm, event.VMsListed{Outcome: c.outcome(vm), VMs: c.List})
+			c.replyFromPlatform(vm, event.VMsListed{Outcome: c.outcome(vm), VMs: c.List})
 		case action.ReadHead:
-			c.reply(vm, c.readHead(vm))
+			c.replyFromPlatform(vm, c.readHead(vm))
 		case action.LoadDocument:
 			vm.ConfigBytes += c.DocumentSize
-			c.reply(vm, event.DocumentLoaded{Version: a.Version, Outcome: c.outcome(vm), Document: c.Document})
+			c.replyFromPlatform(vm, event.DocumentLoaded{Version: a.Version, Outcome: c.outcome(vm), Document: c.Document})
 		case action.LoadDelta:
 			vm.ConfigBytes += c.DeltaSize
-			c.reply(vm, event.DeltaLoaded{Version: a.Version, Hash: a.Hash, Outcome: c.outcome(vm), Delta: c.Delta})
+			c.replyFromPlatform(vm, event.DeltaLoaded{Version: a.Version, Hash: a.Hash, Outcome: c.outcome(vm), Delta: c.Delta})
 		}
 	}
 }
