--- a/internal/peer/tcpbus/codec.go
+++ b/internal/peer/tcpbus/codec.go
@@ -37,8 +37,12 @@
 	}
 }
 
+// decodeAs decodes and checks a payload.
 func decodeAs[T any](payload []byte, check func(T) error) (any, error) {
 	var m T
+	if err := walk(payload); err != nil {
+		return nil, errors.Wrapf(err, "walk %T", m)
+	}
 	if err := msgpack.Unmarshal(payload, &m); err != nil {
 		return nil, errors.Wrapf(err, "decode %T", m)
 	}
--- a/internal/peer/tcpbus/inbound.go
+++ b/internal/peer/tcpbus/inbound.go
@@ -22,7 +22,7 @@
 			return
 		}
 		if err != nil {
-			b.log.Warn("Could not accept a connection.", "error", err)
+			b.log.Warn("Could not accept a peer.", "error", err)
 			b.wait(b.opts.MinBackoff)
 			continue
 		}
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,8 @@
 # Where settings, logs and process ids of the set-up go.
 run_dir=${RUN_DIR:-$(mktemp -d)}
 bin=${BIN:-bin}
-# Added to every port, so that several set-ups can run side by side.
+# Added to every port, so that several set-ups can run side by side. Ports above
+# 32767 may be taken by outgoing connections, so 24000 is the most.
 offset=${PORT_OFFSET:-0}
 # The range of the plain set-up's ports.
 lowest_port=6432
@@ -32,16 +33,6 @@
 # pid NAME: prints the process id of a started command.
 pid() { cat "$run_dir/$1.pid"; }
 
-# report_dead: prints the last words of every started process that has ended.
-report_dead() {
-  local f name
-  for f in "$run_dir"/*.pid; do
-    kill -0 "$(cat "$f")" 2>/dev/null && continue
-    name=$(basename "$f" .pid)
-    echo "$name has ended: $(tail -n 1 "$run_dir/$name.log")" >&2
-  done
-}
-
 # warn_ephemeral: warns of ports that outgoing connections may hold.
 warn_ephemeral() {
   local first last
@@ -58,6 +49,20 @@
     kill "$(cat "$f")" 2>/dev/null || true
   done
   wait 2>/dev/null || true
+  [ -n "${RUN_DIR:-}" ] || rm -rf "$run_dir"
+}
+
+# check_all: fails if started processes have ended, and shows the end of their logs.
+check_all() {
+  local f name failed=0
+  for f in "$run_dir"/*.pid; do
+    name=$(basename "$f" .pid)
+    if ! kill -0 "$(cat "$f")" 2>/dev/null; then
+      echo "$name has ended: $(tail -n 1 "$run_dir/$name.log")" >&2
+      failed=1
+    fi
+  done
+  return $failed
 }
 
 # ask PORT PATH: prints the status line of an HTTP answer on this machine.
@@ -78,7 +83,7 @@
     sleep 0.05
   done
   echo "no answer from port $1" >&2
-  report_dead
+  check_all
   return 1
 }
 
@@ -104,4 +109,5 @@
   for n in 6632 6633 6634; do
     await "$(port "$n")" /readyz
   done
+  check_all
 }
