--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,19 @@
 	ShutdownGrace config.Duration `json:"shutdownGrace"`
 }
 
+// PeerTLS names the PEM files for connections between proxies.
+type PeerTLS struct {
+	// CertificateFile is this proxy's certificate.
+	CertificateFile string `json:"certificateFile"`
+	// KeyFile is the certificate's key.
+	KeyFile string `json:"keyFile"`
+	// AuthorityFile holds the certificates of the authority that signs proxies' certificates.
+	AuthorityFile string `json:"authorityFile"`
+}
+
+// On reports whether connections between proxies use TLS.
+func (p PeerTLS) On() bool { return p.CertificateFile != "" }
+
 // Level is a log level by its name.
 type Level slog.Level
 
@@ -85,19 +98,6 @@
 	return errors.Errorf("want debug, info, warn or error, have %q", text)
 }
 
-// PeerTLS names the PEM files for connections between proxies.
-type PeerTLS struct {
-	// CertificateFile is this proxy's certificate.
-	CertificateFile string `json:"certificateFile"`
-	// KeyFile is the certificate's key.
-	KeyFile string `json:"keyFile"`
-	// AuthorityFile holds the certificates of the authority that signs proxies' certificates.
-	AuthorityFile string `json:"authorityFile"`
-}
-
-// On reports whether connections between proxies use TLS.
-func (p PeerTLS) On() bool { return p.CertificateFile != "" }
-
 // Callers is the side that callers connect to.
 type Callers struct {
 	// Addresses are the IP:port pairs to listen on.
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -28,11 +28,24 @@
   shift
   "$@" >"$run_dir/$name.log" 2>&1 &
   echo $! >"$run_dir/$name.pid"
+  disown # the shell would report a killed process on its own
 }
 
 # pid NAME: prints the process id of a started command.
 pid() { cat "$run_dir/$1.pid"; }
 
+# report_dead: fails if a started process has ended, and prints its last words.
+report_dead() {
+  local f name dead=0
+  for f in "$run_dir"/*.pid; do
+    kill -0 "$(cat "$f")" 2>/dev/null && continue
+    name=$(basename "$f" .pid)
+    echo "$name has ended: $(tail -n 1 "$run_dir/$name.log")" >&2
+    dead=1
+  done
+  return $dead
+}
+
 # warn_ephemeral: warns of ports that outgoing connections may hold.
 warn_ephemeral() {
   local first last
@@ -44,25 +57,17 @@
 
 # stop_all: ends every process that this script started, by its id.
 stop_all() {
-  local f
+  local f i
   for f in "$run_dir"/*.pid; do
     kill "$(cat "$f")" 2>/dev/null || true
   done
-  wait 2>/dev/null || true
-  [ -n "${RUN_DIR:-}" ] || rm -rf "$run_dir"
-}
-
-# check_all: fails if started processes have ended, and shows the end of their logs.
-check_all() {
-  local f name failed=0
   for f in "$run_dir"/*.pid; do
-    name=$(basename "$f" .pid)
-    if ! kill -0 "$(cat "$f")" 2>/dev/null; then
-      echo "$name has ended: $(tail -n 1 "$run_dir/$name.log")" >&2
-      failed=1
-    fi
+    for i in $(seq 1 100); do
+      kill -0 "$(cat "$f")" 2>/dev/null || break
+      sleep 0.05
+    done
   done
-  return $failed
+  [ -n "${RUN_DIR:-}" ] || rm -rf "$run_dir"
 }
 
 # ask PORT PATH: prints the status line of an HTTP answer on this machine.
@@ -83,7 +88,7 @@
     sleep 0.05
   done
   echo "no answer from port $1" >&2
-  check_all
+  report_dead || true
   return 1
 }
 
@@ -109,5 +114,5 @@
   for n in 6632 6633 6634; do
     await "$(port "$n")" /readyz
   done
-  check_all
+  report_dead
 }
