--- /dev/null
+++ b/internal/metrics/document_test.go
@@ -0,0 +1,18 @@
+package metrics
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDocumentNamesEveryMetric compares docs/OPERATIONS.md with the names.
+func TestDocumentNamesEveryMetric(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	for _, name := range []string{RequestsTotal, RequestSeconds, ReadAgeSeconds, WriteGapSeconds, ConfigVersion, CallerConnections} {
+		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), name)
+	}
+}
--- /dev/null
+++ b/internal/peer/tcpbus/document_test.go
@@ -0,0 +1,18 @@
+package tcpbus
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDocumentNamesEveryMetric compares docs/OPERATIONS.md with the counters.
+func TestDocumentNamesEveryMetric(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	for _, m := range metrics {
+		assert.Assert(t, strings.Contains(string(page), "`cranberrystage_peer_"+m.name+"`"), m.name)
+	}
+}
