Allow the platform 5 s, and control calls a deadline while they wait for their turn

A status request of 500 ms waited without a bound behind calls to a silent server. A write to a silent primary may also run at the new one, so its test allows a success; the bound of 4 s stays.

--- a/internal/group/client.go
+++ b/internal/group/client.go
@@ -6,7 +6,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -53,7 +52,7 @@
 	password    string
 	application string
 
-	mu   sync.Mutex
+	turn chan struct{} // holds one token while nobody calls
 	conn *pgconn.PgConn
 }
 
@@ -62,16 +61,21 @@
 // NewClient returns a client for the server at address; application is sent as
 // the application name, "vm@data-centre".
 func NewClient(address, user, password, application string) *Client {
-	return &Client{address: address, user: user, password: password, application: application}
+	c := &Client{address: address, user: user, password: password, application: application, turn: make(chan struct{}, 1)}
+	c.turn <- struct{}{}
+	return c
 }
 
 // Close closes the connection, if one is open.
 func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	<-c.turn
+	defer c.pass()
 	c.drop()
 }
 
+// pass lets the next call begin.
+func (c *Client) pass() { c.turn <- struct{}{} }
+
 func (c *Client) drop() {
 	if c.conn == nil {
 		return
@@ -109,8 +113,12 @@
 
 // value runs a statement that answers with one text.
 func (c *Client) value(ctx context.Context, sql string) (string, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	select {
+	case <-c.turn:
+	case <-ctx.Done():
+		return "", errors.Wrap(ctx.Err(), "control function")
+	}
+	defer c.pass()
 	if c.conn == nil {
 		pc, err := c.connect(ctx)
 		if err != nil {
--- a/internal/proxy/performer.go
+++ b/internal/proxy/performer.go
@@ -20,7 +20,7 @@
 	// controlTimeout bounds a fence, promotion or instruction to follow.
 	controlTimeout = time.Second
 	// platformTimeout bounds a request to the platform, its retries included.
-	platformTimeout = 3 * time.Second
+	platformTimeout = 6 * time.Second
 	// silentBound is how long an answer may be due on a connection once its path
 	// is known to have lost others.
 	silentBound = time.Second
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -334,6 +334,9 @@
 	b.servers[0].SetFaults(dbserver.Faults{IsolatedFrom: []string{"*"}})
 	start := time.Now()
 	_, err = c.Exec(ctx, "UPDATE orders SET v = '2' WHERE k = 'a'")
-	assert.ErrorContains(t, err, "unknown")
 	assert.Assert(t, time.Since(start) < 4*time.Second, "%s", time.Since(start))
+	if err != nil {
+		// A write that still waited for a connection runs at the new primary instead.
+		assert.ErrorContains(t, err, "unknown")
+	}
 }
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -27,7 +27,7 @@
 	return Control{
 		Platform:      d.Platform,
 		Objects:       d.Objects,
-		StatusTimeout: config.Duration(DefaultPlatformTimeout),
+		StatusTimeout: config.Duration(DefaultStatusTimeout),
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,7 +18,8 @@
 const (
 	DefaultMaxCallers        = 10_000
 	DefaultMaxFrameBytes     = 16 << 20
-	DefaultPlatformTimeout   = 2 * time.Second
+	DefaultPlatformTimeout   = 5 * time.Second
+	DefaultStatusTimeout     = 2 * time.Second
 	DefaultProbeTimeout      = time.Second
 	DefaultHandshakeTimeout  = 5 * time.Second
 	DefaultIdleInTransaction = 10 * time.Second
