--- a/internal/systems/configure/cluster_test.go
+++ b/internal/systems/configure/cluster_test.go
@@ -155,22 +155,25 @@
 }
 
 // BenchmarkChangeBytes reports what one VM sends and loads for one change of
-// one group, and what that makes each second at changesPerDay.
+// one group, what that makes each second at changesPerDay, and the longest
+// time that a change took to be in force everywhere.
 func BenchmarkChangeBytes(b *testing.B) {
 	const changesPerDay = 6200
-	for _, groups := range []int{36, 360, 3600} {
-		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+	for _, size := range []struct{ vms, groups int }{{30, 36}, {30, 360}, {30, 3600}, {480, 36}} {
+		b.Run(fmt.Sprintf("vms=%d/groups=%d", size.vms, size.groups), func(b *testing.B) {
 			for b.Loop() {
-				c := newCluster(1, 30, 6)
-				c.Document = documentOf(groups)
+				c := newCluster(1, size.vms, size.vms/5)
+				c.Document = documentOf(size.groups)
 				c.Head = config.Head{Version: 1, Hash: "1"}
 				c.Run(10 * time.Second)
 				before := configBytes(c)
 				const changes = 5
+				longest := time.Duration(0)
 				for range changes {
 					declareLeaving(b, c)
-					c.RunUntil(time.Minute, inForce(c))
+					longest = max(longest, c.RunUntil(time.Minute, inForce(c)))
 				}
+				b.ReportMetric(longest.Seconds(), "s-to-force")
 				each := float64(configBytes(c)-before) / float64(len(c.VMs)) / changes
 				b.ReportMetric(each, "bytes/vm/change")
 				b.ReportMetric(each*changesPerDay/(24*time.Hour).Seconds(), "bytes/vm/s")
