--- a/internal/faults/harness_test.go
+++ b/internal/faults/harness_test.go
@@ -112,12 +112,15 @@
 	random   *rand.Rand
 	servers  []*server
 	proxies  []*proxy
-	platform *platform
+	platform *rowTable
 	cuts     []func(a, b *host) bool
 	onStep   func(step, *proxy)
-	planned  bool
-	checks   *checker
-	writes   uint64
+	// onAcknowledged and onTick let a load on top follow the run; nil for none.
+	onAcknowledged func(acknowledgement)
+	onTick         func(*proxy)
+	planned        bool
+	checks         *checker
+	writes         uint64
 }
 
 // server is an emulated database server.
@@ -141,7 +144,7 @@
 		set.replicaEvery = 2 * time.Millisecond
 	}
 	s := &simulation{settings: set, random: rand.New(rand.NewPCG(set.seed, 1)), checks: newChecker()}
-	s.platform = &platform{host: host{name: "platform"}, outcomes: make(map[string]event.Outcome)}
+	s.platform = &rowTable{host: host{name: "platform"}, outcomes: make(map[string]event.Outcome)}
 	centres := []tables.DataCentreID{"east", "west", "north"}
 	for i, id := range []tables.UpstreamID{"a", "b", "c"} {
 		h := host{name: string(id), dataCentre: centres[i]}
@@ -313,8 +316,15 @@
 	}
 }
 
-// platform is the fake of the platform's table with the one row.
-type platform struct {
+// tellAcknowledged passes on the newest acknowledgement.
+func (s *simulation) tellAcknowledged() {
+	if s.onAcknowledged != nil {
+		s.onAcknowledged(s.checks.acks[len(s.checks.acks)-1])
+	}
+}
+
+// rowTable is the fake of the platform's table with the one row.
+type rowTable struct {
 	host
 	row      tables.GroupRow
 	version  uint64
@@ -352,7 +362,7 @@
 	})
 }
 
-func (f *platform) commit(s *simulation, a action.WriteGroupRow) event.Outcome {
+func (f *rowTable) commit(s *simulation, a action.WriteGroupRow) event.Outcome {
 	if f.down {
 		return event.OutcomeFailed
 	}
@@ -453,6 +463,9 @@
 	p.do(p.detect.Tick(p.sim.now, p.world))
 	p.do(p.failover.Tick(p.sim.now, p.world))
 	p.settle()
+	if p.sim.onTick != nil {
+		p.sim.onTick(p)
+	}
 }
 
 func (p *proxy) handle(ev event.Event) {
@@ -608,6 +621,7 @@
 		p.commits = slices.Delete(p.commits, i, i+1)
 		if r.Outcome == ack.Acknowledged {
 			p.sim.checks.acknowledged(p.world.Self, w, p.evidenceAt, p.sim.now)
+			p.sim.tellAcknowledged()
 		}
 	}
 	if p.tracker.Active() || p.down {
