A server that refuses a connection for its limit has not failed

Cause: a control connection refused with 53300 counted as a failing probe, and shares let 5 proxies hold 15 pooled and up to 10 control connections of a server that takes 20; together they could have a healthy primary replaced.

--- a/internal/peer/tcpbus/codec.go
+++ b/internal/peer/tcpbus/codec.go
@@ -75,7 +75,7 @@
 	if o.From == "" {
 		return errors.New("no sender")
 	}
-	if o.Cause > tables.CausePathLost {
+	if o.Cause > tables.CauseBusy {
 		return errors.Errorf("unknown cause %d", o.Cause)
 	}
 	if o.FailingMillis < 0 {
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/internal/upstream"
+	"github.com/jackc/pgx/v5/pgconn"
 )
 
 // poolDatabase is the database name that pooled connections log in to.
@@ -190,7 +191,8 @@
 	return st, causeOf(ctx, err)
 }
 
-// causeOf tells how a control call failed.
+// causeOf tells how a control call failed. A server that answers with an error,
+// such as too many connections, has not failed.
 func causeOf(ctx context.Context, err error) tables.Cause {
 	if err == nil {
 		return tables.CauseNone
@@ -198,6 +200,10 @@
 	if cause, ok := upstream.CauseOf(err); ok {
 		return cause
 	}
+	var answered *pgconn.PgError
+	if errors.As(err, &answered) {
+		return tables.CauseBusy
+	}
 	var netErr net.Error
 	if ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout() {
 		return tables.CauseSilent
--- a/internal/systems/detect/detect.go
+++ b/internal/systems/detect/detect.go
@@ -204,7 +204,7 @@
 		u.FailingSince = e.SentAt
 	}
 	u.Cause = cause
-	if !u.HasStatus || e.SentAt >= u.StatusSentAt {
+	if e.Cause != tables.CauseBusy && (!u.HasStatus || e.SentAt >= u.StatusSentAt) {
 		u.HasStatus = true
 		u.Status = e.Status
 		u.StatusSentAt = e.SentAt
--- a/internal/systems/detect/detect_test.go
+++ b/internal/systems/detect/detect_test.go
@@ -373,3 +373,15 @@
 	s.Handle(at(30), w, event.PeerMessage{Message: m})
 	assert.Equal(t, w.Observations.Len(), 1)
 }
+
+func TestBusyServerIsNotFailingAndKeepsItsStatus(t *testing.T) {
+	w, s := newWorld(), newSystem()
+	run(s, w, 0, at(1000), healthy)
+	before, _ := w.Upstreams.Get("a")
+	run(s, w, at(1000), at(5000), failingA(at(1000), tables.CauseBusy))
+	after, _ := w.Upstreams.Get("a")
+	assert.Equal(t, after.Cause, tables.CauseBusy)
+	assert.Assert(t, !after.Cause.Failing())
+	assert.Equal(t, after.Status, before.Status)
+	assert.Equal(t, after.StatusAt, before.StatusAt)
+}
--- a/internal/systems/membership/rank.go
+++ b/internal/systems/membership/rank.go
@@ -14,7 +14,8 @@
 	candidateLimit = 5
 	// pollersPerDataCentre is how many VMs of a data centre read the platform on its behalf.
 	pollersPerDataCentre = 2
-	// controlConnections is how many connections of an upstream stay free for control.
+	// controlConnections is how many connections of an upstream each VM may need
+	// for control: a lasting one, and a new one beside it.
 	controlConnections = 2
 	// joinDelay is how long a process takes only one connection of each
 	// upstream, until the others have counted it in.
@@ -94,7 +95,7 @@
 			holders++
 		}
 	}
-	return max(1, (row.Connections-controlConnections)/max(1, holders))
+	return max(1, row.Connections/max(1, holders)-controlConnections)
 }
 
 func score(key string, vm tables.VMID) uint64 {
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -93,11 +93,13 @@
 	CauseSlow
 	// CausePathLost means that an old connection is silent while a new one answers.
 	CausePathLost
+	// CauseBusy means that the server answered that it takes no more connections.
+	CauseBusy
 )
 
 // String returns the label used in logs and metrics.
 func (c Cause) String() string {
-	return [...]string{"answered", "refused", "reset", "silent", "slow", "path lost"}[c]
+	return [...]string{"answered", "refused", "reset", "silent", "slow", "path lost", "busy"}[c]
 }
 
 // Failing reports whether c means that the upstream could not be reached.
