Count caller connections that are refused or ended

Ruled out counting them as requests: a refused login names no service. One hook in internal/callers.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -73,6 +73,8 @@
 	FrameTimeout time.Duration
 	// TLS is offered when not nil.
 	TLS *tls.Config
+	// OnFatal learns the code of each connection that is refused or ended; it may be nil.
+	OnFatal func(codes.Code)
 }
 
 // Bounds that hold where Options sets none. An open transaction holds one of a
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -463,7 +463,10 @@
 func TestCallersBeforeTheConfigurationAreToldToComeBack(t *testing.T) {
 	e := newFakeExecutor(t)
 	e.unconfigured = true
-	_, err := pgconn.Connect(context.Background(), url(startServer(t, e, Options{}), testUser, "disable"))
+	fatal := make(chan codes.Code, 1)
+	s := startServer(t, e, Options{OnFatal: func(c codes.Code) { fatal <- c }})
+	_, err := pgconn.Connect(context.Background(), url(s, testUser, "disable"))
+	assert.Equal(t, <-fatal, codes.NotReady)
 	assert.Equal(t, sqlState(err), "57P03")
 	assert.ErrorContains(t, err, "code 402 NotReady (not run)")
 }
--- a/internal/callers/startup.go
+++ b/internal/callers/startup.go
@@ -156,6 +156,9 @@
 
 // fatal tells the caller why the connection ends; it returns false.
 func (c *session) fatal(e *codes.Error) bool {
+	if c.server.opts.OnFatal != nil {
+		c.server.opts.OnFatal(e.Code)
+	}
 	b, err := errorResponse(e, "FATAL").Encode(nil)
 	if err == nil {
 		_ = c.net.SetWriteDeadline(time.Now().Add(farewellTimeout))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,6 +25,8 @@
 	ConfigVersion = "cranberrystage_config_version"
 	// CallerConnections is the number of open caller connections.
 	CallerConnections = "cranberrystage_caller_connections"
+	// CallerErrorsTotal counts caller connections that were refused or ended, by code.
+	CallerErrorsTotal = "cranberrystage_caller_errors_total"
 )
 
 // Names of the labels.
@@ -88,6 +90,7 @@
 	writeGap      *prometheus.HistogramVec
 	configVersion prometheus.Gauge
 	callers       prometheus.Gauge
+	callerErrors  *prometheus.CounterVec
 }
 
 // New registers the collectors with reg.
@@ -104,8 +107,11 @@
 			prometheus.GaugeOpts{Name: ConfigVersion, Help: "Configuration version in force."}),
 		callers: prometheus.NewGauge(
 			prometheus.GaugeOpts{Name: CallerConnections, Help: "Open caller connections."}),
+		callerErrors: prometheus.NewCounterVec(
+			prometheus.CounterOpts{Name: CallerErrorsTotal, Help: "Caller connections that were refused or ended, by result code."},
+			[]string{LabelCode}),
 	}
-	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.callers)
+	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.callers, m.callerErrors)
 	return m
 }
 
@@ -131,6 +137,11 @@
 	m.writeGap.WithLabelValues(string(group)).Observe(gap.Seconds())
 }
 
+// CountCallerError records that a caller's connection was refused or ended.
+func (m *Metrics) CountCallerError(c codes.Code) {
+	m.callerErrors.WithLabelValues(strconv.Itoa(int(c))).Inc()
+}
+
 // SetConfigVersion records the configuration version in force.
 func (m *Metrics) SetConfigVersion(v uint64) { m.configVersion.Set(float64(v)) }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -140,6 +140,7 @@
 		MaxFrame:          p.settings.Callers.MaxFrameBytes,
 		StartupTimeout:    time.Duration(p.settings.Timeouts.Handshake),
 		IdleInTransaction: time.Duration(p.settings.Timeouts.IdleInTransaction),
+		OnFatal:           p.metrics.CountCallerError,
 	}
 	if f := p.settings.Callers.CertificateFile; f != "" {
 		cert, err := tls.LoadX509KeyPair(f, p.settings.Callers.KeyFile)
