--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -184,7 +184,11 @@
 	if p.leaving.Swap(leaving) == leaving {
 		return
 	}
-	p.log.Info("proxy: Changed whether this VM is leaving.", "leaving", leaving)
+	if leaving {
+		p.log.Info("proxy: Takes no new callers.")
+	} else {
+		p.log.Info("proxy: Takes callers again.")
+	}
 	for _, s := range p.callers {
 		s.Drain(leaving)
 	}
