--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -140,6 +140,7 @@
 		MaxFrame:          p.settings.Callers.MaxFrameBytes,
 		StartupTimeout:    time.Duration(p.settings.Timeouts.Handshake),
 		IdleInTransaction: time.Duration(p.settings.Timeouts.IdleInTransaction),
+		OnFatal:           p.metrics.CountCallerError,
 	}
 	if f := p.settings.Callers.CertificateFile; f != "" {
 		cert, err := tls.LoadX509KeyPair(f, p.settings.Callers.KeyFile)
@@ -183,7 +184,11 @@
 	if p.leaving.Swap(leaving) == leaving {
 		return
 	}
-	p.log.Info("proxy: Changed whether this VM is leaving.", "leaving", leaving)
+	if leaving {
+		p.log.Info("proxy: Takes no new callers.")
+	} else {
+		p.log.Info("proxy: Takes callers again.")
+	}
 	for _, s := range p.callers {
 		s.Drain(leaving)
 	}
