--- a/internal/faults/confirm_test.go
+++ b/internal/faults/confirm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/base64"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -60,10 +61,19 @@
 
 func spreadSystems(rng *rand.Rand) []systemstest.System {
 	opts := membership.DefaultOptions()
-	opts.Seeds = []tables.VM{{ID: "vm-0001", DataCentre: "dc-01", PeerAddress: "10.0.0.1:7000"}}
+	opts.Seeds = []tables.VM{seedVM(1)}
 	return []systemstest.System{membership.New(opts, rng), configure.New(configure.ApplyAll, rng)}
 }
 
+// seedVM returns VM number i as a settings file would name it.
+func seedVM(i int) tables.VM {
+	return tables.VM{
+		ID:          tables.VMID(fmt.Sprintf("vm-%04d", i)),
+		DataCentre:  tables.DataCentreID(fmt.Sprintf("dc-%02d", i%confirmDataCentres)),
+		PeerAddress: fmt.Sprintf("10.0.0.%d:7000", i),
+	}
+}
+
 // operator is one of two people who confirm plans on the same base.
 type operator struct {
 	name    string
@@ -97,7 +107,9 @@
 	// platformCut are the data centres cut from the platform.
 	platformCut []tables.DataCentreID
 	onStep      func(step)
-	checks      *confirmChecker
+	// onTick lets a further checker look after each tick; nil for none.
+	onTick func()
+	checks *confirmChecker
 }
 
 func newConfirmRun(seed uint64, core confirmCore) *confirmRun {
@@ -155,6 +167,9 @@
 	for end := r.cluster.Now + d; r.cluster.Now < end; {
 		r.cluster.Run(min(systemstest.TickInterval, end-r.cluster.Now))
 		r.checks.look(r)
+		if r.onTick != nil {
+			r.onTick()
+		}
 	}
 }
 
--- a/internal/systems/membership/changes.go
+++ b/internal/systems/membership/changes.go
@@ -54,8 +54,8 @@
 			members = append(members, s.member(now, row))
 			continue
 		}
-		if row, ok := w.Upstreams.Get(tables.UpstreamID(id)); ok {
-			members = append(members, peer.Member{VM: id, ListedLeaving: row.ListedLeaving, HeardMillis: -1})
+		if leaving, ok := s.upstreams.Get(tables.UpstreamID(id)); ok {
+			members = append(members, upstreamMember(tables.UpstreamID(id), leaving))
 		}
 	}
 	if len(members) == 0 {
--- a/internal/systems/membership/membership.go
+++ b/internal/systems/membership/membership.go
@@ -79,9 +79,11 @@
 	opts   Options
 	rng    *rand.Rand
 	states *tables.Table[tables.VMID, state]
-	view   view
-	dirty  bool
-	queue  changes
+	// upstreams are those on which the list's word changed: whether they leave.
+	upstreams *tables.Table[tables.UpstreamID, bool]
+	view      view
+	dirty     bool
+	queue     changes
 
 	started       bool
 	nextHeartbeat tables.Time
@@ -111,6 +113,8 @@
 		states: tables.NewTable[tables.VMID, state](),
 		dirty:  true,
 		queue:  newChanges(opts.MembersPerSecond),
+
+		upstreams: tables.NewTable[tables.UpstreamID, bool](),
 	}
 }
 
@@ -142,6 +146,7 @@
 func (s *System) Tick(now tables.Time, w *tables.World) []action.Action {
 	s.start(now, w)
 	s.refreshSelf(now, w)
+	s.refreshUpstreams(w)
 	var actions []action.Action
 	newConfig := w.ConfigVersion != s.configVersion
 	if newConfig {
--- a/internal/systems/membership/membership_test.go
+++ b/internal/systems/membership/membership_test.go
@@ -181,6 +181,16 @@
 	assert.Assert(t, !row.Leaving)
 }
 
+func TestUpstreamListedBeforeItIsDeclared(t *testing.T) {
+	f := newFixture()
+	f.hear(0, "vm-1", false)
+	f.list(second, platform.ListedVM{ID: "u", Leaving: true})
+	f.w.Upstreams.Put("u", tables.Upstream{ID: "u"})
+	f.tickTo(second, 2*second)
+	row, _ := f.w.Upstreams.Get("u")
+	assert.Assert(t, row.Leaving)
+}
+
 func TestProbeIsAnswered(t *testing.T) {
 	f := newFixture()
 	probe := peer.Heartbeat{From: "vm-1", DataCentre: "dc-1", PeerAddress: "10.0.0.2:1", Probe: true}
--- a/internal/systems/membership/merge.go
+++ b/internal/systems/membership/merge.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// welcome answers a VM that was not live here: with a heartbeat, all silent
-// VMs and some of the others.
+// welcome answers a VM that was not live here: with a heartbeat, the upstreams
+// that the list has leaving, all silent VMs and some of the others.
 func (s *System) welcome(now tables.Time, w *tables.World, to tables.VMID) []action.Action {
 	receivers := []tables.VMID{to}
 	return []action.Action{
@@ -54,7 +54,8 @@
 }
 
 func (s *System) introduction(now tables.Time, w *tables.World, to tables.VMID) peer.Members {
-	var live, all []peer.Member
+	var live []peer.Member
+	all := s.leavingUpstreams()
 	for id, row := range w.VMs.All() {
 		switch {
 		case id == to || id == w.Self:
@@ -147,18 +148,6 @@
 	}
 }
 
-// mergeUpstream enters the list's word on an upstream.
-func (s *System) mergeUpstream(w *tables.World, id tables.UpstreamID, leaving bool) {
-	row, ok := w.Upstreams.Get(id)
-	if !ok || row.ListedLeaving == leaving {
-		return
-	}
-	row.ListedLeaving = leaving
-	row.Leaving = row.DeclaredLeaving || row.ListedLeaving
-	w.Upstreams.Put(id, row)
-	s.queue.add(tables.VMID(id))
-}
-
 // handleList merges the platform's list. The first list is passed on to nobody.
 func (s *System) handleList(now tables.Time, w *tables.World, e event.VMsListed) {
 	s.listing = false
