--- a/internal/systems/reap/reap.go
+++ b/internal/systems/reap/reap.go
@@ -27,14 +27,17 @@
 	return Options{GoneAfter: 5 * time.Second, Interval: time.Second, Candidates: candidates}
 }
 
-// silence is since when a VM is known not to be live.
+// silence is a VM known not to be live.
 type silence struct {
-	since  tables.Time
-	reaped bool
+	since tables.Time
+	// reaped are the groups at whose servers this process ended the VM's sessions.
+	reaped map[tables.GroupID]bool
 }
 
 // System ends the sessions of VMs that are gone, once for each time they fall
-// silent. It is not safe for concurrent use.
+// silent, at the servers of the groups that this process acts for. A process
+// that comes to act for a group later makes up for one that vanished meanwhile.
+// It is not safe for concurrent use.
 type System struct {
 	options Options
 	silent  *tables.Table[tables.VMID, silence]
@@ -55,44 +58,55 @@
 		return nil
 	}
 	s.nextAt = now.Add(s.options.Interval)
-	for _, id := range s.silent.Keys() {
-		if vm, ok := w.VMs.Get(id); ok && vm.Live {
-			s.silent.Delete(id)
-		}
-	}
+	s.forget(w)
 	var out []action.Action
 	for id, vm := range w.VMs.All() {
-		if !vm.Live && s.due(now, id) {
-			out = append(out, s.terminate(w, id)...)
+		if vm.Live {
+			continue
+		}
+		if st := s.observe(now, id); now.Sub(st.since) >= s.options.GoneAfter {
+			out = append(out, s.terminate(w, id, st)...)
 		}
 	}
 	return out
 }
 
-// due reports, once, that the VM has been silent for long enough.
-func (s *System) due(now tables.Time, id tables.VMID) bool {
+// forget drops the VMs that are live again or not known any more.
+func (s *System) forget(w *tables.World) {
+	for _, id := range s.silent.Keys() {
+		if vm, ok := w.VMs.Get(id); !ok || vm.Live {
+			s.silent.Delete(id)
+		}
+	}
+}
+
+// observe returns the silence of a VM, which may begin now.
+func (s *System) observe(now tables.Time, id tables.VMID) silence {
 	st, ok := s.silent.Get(id)
 	if !ok {
-		st = silence{since: now}
+		st = silence{since: now, reaped: make(map[tables.GroupID]bool)}
+		s.silent.Put(id, st)
 	}
-	due := !st.reaped && now.Sub(st.since) >= s.options.GoneAfter
-	st.reaped = st.reaped || due
-	s.silent.Put(id, st)
-	return due
+	return st
 }
 
 // terminate ends the VM's sessions at the servers of the groups that this
-// process acts for.
-func (s *System) terminate(w *tables.World, vm tables.VMID) []action.Action {
+// process acts for and has not ended them at.
+func (s *System) terminate(w *tables.World, vm tables.VMID, st silence) []action.Action {
 	var out []action.Action
 	for id, g := range w.Groups.All() {
-		c := s.options.Candidates(w, id)
-		if len(c) == 0 || c[0] != w.Self {
+		if st.reaped[id] || !s.acts(w, id) {
 			continue
 		}
+		st.reaped[id] = true
 		for _, u := range g.Members {
 			out = append(out, action.TerminateSessions{Upstream: u, VM: vm})
 		}
 	}
 	return out
 }
+
+func (s *System) acts(w *tables.World, group tables.GroupID) bool {
+	c := s.options.Candidates(w, group)
+	return len(c) > 0 && c[0] == w.Self
+}
--- a/internal/systems/reap/reap_test.go
+++ b/internal/systems/reap/reap_test.go
@@ -51,3 +51,18 @@
 	assert.Equal(t, len(s.Tick(second(10), w)), 0)
 	assert.DeepEqual(t, s.Tick(second(15), w), want)
 }
+
+// TestLaterCandidateMakesUp covers a first candidate that vanishes before it acts.
+func TestLaterCandidateMakesUp(t *testing.T) {
+	first := tables.VMID("vm-3")
+	options := DefaultOptions(func(*tables.World, tables.GroupID) []tables.VMID { return []tables.VMID{first} })
+	w := world()
+	s := New(options)
+	setLive(w, "vm-2", false)
+	for n := range 10 {
+		assert.Equal(t, len(s.Tick(tables.Time(time.Duration(n)*time.Second), w)), 0)
+	}
+	first = "vm-1"
+	assert.Equal(t, len(s.Tick(tables.Time(10*time.Second), w)), 3)
+	assert.Equal(t, len(s.Tick(tables.Time(11*time.Second), w)), 0)
+}
--- a/internal/systems/systemstest/cluster.go
+++ b/internal/systems/systemstest/cluster.go
@@ -68,6 +68,8 @@
 	Cut func(a, b tables.DataCentreID) bool
 	// PlatformDown says that a data centre cannot reach the platform; nil means none.
 	PlatformDown func(dc tables.DataCentreID) bool
+	// Performed is told of each action of a VM; nil for none.
+	Performed func(vm *VM, a action.Action)
 	// PlatformDelay is added to each answer of the platform.
 	PlatformDelay time.Duration
 	// List is the platform's VM list.
@@ -220,6 +222,9 @@
 
 func (c *Cluster) perform(vm *VM, actions []action.Action) {
 	for _, a := range actions {
+		if c.Performed != nil {
+			c.Performed(vm, a)
+		}
 		switch a := a.(type) {
 		case action.Publish:
 			c.publish(vm, a.To, a.Message)
