--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// tickInterval is the time between ticks of the core.
+	// tickInterval is the time between ticks of the core while events come.
 	tickInterval = 10 * time.Millisecond
+	// idleTickInterval is the time between ticks while none comes.
+	idleTickInterval = 50 * time.Millisecond
 	// idlePublishInterval is the time between snapshots while no event comes.
 	idlePublishInterval = 100 * time.Millisecond
 	// inboxSize bounds the events that wait for the core.
@@ -37,6 +39,8 @@
 	systems []system
 	perform func(now tables.Time, w *tables.World, a action.Action)
 	started time.Time
+	// tickBy is when a tick is due although no event changed the world.
+	tickBy tables.Time
 	// publishBy is when a snapshot is due although no event changed the world.
 	publishBy tables.Time
 
@@ -113,7 +117,9 @@
 			c.drain()
 		case <-ticker.C:
 			c.drain()
-			c.tick()
+			if c.Now() >= c.tickBy {
+				c.tick()
+			}
 			if c.Now() < c.publishBy {
 				continue
 			}
@@ -137,6 +143,7 @@
 func (c *core) handle(ev event.Event) {
 	now := c.Now()
 	c.publishBy = now
+	c.tickBy = now
 	for _, s := range c.systems {
 		c.performAll(now, s.Handle(now, c.world, ev))
 	}
@@ -144,6 +151,7 @@
 
 func (c *core) tick() {
 	now := c.Now()
+	c.tickBy = now.Add(idleTickInterval)
 	for _, s := range c.systems {
 		c.performAll(now, s.Tick(now, c.world))
 	}
