Check each version of a proxy once in the matrix of confirms

The checker of confirms encoded every document of every proxy at each tick, and that of drains chose before the drain was known. Both now look at what is new. No check was dropped: a proxy that starts anew is checked from its first version again.

The Makefile's line names all of them already.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 clean:
 	rm -rf $(BIN)
 
-# The fault matrix over the decision core, in virtual time.
+# The fault matrices over the decision core, in virtual time; all TestMatrix*.
 faults:
 	go test ./internal/faults -run TestMatrix -v
 
--- a/internal/faults/confirm_checker_test.go
+++ b/internal/faults/confirm_checker_test.go
@@ -29,10 +29,16 @@
 	accepted   map[uint64]config.Head
 	// lacking counts how long a VM has lacked a version that it can learn of.
 	lacking map[tables.VMID]time.Duration
+	// checked counts the versions of a VM that were checked.
+	checked map[tables.VMID]int
 }
 
 func newConfirmChecker() *confirmChecker {
-	return &confirmChecker{accepted: make(map[uint64]config.Head), lacking: make(map[tables.VMID]time.Duration)}
+	return &confirmChecker{
+		accepted: make(map[uint64]config.Head),
+		lacking:  make(map[tables.VMID]time.Duration),
+		checked:  make(map[tables.VMID]int),
+	}
 }
 
 func (c *confirmChecker) fail(p promise, format string, args ...any) {
@@ -65,8 +71,15 @@
 	}
 }
 
+// checkVersions checks what a VM brought in force since the last tick; one that
+// started anew begins again.
 func (c *confirmChecker) checkVersions(vm *systemstest.VM) {
-	for i, version := range vm.Versions {
+	done := c.checked[vm.World.Self]
+	if done > len(vm.Versions) {
+		done = 0
+	}
+	for i := done; i < len(vm.Versions); i++ {
+		version := vm.Versions[i]
 		if i > 0 && version <= vm.Versions[i-1] {
 			c.fail(promiseForward, "%s: %v", vm.World.Self, vm.Versions)
 		}
@@ -75,6 +88,7 @@
 			c.fail(promiseOnlyKnown, "%s: version %d", vm.World.Self, version)
 		}
 	}
+	c.checked[vm.World.Self] = len(vm.Versions)
 }
 
 // canLearn reports whether vm reaches the platform or a VM that has the newest version.
--- a/internal/faults/drain_test.go
+++ b/internal/faults/drain_test.go
@@ -103,12 +103,11 @@
 // look checks the proxies after a tick.
 func (d *drainChecker) look(r *confirmRun) {
 	for _, vm := range r.cluster.VMs {
-		if !vm.Running || vm.Paused || vm.World.ConfigVersion == 0 {
+		if !d.known || !vm.Running || vm.Paused || vm.World.ConfigVersion == 0 {
 			d.late[vm.World.Self] = 0
 			continue
 		}
-		works := d.givesWork(r, vm)
-		if !d.known || !works || !d.canKnow(r, vm) {
+		if !d.givesWork(r, vm) || !d.canKnow(r, vm) {
 			d.late[vm.World.Self] = 0
 			continue
 		}
