--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -39,8 +39,9 @@
 	systems []system
 	perform func(now tables.Time, w *tables.World, a action.Action)
 	started time.Time
-	// tickBy is when a tick is due although no event changed the world.
-	tickBy tables.Time
+	// tickedAt is when the last tick was, tickAt when the next one is due: soon
+	// after an event, later while none comes.
+	tickedAt, tickAt tables.Time
 	// publishBy is when a snapshot is due although no event changed the world.
 	publishBy tables.Time
 
@@ -103,8 +104,8 @@
 
 // run handles events and ticks until ctx ends.
 func (c *core) run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -115,16 +116,14 @@
 		case ev := <-c.inbox:
 			c.handle(ev)
 			c.drain()
-		case <-ticker.C:
+		case <-timer.C:
 			c.drain()
-			if c.Now() >= c.tickBy {
-				c.tick()
-			}
-			if c.Now() < c.publishBy {
-				continue
-			}
+			c.tick()
+		}
+		timer.Reset(c.tickAt.Sub(c.Now()))
+		if c.Now() >= c.publishBy {
+			c.publish()
 		}
-		c.publish()
 	}
 }
 
@@ -143,7 +142,7 @@
 func (c *core) handle(ev event.Event) {
 	now := c.Now()
 	c.publishBy = now
-	c.tickBy = now
+	c.tickAt = min(c.tickAt, c.tickedAt.Add(tickInterval))
 	for _, s := range c.systems {
 		c.performAll(now, s.Handle(now, c.world, ev))
 	}
@@ -151,7 +150,8 @@
 
 func (c *core) tick() {
 	now := c.Now()
-	c.tickBy = now.Add(idleTickInterval)
+	c.tickedAt = now
+	c.tickAt = now.Add(idleTickInterval)
 	for _, s := range c.systems {
 		c.performAll(now, s.Tick(now, c.world))
 	}
