--- a/internal/experiment/configuration.go
+++ b/internal/experiment/configuration.go
@@ -37,12 +37,18 @@
 	r.figure("until a version was in force", took)
 }
 
-func changeConfiguration(ctx context.Context, r *run) error {
+// operatorAtFault returns the operator once it is time for the fault.
+func (r *run) operatorAtFault(ctx context.Context) (*operator, error) {
 	o, err := newOperator(r.setUp.ControlSettings)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if err := r.until(ctx, faultAt); err != nil {
+	return o, r.until(ctx, faultAt)
+}
+
+func changeConfiguration(ctx context.Context, r *run) error {
+	o, err := r.operatorAtFault(ctx)
+	if err != nil {
 		return err
 	}
 	for range confirmRounds {
@@ -68,13 +74,10 @@
 }
 
 func confirmConflicting(ctx context.Context, r *run) error {
-	o, err := newOperator(r.setUp.ControlSettings)
+	o, err := r.operatorAtFault(ctx)
 	if err != nil {
 		return err
 	}
-	if err := r.until(ctx, faultAt); err != nil {
-		return err
-	}
 	for range confirmRounds {
 		var plans [2]plan.Plan
 		for i := range plans {
--- a/internal/standin/dbserver/replica.go
+++ b/internal/standin/dbserver/replica.go
@@ -26,8 +26,6 @@
 	Records  []replog.Record `json:"records"`
 }
 
-func tablesID(id string) tables.UpstreamID { return tables.UpstreamID(id) }
-
 // replicate pulls records from whomever the server follows, until ctx ends.
 func (s *Server) replicate(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/standin/dbserver/server.go
+++ b/internal/standin/dbserver/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
 
@@ -91,7 +92,7 @@
 		locks:    make(map[string]uint32),
 	}
 	if !cfg.Primary && cfg.PrimaryAddress != "" {
-		if _, err := s.db.follow(tablesID(cfg.PrimaryID), cfg.PrimaryAddress, 1); err != nil {
+		if _, err := s.db.follow(tables.UpstreamID(cfg.PrimaryID), cfg.PrimaryAddress, 1); err != nil {
 			return nil, errors.Wrap(err, "follow the first primary")
 		}
 	}
