Report no read of the primary as completed before its term is confirmed

Cause: the completion of a SELECT was not held back, so a caller whose read could not be confirmed got a completed result and then an error, which a driver may overlook. Now the completion waits too and is dropped with the error. Large results still go out row by row.

--- a/internal/exec/attempt.go
+++ b/internal/exec/attempt.go
@@ -140,7 +140,9 @@
 	defer r.s.setRunning(nil)
 	deadline, _ := ctx.Deadline()
 	c.SetDeadline(deadline)
-	res, err := exchange(c, r.outgoing(c), r.a, onResult)
+	out := r.outgoing(c)
+	out.confirmed = c.Term != 0
+	res, err := exchange(c, out, r.a, onResult)
 	if err != nil && ctx.Err() != nil {
 		go cancelQuietly(c)
 	}
--- a/internal/exec/driver_test.go
+++ b/internal/exec/driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
@@ -118,3 +119,15 @@
 	assert.NilError(t, res.Err)
 	assert.Equal(t, string(res.Rows[0][0]), "3")
 }
+
+func TestUnconfirmedReadIsNotReportedAsCompleted(t *testing.T) {
+	r := newEmulatorRig(t, 3)
+	c := r.open(map[string]string{"cranberrystage.deadline": "100ms"})
+	assert.NilError(t, c.query("SELECT 1").err)
+	r.core.muteConfirm()
+	got := c.query("SELECT 1")
+	e, ok := codes.From(got.err)
+	assert.Assert(t, ok)
+	assert.Equal(t, e.Code, codes.NotConfirmed)
+	assert.Equal(t, len(got.tags), 0)
+}
--- a/internal/exec/exchange.go
+++ b/internal/exec/exchange.go
@@ -140,7 +140,7 @@
 		}
 		x.ran = true
 		x.rolled = x.rolled || string(m.CommandTag) == "ROLLBACK"
-		if mayCommit(m.CommandTag) {
+		if x.out.confirmed || mayCommit(m.CommandTag) {
 			x.answer.Hold()
 		}
 	case *pgproto3.ErrorResponse:
--- a/internal/exec/finish.go
+++ b/internal/exec/finish.go
@@ -12,21 +12,6 @@
 	"github.com/cranberrystage/cranberrystage/internal/tags"
 )
 
-// confirmFrom returns since when the primary's term must have been confirmed
-// before its answer goes out. A declared read may rest on an older point.
-func (r *request) confirmFrom(started tables.Time) tables.Time {
-	if r.route.Tags.MaxAge == nil {
-		return started
-	}
-	return min(started, r.core.Now().Add(-*r.route.Tags.MaxAge))
-}
-
-// needsConfirm reports whether an answer of the primary has to be confirmed
-// after it: reads that declare no age promise the newest data.
-func needsConfirm(d route.Decision, t *tags.Tags) bool {
-	return d.Kind == route.KindPrimary && t.MaxAge == nil
-}
-
 // finish decides whether the answer may go out: a write once it is safe, a
 // read of the primary once its term was confirmed.
 func (r *request) finish(ctx context.Context, d route.Decision, res exchangeResult, started tables.Time) error {
@@ -69,6 +54,21 @@
 	return r.s.wrote(r.a, r.place.group, res.position)
 }
 
+// confirmFrom returns since when the primary's term must have been confirmed
+// before its answer goes out. A declared read may rest on an older point.
+func (r *request) confirmFrom(started tables.Time) tables.Time {
+	if r.route.Tags.MaxAge == nil {
+		return started
+	}
+	return min(started, r.core.Now().Add(-*r.route.Tags.MaxAge))
+}
+
+// needsConfirm reports whether an answer of the primary has to be confirmed
+// after it: reads that declare no age promise the newest data.
+func needsConfirm(d route.Decision, t *tags.Tags) bool {
+	return d.Kind == route.KindPrimary && t.MaxAge == nil
+}
+
 // confirmSince waits for a confirmed point of term that was sent after started.
 func (r *request) confirmSince(ctx context.Context, started tables.Time, term tables.Term) error {
 	for {
--- a/internal/exec/prepared.go
+++ b/internal/exec/prepared.go
@@ -79,6 +79,9 @@
 	closes []string
 	// partial says that the batch ends with a Flush, which has no answer of its own.
 	partial bool
+	// confirmed says that the answer is confirmed after it ran: no command is
+	// reported as completed before.
+	confirmed bool
 }
 
 // translate rewrites a batch for a connection that holds the statements in
