--- a/internal/exec/driver_test.go
+++ b/internal/exec/driver_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"testing"
 
+	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/pkg/errors"
--- a/internal/experiment/operator_test.go
+++ b/internal/experiment/operator_test.go
@@ -10,14 +10,13 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/declare"
+	"github.com/cranberrystage/cranberrystage/internal/plan"
+	"github.com/cranberrystage/cranberrystage/internal/platform/adapters"
 	"github.com/cranberrystage/cranberrystage/internal/platform/memory"
+	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/standin/platformd"
 	"github.com/cranberrystage/cranberrystage/internal/statusapi"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
-
-	"github.com/cranberrystage/cranberrystage/internal/plan"
-	"github.com/cranberrystage/cranberrystage/internal/platform/adapters"
-	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"gotest.tools/v3/assert"
 )
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -21,8 +22,6 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/xdg-go/scram"
 	"gotest.tools/v3/assert"
-
-	"encoding/base64"
 )
 
 const (
