--- a/cmd/cranberrystage-bench/main_test.go
+++ b/internal/benchcmd/benchcmd_test.go
@@ -1,4 +1,4 @@
-package main
+package benchcmd
 
 import (
 	"bytes"
@@ -20,7 +20,7 @@
 	go func() { _ = s.Run(t.Context()) }()
 	file := filepath.Join(t.TempDir(), "history")
 	var out, progress bytes.Buffer
-	err = run(t.Context(), []string{"demo", "--proxy", s.Addr(), "--duration", "300ms", "--connections", "4", "--history", file,
+	err = Run(t.Context(), []string{"demo", "--proxy", s.Addr(), "--duration", "300ms", "--connections", "4", "--history", file,
 		"--batbayar-user", "u", "--batbayar-password", "p", "--batbayar-database", "x/1",
 		"--agency-user", "u", "--agency-password", "p", "--agency-database", "y/1"}, &out, &progress)
 	assert.NilError(t, err, out.String())
@@ -36,8 +36,8 @@
 
 func TestCommandLineErrors(t *testing.T) {
 	var out bytes.Buffer
-	assert.ErrorContains(t, run(t.Context(), []string{"load"}, &out, &out), "command line")
-	err := run(t.Context(), []string{"load", "--proxy", "127.0.0.1:1", "--user", "u", "--database", "d", "--rate", "0"}, &out, &out)
+	assert.ErrorContains(t, Run(t.Context(), []string{"load"}, &out, &out), "command line")
+	err := Run(t.Context(), []string{"load", "--proxy", "127.0.0.1:1", "--user", "u", "--database", "d", "--rate", "0"}, &out, &out)
 	assert.ErrorContains(t, err, "rate")
 }
 
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
 	go func() {
-		ended <- run(ctx, []string{"naive", "--listen", "127.0.0.1:0", "--primary", s.Addr()}, &bytes.Buffer{}, &bytes.Buffer{})
+		ended <- Run(ctx, []string{"naive", "--listen", "127.0.0.1:0", "--primary", s.Addr()}, &bytes.Buffer{}, &bytes.Buffer{})
 	}()
 	cancel()
 	assert.NilError(t, <-ended)
@@ -59,6 +59,6 @@
 	args := []string{"experiment", "undisturbed", "--proxy", "x", "--platform", "x", "--control-settings", "x",
 		"--batbayar-user", "u", "--batbayar-password", "p", "--batbayar-database", "x/1",
 		"--agency-user", "u", "--agency-password", "p", "--agency-database", "y/1"}
-	assert.ErrorContains(t, run(t.Context(), append(args, "--server", "a/b=c", "--proxy-process", "x"), &out, &out), "GROUP/ID")
-	assert.ErrorContains(t, run(t.Context(), append(args, "--server", "a/b=c,d,42", "--proxy-process", "x"), &out, &out), "CALLERS")
+	assert.ErrorContains(t, Run(t.Context(), append(args, "--server", "a/b=c", "--proxy-process", "x"), &out, &out), "GROUP/ID")
+	assert.ErrorContains(t, Run(t.Context(), append(args, "--server", "a/b=c,d,42", "--proxy-process", "x"), &out, &out), "CALLERS")
 }
--- a/cmd/cranberrystage-bench/experiment.go
+++ b/internal/benchcmd/experiment.go
@@ -1,4 +1,4 @@
-package main
+package benchcmd
 
 import (
 	"context"
@@ -36,6 +36,8 @@
 	return e
 }
 
+func (e *experimentCommand) clause() *kingpin.CmdClause { return e.command }
+
 func (e *experimentCommand) run(ctx context.Context, out, progress io.Writer) error {
 	ex, err := experiment.Find(e.name)
 	if err != nil {
--- a/cmd/cranberrystage-bench/naive.go
+++ b/internal/benchcmd/naive.go
@@ -1,7 +1,8 @@
-package main
+package benchcmd
 
 import (
 	"context"
+	"io"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cranberrystage/cranberrystage/internal/naive"
@@ -21,7 +22,9 @@
 	return n
 }
 
-func (n *naiveCommand) run(ctx context.Context) error {
+func (n *naiveCommand) clause() *kingpin.CmdClause { return n.command }
+
+func (n *naiveCommand) run(ctx context.Context, _, _ io.Writer) error {
 	p, err := naive.New(n.listen, n.primary)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/benchcmd/shared.go
@@ -0,0 +1,85 @@
+package benchcmd
+
+import (
+	"context"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cranberrystage/cranberrystage/internal/bench"
+	"github.com/cranberrystage/cranberrystage/internal/history"
+	"github.com/pkg/errors"
+)
+
+// shared are the flags of load and demo.
+type shared struct {
+	opts    bench.Options
+	json    bool
+	history string
+}
+
+func (s *shared) register(c *kingpin.CmdClause) {
+	o := &s.opts
+	c.Flag("proxy", "IP:port of a proxy; repeat for each.").Required().StringsVar(&o.Proxies)
+	c.Flag("rate", "Operations per second, for each workload.").Default("200").Float64Var(&o.Rate)
+	c.Flag("duration", "How long operations arrive.").Default("20s").DurationVar(&o.Duration)
+	c.Flag("drain", "Bound of what follows the duration: operations under way and the final reads.").Default("20s").DurationVar(&o.Drain)
+	c.Flag("connections", "Sessions, each with one connection, for each workload.").Default("30").IntVar(&o.Connections)
+	c.Flag("timeout", "How long a caller waits for one operation.").Default("10s").DurationVar(&o.Timeout)
+	c.Flag("roam", "Share of operations before which a session moves to a random proxy.").Default("0.05").Float64Var(&o.Roam)
+	handover := []string{string(bench.HandoverToken), string(bench.HandoverName), string(bench.HandoverNothing)}
+	c.Flag("handover", "What a session gives to the next proxy.").Default(handover[0]).EnumVar((*string)(&o.Handover), handover...)
+	c.Flag("undeclared", "Let reads declare no age.").BoolVar(&o.Undeclared)
+	c.Flag("gap-probe", "Pause between the writes that measure gaps, for each database; 0s for none.").Default("20ms").DurationVar(&o.GapProbe)
+	c.Flag("seed", "Seed of arrivals and choices.").Default("1").Uint64Var(&o.Seed)
+	c.Flag("json", "Print JSON lines.").BoolVar(&s.json)
+	c.Flag("history", "File that receives the history as JSON lines.").StringVar(&s.history)
+}
+
+// runID keeps the keys of runs apart that use the same database.
+func runID() string { return strconv.FormatInt(time.Now().UnixNano(), 36) }
+
+func (s *shared) options(w bench.Workload, databases []string, progress io.Writer) bench.Options {
+	o := s.opts
+	o.Workload, o.Databases, o.Progress = w, databases, progress
+	o.RunID = w.Name + "-" + runID()
+	return o
+}
+
+func (s *shared) run(ctx context.Context, out io.Writer, d bench.Demo) error {
+	results, err := d.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.saveHistory(results); err != nil {
+		return err
+	}
+	write := bench.WriteText
+	if s.json {
+		write = bench.WriteJSON
+	}
+	failed, err := write(out, results)
+	if err == nil && failed > 0 {
+		err = errors.Errorf("%d checks failed", failed)
+	}
+	return err
+}
+
+func (s *shared) saveHistory(results []*bench.Result) error {
+	if s.history == "" {
+		return nil
+	}
+	f, err := os.Create(s.history)
+	if err != nil {
+		return errors.Wrap(err, "create history")
+	}
+	for _, r := range results {
+		if err := history.Write(f, r.Ops); err != nil {
+			_ = f.Close()
+			return err
+		}
+	}
+	return errors.Wrap(f.Close(), "close history")
+}
--- /dev/null
+++ b/internal/benchcmd/slopes.go
@@ -0,0 +1,34 @@
+package benchcmd
+
+import (
+	"context"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cranberrystage/cranberrystage/internal/bench"
+)
+
+// slopesCommand measures what control costs against size.
+type slopesCommand struct {
+	command *kingpin.CmdClause
+	json    bool
+}
+
+func newSlopes(app *kingpin.Application) *slopesCommand {
+	s := &slopesCommand{command: app.Command("slopes", "Measure in this process what control costs against size.")}
+	s.command.Flag("json", "Print JSON lines.").BoolVar(&s.json)
+	return s
+}
+
+func (s *slopesCommand) clause() *kingpin.CmdClause { return s.command }
+
+func (s *slopesCommand) run(ctx context.Context, out, _ io.Writer) error {
+	slopes, err := bench.Slopes(ctx)
+	if err != nil {
+		return err
+	}
+	if s.json {
+		return bench.WriteSlopesJSON(out, slopes)
+	}
+	return bench.WriteSlopesText(out, slopes)
+}
