Bound a read's age by the newest point that its replica has reached

The metric also counted these thrown-away results as answers beyond their age. The new test failed before.

--- a/internal/exec/attempt.go
+++ b/internal/exec/attempt.go
@@ -98,12 +98,10 @@
 		return nil
 	}
 	return func() error {
-		within := !r.tooOld(d)
-		age := r.core.Now().Sub(d.AsOf)
-		r.s.exec.metrics.ObserveReadAge(r.place.service.Name, age, within)
-		if !within {
+		if r.tooOld(d) {
 			return errTooOld
 		}
+		r.s.exec.metrics.ObserveReadAge(r.place.service.Name, r.core.Now().Sub(d.AsOf), true)
 		return nil
 	}
 }
--- a/internal/systems/route/choose.go
+++ b/internal/systems/route/choose.go
@@ -86,7 +86,8 @@
 	Term tables.Term
 	// MinPosition is what the server must have reached; valid for KindReplica and KindPrimary.
 	MinPosition tables.Position
-	// AsOf is when the confirmed point that bounds the answer's age was sent; valid for KindReplica.
+	// AsOf is when the newest confirmed point that the server has reached was sent,
+	// which bounds the answer's age; valid for KindReplica.
 	AsOf tables.Time
 	// Since is the earliest SentAt of a point that helps; valid for KindNeedConfirm.
 	Since tables.Time
@@ -134,7 +135,7 @@
 		need = r.Session
 	}
 	if m := pickReplica(g, r, need); m != nil {
-		return Decision{Kind: KindReplica, Upstream: m.ID, Term: g.Term, MinPosition: need, AsOf: point.SentAt}
+		return Decision{Kind: KindReplica, Upstream: m.ID, Term: g.Term, MinPosition: need, AsOf: g.reachedAt(m.Position)}
 	}
 	if until := r.waitUntil(ReplicaPatience); now < until && worthWaiting(g, r) {
 		return Decision{Kind: KindWaitReplica, Until: until}
--- a/internal/systems/route/route_test.go
+++ b/internal/systems/route/route_test.go
@@ -142,6 +142,16 @@
 
 func (l *loads) InFlight(id tables.UpstreamID) int { return l[id[0]-'a'] }
 
+func TestAgeIsBoundedByTheNewestPointThatTheReplicaReached(t *testing.T) {
+	snap := group(nil)
+	r := request(aged(5 * time.Second))
+	r.Session = pos(2, 93)
+	d := Choose(100*second+milli, snap, &r)
+	assert.Equal(t, d.Upstream, tables.UpstreamID("c"))
+	assert.Equal(t, d.AsOf, 99*second)
+	assert.Equal(t, d.MinPosition, pos(2, 93))
+}
+
 func TestReadsSpreadByLoad(t *testing.T) {
 	s := group(func(g *Group) { g.Members[1].Local = false; g.Members[1].Position = pos(2, 95) })
 	rnd := rand.New(rand.NewPCG(1, 1))
--- a/internal/systems/route/snapshot.go
+++ b/internal/systems/route/snapshot.go
@@ -193,3 +193,14 @@
 	}
 	return g.Points[n-1], true
 }
+
+// reachedAt returns when the newest confirmed point was sent that position has
+// reached; 0 if it has reached none.
+func (g *Group) reachedAt(position tables.Position) tables.Time {
+	for _, p := range g.Points {
+		if position.AtLeast(p.Position) {
+			return p.SentAt
+		}
+	}
+	return 0
+}
