--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -10,3 +10,6 @@
   --direct "$(at 7111)" --direct "$(at 7112)" --direct "$(at 7113)" \
   --proxy "$(at 6432)" --database stock-ledger/stock1 \
   --user shop --password shop-demo --connections "${CONNECTIONS:-3}" --duration "${1:-2s}"
+# Allocations, and memory of idle callers, in one process without latencies.
+go test ./internal/exec -run '^$' -bench Path -benchtime 20000x
+go test ./internal/exec -run '^$' -bench IdleCallers -benchtime 1x
