Let a seed give way to the VM of its address

Cause: for its first seconds a proxy counted each peer twice, by name and as a seed, and itself as a seed of its own address: a pretended VM could rank first among a group's candidates and take a share of the connections.

--- a/internal/systems/membership/membership.go
+++ b/internal/systems/membership/membership.go
@@ -156,6 +156,7 @@
 	if newConfig || now >= s.nextHeartbeat {
 		s.nextHeartbeat = now.Add(s.jitter(s.opts.HeartbeatInterval))
 		s.forget(now, w)
+		s.dropKnownSeeds(w)
 		s.rebuild(now, w)
 		actions = s.heartbeats(w)
 	}
@@ -172,7 +173,7 @@
 	s.started = true
 	s.nextList = now
 	for _, seed := range s.opts.Seeds {
-		if _, ok := w.VMs.Get(seed.ID); ok || seed.ID == w.Self {
+		if _, ok := w.VMs.Get(seed.ID); ok || seed.ID == w.Self || seed.PeerAddress == w.PeerAddress {
 			continue
 		}
 		seed.Live = true
@@ -181,6 +182,29 @@
 	}
 }
 
+// dropKnownSeeds removes seeds whose address belongs to a VM known by its name,
+// so that no VM counts twice.
+func (s *System) dropKnownSeeds(w *tables.World) {
+	for _, seed := range s.opts.Seeds {
+		if _, ok := w.VMs.Get(seed.ID); !ok || !knownByName(w, seed) {
+			continue
+		}
+		w.VMs.Delete(seed.ID)
+		s.states.Delete(seed.ID)
+		s.dirty = true
+	}
+}
+
+// knownByName reports whether another row has the seed's address.
+func knownByName(w *tables.World, seed tables.VM) bool {
+	for id, row := range w.VMs.All() {
+		if id != seed.ID && row.PeerAddress == seed.PeerAddress {
+			return true
+		}
+	}
+	return false
+}
+
 // refreshSelf keeps the own row; a change of leaving makes the heartbeat due.
 func (s *System) refreshSelf(now tables.Time, w *tables.World) {
 	row, known := w.VMs.Get(w.Self)
--- a/internal/systems/membership/membership_test.go
+++ b/internal/systems/membership/membership_test.go
@@ -346,3 +346,20 @@
 		}
 	})
 }
+
+func TestSeedGivesWayToTheVMOfItsAddress(t *testing.T) {
+	opts := DefaultOptions()
+	opts.Seeds = []tables.VM{
+		{ID: "seed 10.0.0.1:1", PeerAddress: "10.0.0.1:1"},
+		{ID: "seed 10.0.0.2:1", PeerAddress: "10.0.0.2:1"},
+	}
+	s := New(opts, rand.New(rand.NewPCG(1, 1)))
+	w := tables.NewWorld("vm-0", "dc-0", "10.0.0.1:1")
+	s.Tick(second, w)
+	assert.DeepEqual(t, w.VMs.Keys(), []tables.VMID{"seed 10.0.0.2:1", "vm-0"})
+
+	heartbeat := peer.Heartbeat{From: "vm-1", DataCentre: "dc-0", PeerAddress: "10.0.0.2:1"}
+	s.Handle(2*second, w, event.PeerMessage{Message: heartbeat})
+	s.Tick(10*second, w)
+	assert.DeepEqual(t, w.VMs.Keys(), []tables.VMID{"vm-0", "vm-1"})
+}
