--- a/internal/exec/tally.go
+++ b/internal/exec/tally.go
@@ -37,6 +37,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.callers[service] += n
+	t.metrics.AddCallers(n)
 }
 
 // refuse counts a request that ended with code.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
@@ -286,6 +287,7 @@
 	assert.NilError(t, err)
 	s := b.proxies[0].status()
 	assert.Equal(t, s.Callers[0].Open, 1)
+	assert.Equal(t, gauge(t, b.proxies[0], metrics.CallerConnections), 1.0)
 	assert.Assert(t, s.Groups[0].Upstreams[0].Connections >= 1)
 
 	_, err = c.Exec(ctx, "SELECT pg_sleep(1) /*deadline='50ms'*/")
@@ -339,3 +341,16 @@
 		assert.ErrorContains(t, err, "unknown")
 	}
 }
+
+// gauge returns the value of a proxy's gauge without labels.
+func gauge(t *testing.T, p *Proxy, name string) float64 {
+	families, err := p.registry.Gather()
+	assert.NilError(t, err)
+	for _, f := range families {
+		if f.GetName() == name {
+			return f.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	t.Fatalf("no metric %s", name)
+	return 0
+}
