--- a/cmd/cranberrystage-report/main.go
+++ b/cmd/cranberrystage-report/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/reportcmd"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 )
 
 func main() {
@@ -23,17 +24,6 @@
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		Now:    time.Now,
-		Wait:   wait,
+		Wait:   sleep.For,
 	})
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"syscall"
 
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 )
@@ -42,7 +43,7 @@
 		return nil
 	}
 	first := d.Loads[0]
-	if !pause(ctx, first.Duration/2) {
+	if sleep.For(ctx, first.Duration/2) != nil {
 		return nil
 	}
 	victim := Server{PID: d.KillPID}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/history"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 )
 
 const (
@@ -79,7 +80,7 @@
 	at := time.Duration(0)
 	for {
 		at += time.Duration(rnd.ExpFloat64() / opts.Rate * float64(time.Second))
-		if at >= opts.Duration || !pause(ctx, at-opts.clock()) {
+		if at >= opts.Duration || sleep.For(ctx, at-opts.clock()) != nil {
 			return
 		}
 		select {
@@ -90,21 +91,6 @@
 	}
 }
 
-// pause waits for d; it reports false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // startProgress prints a line each second until the returned function is called.
 func startProgress(ctx context.Context, opts *Options, r *recorder) (stop func()) {
 	if opts.Progress == nil {
@@ -114,7 +100,7 @@
 	var printing sync.WaitGroup
 	printing.Go(func() {
 		var before totals
-		for pause(ctx, time.Second) {
+		for sleep.For(ctx, time.Second) == nil {
 			now := r.totals()
 			_, _ = fmt.Fprintf(opts.Progress, "%-8s %3.0fs  %5d succeeded  %4d failed  %5d on replicas  %4d dropped\n",
 				opts.Workload.Name, opts.clock().Seconds(), now.succeeded-before.succeeded,
@@ -206,7 +192,7 @@
 	for {
 		op.Start = c.opts.clock()
 		op = c.end(op, c.queryFinal(ctx, &op))
-		if op.Outcome == history.Acknowledged || !pause(ctx, verifyPause) {
+		if op.Outcome == history.Acknowledged || sleep.For(ctx, verifyPause) != nil {
 			return op
 		}
 	}
--- a/internal/bench/prober.go
+++ b/internal/bench/prober.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"sync"
+
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 )
 
 // maxProbes bounds the sessions that probe one database.
@@ -39,7 +41,7 @@
 // run probes until the load's end and waits for the last probes.
 func (p *prober) run(ctx context.Context) {
 	var running sync.WaitGroup
-	for p.opts.clock() < p.opts.Duration && pause(ctx, p.opts.GapProbe) {
+	for p.opts.clock() < p.opts.Duration && sleep.For(ctx, p.opts.GapProbe) == nil {
 		c := p.session()
 		if c == nil {
 			p.rec.drop()
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
@@ -150,7 +151,7 @@
 			}
 			// The process is short of something, such as open files.
 			s.log.Warn("Could not accept a caller.", "error", err)
-			pause(ctx, acceptPause)
+			_ = sleep.For(ctx, acceptPause)
 			continue
 		}
 		s.done.Add(1)
@@ -161,15 +162,6 @@
 // acceptPause is the pause after a caller could not be accepted.
 const acceptPause = 50 * time.Millisecond
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) serve(ctx context.Context, nc net.Conn) {
 	defer s.done.Done()
 	defer func() { _ = nc.Close() }()
--- a/internal/experiment/configuration.go
+++ b/internal/experiment/configuration.go
@@ -9,6 +9,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/plan"
 	"github.com/cranberrystage/cranberrystage/internal/platform/memory"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -230,7 +231,7 @@
 	if _, err := o.confirm(ctx, p.ID); err != nil {
 		return err
 	}
-	if err := sleep(ctx, drainGoal); err != nil {
+	if err := sleep.For(ctx, drainGoal); err != nil {
 		return err
 	}
 	return r.checkIdle(ctx, leaving, drainWatch)
@@ -246,7 +247,7 @@
 		}
 		before[i] = st.Statements
 	}
-	if err := sleep(ctx, watch); err != nil {
+	if err := sleep.For(ctx, watch); err != nil {
 		return err
 	}
 	for i, s := range servers {
--- a/internal/experiment/operator.go
+++ b/internal/experiment/operator.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/operatorkey"
 	"github.com/cranberrystage/cranberrystage/internal/plan"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/pkg/errors"
 )
 
@@ -75,7 +76,7 @@
 		res, err = o.confirm(ctx, id)
 		e, numbered := codes.From(err)
 		repeat := numbered && (e.Code == codes.OutcomeUnknown || e.Code == codes.PlatformDown)
-		return !repeat || sleep(ctx, confirmPause) != nil
+		return !repeat || sleep.For(ctx, confirmPause) != nil
 	})
 	return res, err
 }
--- a/internal/experiment/primary.go
+++ b/internal/experiment/primary.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/bench"
 	"github.com/cranberrystage/cranberrystage/internal/platform/memory"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
@@ -252,7 +253,7 @@
 		if done() {
 			return true
 		}
-		if time.Now().After(end) || sleep(ctx, pollPause) != nil {
+		if time.Now().After(end) || sleep.For(ctx, pollPause) != nil {
 			return false
 		}
 	}
--- a/internal/experiment/proxy.go
+++ b/internal/experiment/proxy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/bench"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/jackc/pgx/v5"
 	"github.com/pkg/errors"
 )
@@ -65,7 +66,7 @@
 		_, err := t.conn.Exec(ctx, "COMMIT")
 		r.check(err != nil, "commit at the killed proxy fails", "%v", err)
 	}
-	if err := sleep(ctx, rollbackTime); err != nil {
+	if err := sleep.For(ctx, rollbackTime); err != nil {
 		return err
 	}
 	return r.checkAbsent(ctx, load, open)
@@ -125,7 +126,7 @@
 	if err := victim.Process.signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
-	err := sleep(ctx, proxyPause)
+	err := sleep.For(ctx, proxyPause)
 	if contErr := victim.Process.signal(syscall.SIGCONT); contErr != nil {
 		return contErr
 	}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/bench"
 	"github.com/cranberrystage/cranberrystage/internal/history"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -147,18 +148,7 @@
 
 // until waits for a time since the experiment began.
 func (r *run) until(ctx context.Context, at time.Duration) error {
-	return sleep(ctx, at-r.clock())
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return sleep.For(ctx, at-r.clock())
 }
 
 func (r *run) check(passed bool, name, format string, args ...any) {
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/bench"
 	"github.com/cranberrystage/cranberrystage/internal/history"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"gotest.tools/v3/assert"
@@ -77,7 +78,7 @@
 			return err
 		}
 		server.SetFaults(dbserver.Faults{IsolatedFrom: []string{"*"}})
-		if err := sleep(ctx, 150*time.Millisecond); err != nil {
+		if err := sleep.For(ctx, 150*time.Millisecond); err != nil {
 			return err
 		}
 		server.SetFaults(dbserver.Faults{})
--- a/internal/peer/tcpbus/bus.go
+++ b/internal/peer/tcpbus/bus.go
@@ -18,6 +18,7 @@
 
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/cranberrystage/cranberrystage/internal/peer"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -312,11 +313,4 @@
 }
 
 // wait blocks for d or until the bus is closed.
-func (b *Bus) wait(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-b.ctx.Done():
-	}
-}
+func (b *Bus) wait(d time.Duration) { _ = sleep.For(b.ctx, d) }
--- a/internal/peer/tcpbus/outbound.go
+++ b/internal/peer/tcpbus/outbound.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/pkg/errors"
 )
 
@@ -130,11 +131,5 @@
 // pause waits for the backoff, which doubles with each failure and is jittered by half.
 func (o *outbound) pause(ctx context.Context) {
 	o.backoff = min(max(2*o.backoff, o.bus.opts.MinBackoff), o.bus.opts.MaxBackoff)
-	wait := o.backoff/2 + rand.N(o.backoff/2+1)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	_ = sleep.For(ctx, o.backoff/2+rand.N(o.backoff/2+1))
 }
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
@@ -54,7 +55,7 @@
 // New returns an empty platform without faults.
 func New() *Platform {
 	return &Platform{
-		Sleep:    sleep,
+		Sleep:    sleep.For,
 		rows:     tables.NewTable[string, platform.Row](),
 		objects:  make(map[string][]byte),
 		outcomes: make(map[string]Outcome),
@@ -195,14 +196,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
