--- /dev/null
+++ b/cmd/cranberrystage-entry/main.go
@@ -0,0 +1,111 @@
+// Command cranberrystage-entry is the daemon of an entry VM on the users'
+// platform. It takes its settings from the file that the platform lays beside it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cranberrystage/cranberrystage/internal/boottime"
+	"github.com/cranberrystage/cranberrystage/internal/entry"
+	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/relay"
+	"github.com/cranberrystage/cranberrystage/internal/settings"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/cranberrystage/cranberrystage/platform/duty"
+	"github.com/cranberrystage/cranberrystage/platform/entries"
+	"github.com/cranberrystage/cranberrystage/platform/process"
+	"github.com/cranberrystage/cranberrystage/platform/routes"
+	"github.com/cranberrystage/cranberrystage/platform/store"
+	"github.com/cranberrystage/cranberrystage/platform/wire"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	// exitSettings means wrong arguments or settings.
+	exitSettings = 2
+)
+
+func main() {
+	app := kingpin.New("cranberrystage-entry", "Database proxy with session consistency, on the users' platform.")
+	path := app.Flag("settings", "Settings file of the platform.").Envar(process.PathVariable).Required().String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "cranberrystage-entry: %v, try --help\n", err)
+		os.Exit(exitSettings)
+	}
+	s, err := process.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if *check {
+		return
+	}
+	if err := serve(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
+func serve(s settings.Entry) error {
+	log := logging.New(os.Stdout, slog.LevelInfo)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	f := fleet.New(fleet.Options{
+		VM:         s.VM,
+		DataCentre: s.DataCentre,
+		Store:      store.New(s.MetadataAddress),
+		Promoter:   promoter{client: duty.New(s.DutyAddress), vm: s.VM},
+		Codec: fleet.Codec{
+			ConfigTable: routes.Table,
+			ConfigKey:   routes.Key,
+			Config:      routes.Decode,
+			EntryTable:  entries.Table,
+			Entry:       entries.Decode,
+			NotRunning:  duty.ErrNotRunning,
+		},
+		Open:       opener(s.VM),
+		Now:        boottime.Now,
+		Log:        log,
+		DrainLimit: s.DrainLimit,
+	})
+	server := relay.NewServer(f, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, log)
+	p, err := entry.New(s, f, server, log)
+	if err != nil {
+		return err
+	}
+	return p.Run(ctx)
+}
+
+// opener returns how connections to servers are opened.
+func opener(vm tables.VMID) links.Open {
+	return func(ctx context.Context, e tables.Entry) (links.Link, statement.Reply, error) {
+		u, reply, err := wire.Dial(ctx, e, string(vm))
+		if u == nil {
+			return nil, reply, err
+		}
+		return u, reply, err
+	}
+}
+
+// promoter gives orders in this VM's name.
+type promoter struct {
+	client *duty.Client
+	vm     tables.VMID
+}
+
+// Promote implements fleet.Promoter.
+func (p promoter) Promote(ctx context.Context, token uint64, group tables.GroupID, u tables.UpstreamID) error {
+	return p.client.Promote(ctx, duty.Promotion{Holder: p.vm, Token: token, Group: group, Upstream: u})
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,104 @@
+// Package entry joins the parts of a proxy on the users' platform: callers'
+// sessions, the fleet's state, readiness and an orderly end.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/relay"
+	"github.com/cranberrystage/cranberrystage/internal/settings"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
+	"github.com/pkg/errors"
+)
+
+const (
+	// rotationTime is how long after it stopped being ready a proxy may get new
+	// connections: the balancer asks once a second and believes two misses.
+	rotationTime = 2300 * time.Millisecond
+	// endMargin is how long before the end of the grace the process exits.
+	endMargin = 700 * time.Millisecond
+	// probeTimeout bounds one request of the readiness probe.
+	probeTimeout = 2 * time.Second
+)
+
+// Proxy is the daemon of an entry VM.
+type Proxy struct {
+	settings settings.Entry
+	fleet    *fleet.Fleet
+	server   *relay.Server
+	log      *slog.Logger
+	leaving  atomic.Bool
+
+	callers net.Listener
+	ready   *http.Server
+	probes  net.Listener
+}
+
+// New opens the proxy's addresses. Callers are accepted by Run.
+func New(s settings.Entry, f *fleet.Fleet, server *relay.Server, log *slog.Logger) (*Proxy, error) {
+	p := &Proxy{settings: s, fleet: f, server: server, log: logging.For(log, "entry")}
+	var err error
+	if p.callers, err = net.Listen("tcp", s.CallerAddress); err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	if p.probes, err = net.Listen("tcp", s.ReadyAddress); err != nil {
+		_ = p.callers.Close() // nothing was accepted
+		return nil, errors.Wrap(err, "listen for readiness probes")
+	}
+	p.ready = &http.Server{Handler: http.HandlerFunc(p.answerProbe), ReadTimeout: probeTimeout, WriteTimeout: probeTimeout}
+	return p, nil
+}
+
+// answerProbe says whether this proxy takes new connections.
+func (p *Proxy) answerProbe(w http.ResponseWriter, _ *http.Request) {
+	if p.leaving.Load() || !p.fleet.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Run serves until ctx ends, then lets callers go: first the balancer learns
+// of it, then resting sessions are closed, then open transactions are ended.
+func (p *Proxy) Run(ctx context.Context) error {
+	p.log.Info("Started.", "vm", p.settings.VM, "dataCentre", p.settings.DataCentre,
+		"callers", p.settings.CallerAddress, "store", p.settings.MetadataAddress)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go p.fleet.Run(work)
+	failed := make(chan error, 2)
+	go func() { failed <- p.server.Serve(work, p.callers) }()
+	go func() { failed <- p.ready.Serve(p.probes) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	p.shutdown(work)
+	return nil
+}
+
+func (p *Proxy) shutdown(ctx context.Context) {
+	began := time.Now()
+	p.leaving.Store(true)
+	p.log.Info("Stopping.", "grace", p.settings.Grace)
+	ctx, cancel := context.WithDeadline(ctx, began.Add(p.settings.Grace-endMargin))
+	defer cancel()
+	_ = sleep.For(ctx, rotationTime) // ctx only ends later
+	p.server.CloseResting(false)
+	half, cancelHalf := context.WithDeadline(ctx, began.Add(p.settings.Grace/2))
+	left := p.server.Wait(half)
+	cancelHalf()
+	if left > 0 {
+		p.server.CloseResting(true)
+		left = p.server.Wait(ctx)
+	}
+	_ = p.callers.Close() // the process ends
+	_ = p.ready.Close()   // the process ends
+	p.log.Info("Stopped.", "took", time.Since(began), "sessionsCut", left)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,174 @@
+// Package fleet keeps what a proxy on the users' platform knows: the
+// operator's configuration, the database servers and how they answer, and who
+// leads each group. It takes the platform's news, asks the pure systems what
+// follows, and carries replacements of primaries through.
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/gate"
+	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"golang.org/x/sync/singleflight"
+)
+
+// Promoter gives the platform's order that a server leads its group.
+type Promoter interface {
+	// Promote returns nil once the order was accepted, ErrNotRunning if the
+	// server is not there, or an error of package platform.
+	Promote(ctx context.Context, token uint64, group tables.GroupID, u tables.UpstreamID) error
+}
+
+// Codec reads the platform's documents.
+type Codec struct {
+	// ConfigTable and ConfigKey say where the operator's configuration lies.
+	ConfigTable, ConfigKey string
+	// Config reads it.
+	Config func([]byte) (*tables.Routing, error)
+	// EntryTable is the table of server entries.
+	EntryTable string
+	// Entry reads the entry of a server.
+	Entry func(id string, value []byte) (tables.Entry, error)
+	// NotRunning is the Promoter's error for a server that is not there.
+	NotRunning error
+}
+
+// Options are what a Fleet is made of.
+type Options struct {
+	VM         tables.VMID
+	DataCentre tables.DataCentreID
+	Store      platform.Metadata
+	Promoter   Promoter
+	Codec      Codec
+	Open       links.Open
+	Now        func() tables.Time
+	Log        *slog.Logger
+	// DrainLimit is how long after its notice a leaving server may get new work.
+	DrainLimit time.Duration
+}
+
+// Fleet is safe for concurrent use.
+type Fleet struct {
+	Options
+	log     *slog.Logger
+	routing atomic.Pointer[tables.Routing]
+	looks   singleflight.Group
+
+	mu        sync.Mutex
+	upstreams map[tables.UpstreamID]*Upstream
+	groups    map[tables.GroupID]*group
+	// entriesReadAt is when the table of entries was first read; 0 before.
+	entriesReadAt tables.Time
+	// storeLostAt is when the store stopped answering; 0 while it answers.
+	storeLostAt tables.Time
+	// storeBackAt is when it answered again.
+	storeBackAt tables.Time
+	duty        duty
+}
+
+// group is one database group.
+type group struct {
+	id tables.GroupID
+	freshness.Leadership
+	// record is the store's record of the primary; version 0 means none.
+	record  tables.PrimaryRecord
+	version uint64
+	// term is the primary's term; 0 while it was not asked.
+	term tables.Term
+	// storeProvenAt is when the newest look at the store gave evidence.
+	storeProvenAt tables.Time
+	// usedAt is when a statement last needed the group.
+	usedAt tables.Time
+	// replacing says that this proxy works on a replacement.
+	replacing bool
+	// restUntil is when the next replacement may begin.
+	restUntil tables.Time
+	// leaderChanged is closed when the primary changes.
+	leaderChanged chan struct{}
+	// promoteTook is how long the last order took to take effect.
+	promoteTook time.Duration
+	// announcedAt is when the replacement under way was learnt of.
+	announcedAt tables.Time
+}
+
+// New returns a fleet that knows nothing yet.
+func New(o Options) *Fleet {
+	return &Fleet{
+		Options:   o,
+		log:       logging.For(o.Log, "fleet"),
+		upstreams: make(map[tables.UpstreamID]*Upstream),
+		groups:    make(map[tables.GroupID]*group),
+	}
+}
+
+// Routing returns the configuration in force, or nil before the first one.
+func (f *Fleet) Routing() *tables.Routing { return f.routing.Load() }
+
+// Ready reports whether callers can be served.
+func (f *Fleet) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.routing.Load() != nil && f.entriesReadAt != 0
+}
+
+// Run follows the platform until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, run := range []func(context.Context){f.watchConfig, f.watchEntries, f.watchRecords, f.watchPrimaries} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			run(ctx)
+		}()
+	}
+	wg.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, u := range f.upstreams {
+		u.pool.Close()
+	}
+}
+
+func (f *Fleet) group(id tables.GroupID) *group {
+	g, ok := f.groups[id]
+	if !ok {
+		g = &group{id: id, leaderChanged: make(chan struct{})}
+		f.groups[id] = g
+	}
+	return g
+}
+
+// connectionLimit is how many of a server's connections this proxy may open.
+// Others need some too, and a server that is full says so.
+func connectionLimit(limits tables.GroupLimits, slots int) int {
+	if limits.Connections <= 0 {
+		return 2 * slots
+	}
+	return max(2, min(limits.Connections/2, 3*slots))
+}
+
+// gateLimit is how many statements may wait for one server.
+const gateLimit = 256
+
+func (f *Fleet) newUpstream(e tables.Entry) *Upstream {
+	limits := tables.GroupLimits{}
+	if r := f.routing.Load(); r != nil {
+		limits = r.Groups[e.Group]
+	}
+	return &Upstream{
+		fleet: f,
+		entry: e,
+		local: e.DataCentre == f.DataCentre,
+		slots: e.Slots,
+		pool:  links.NewPool(e, connectionLimit(limits, e.Slots), f.Open, f.Now),
+		gate:  gate.New(e.Slots, gateLimit, f.Now),
+	}
+}
--- /dev/null
+++ b/internal/fleet/leaders.go
@@ -0,0 +1,363 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
+	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+)
+
+// The project's own table in the store: one row a group that ever had its
+// primary replaced, and one for the duty.
+const (
+	recordTable = "cranberrystage"
+	groupPrefix = "group/"
+	dutyKey     = "duty"
+)
+
+const (
+	// lookTimeout bounds one look at the store for evidence.
+	lookTimeout = 500 * time.Millisecond
+	// slowLook is the time of a look beyond which replicas are asked beside the store.
+	slowLook = 60 * time.Millisecond
+	// askTimeout bounds one question of the proxy's own to a server.
+	askTimeout = 400 * time.Millisecond
+	// proofPause is the pause between two tries to get evidence.
+	proofPause = 15 * time.Millisecond
+)
+
+func (f *Fleet) watchRecords(ctx context.Context) {
+	f.follow(ctx, recordTable, func(rows platform.Rows, all bool, at tables.Time) {
+		f.takeRecords(rows, all, at)
+	})
+}
+
+// takeRecords takes the store's word on primaries. A whole table read from at
+// on is evidence for every group.
+func (f *Fleet) takeRecords(rows platform.Rows, all bool, at tables.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := make(map[tables.GroupID]uint64, len(rows.Rows))
+	for _, r := range rows.Rows {
+		id, ok := strings.CutPrefix(r.Key, groupPrefix)
+		if !ok || r.Dropped {
+			continue
+		}
+		g := f.group(tables.GroupID(id))
+		seen[g.id] = r.Version
+		if r.Version > g.version {
+			f.takeRecord(g, r)
+		}
+	}
+	if !all {
+		return
+	}
+	for id, g := range f.groups {
+		if seen[id] == g.version {
+			g.Prove(g.Primary, g.version, at)
+			g.storeProvenAt = max(g.storeProvenAt, at)
+		}
+	}
+}
+
+// takeRecord takes a newer record of a group. The lock must be held.
+func (f *Fleet) takeRecord(g *group, r platform.TableRow) {
+	var record tables.PrimaryRecord
+	if err := json.Unmarshal(r.Value, &record); err != nil {
+		f.log.Error("Ignored a record of a primary that can't be read.", "group", g.id, "rowVersion", r.Version, "error", err)
+		return
+	}
+	if record.Replacing && !g.record.Replacing {
+		g.announcedAt = f.Now()
+	}
+	g.record, g.version, g.term = record, r.Version, record.Term
+	f.lead(g)
+}
+
+// lead works out who leads a group. The lock must be held.
+func (f *Fleet) lead(g *group) {
+	primary := g.record.Primary
+	if g.record.Replacing {
+		primary = ""
+	}
+	if g.version == 0 {
+		primary = f.firstPrimary(g.id)
+	}
+	if g.Primary == primary && g.Record == g.version {
+		return
+	}
+	f.log.Info("The primary of a group changed.", "group", g.id, "primary", primary, "before", g.Primary,
+		"record", g.version, "term", g.record.Term, "replacing", g.record.Replacing)
+	if g.Primary != primary {
+		g.term = g.record.Term
+	}
+	g.Lead(primary, g.version)
+	close(g.leaderChanged)
+	g.leaderChanged = make(chan struct{})
+}
+
+// firstPrimary returns the primary of a group that was never replaced: only
+// this project's proxies order replacements, so the servers' own word holds.
+// The lock must be held.
+func (f *Fleet) firstPrimary(id tables.GroupID) tables.UpstreamID {
+	var best *Upstream
+	for _, u := range f.upstreams {
+		if u.entry.Group != id || !u.claims {
+			continue
+		}
+		if best == nil || u.entry.StartedAt > best.entry.StartedAt ||
+			u.entry.StartedAt == best.entry.StartedAt && u.entry.ID < best.entry.ID {
+			best = u
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.entry.ID
+}
+
+// look reads the records for evidence. Calls at the same time share one.
+func (f *Fleet) look(ctx context.Context) error {
+	done := f.looks.DoChan("look", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+		defer cancel()
+		at := f.Now()
+		rows, err := f.Store.ReadTable(ctx, recordTable)
+		if err != nil {
+			return nil, err
+		}
+		f.takeRecords(rows, true, at)
+		return nil, nil
+	})
+	select {
+	case r := <-done:
+		return r.Err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Leader is a group's primary as of one record.
+type Leader struct {
+	Upstream *Upstream
+	group    *group
+	record   uint64
+}
+
+// Leader returns the primary of a group. While there is none, expected is how
+// long that is expected to last; 0 means that nothing is known.
+func (f *Fleet) Leader(id tables.GroupID) (l Leader, changed <-chan struct{}, expected time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.group(id)
+	g.usedAt = f.Now()
+	u, there := f.upstreams[g.Primary]
+	if g.Primary == "" || !there || f.leftTooLong(u) {
+		return Leader{}, g.leaderChanged, g.expectedGap(f.Now()), false
+	}
+	return Leader{Upstream: u, group: g, record: g.version}, g.leaderChanged, 0, true
+}
+
+// leftTooLong reports whether a leaving server must get no new work, even if it
+// is the primary and none has taken its place. The lock must be held.
+func (f *Fleet) leftTooLong(u *Upstream) bool {
+	return u.leaving && f.Now().Sub(u.leavingSince) > f.DrainLimit-drainMargin
+}
+
+// drainMargin is the part of the drain limit that work under way may need.
+const drainMargin = 1500 * time.Millisecond
+
+// firstPromote is how long an order is assumed to take before one was seen.
+const firstPromote = time.Second
+
+// expectedGap returns how long the replacement under way still takes.
+func (g *group) expectedGap(now tables.Time) time.Duration {
+	if !g.record.Replacing {
+		return 0
+	}
+	took := g.promoteTook
+	if took == 0 {
+		took = firstPromote
+	}
+	return max(g.announcedAt.Add(freshness.Lease+took).Sub(now), 10*time.Millisecond)
+}
+
+// Observe takes note of a position that the primary reported to a statement
+// sent at at.
+func (f *Fleet) Observe(l Leader, at tables.Time, p tables.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l.group.Note(l.Upstream.entry.ID, l.record, freshness.Point{At: at, Position: p})
+}
+
+// Committed takes note of a commit that was sent at at and acknowledged after a
+// replica received it.
+func (f *Fleet) Committed(l Leader, at tables.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r := f.routing.Load(); r == nil || r.Groups[l.group.id].SyncReplicas < 1 {
+		return
+	}
+	l.group.Prove(l.Upstream.entry.ID, l.record, at)
+}
+
+// Replaced reports whether another server has taken l's place.
+func (f *Fleet) Replaced(l Leader) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := l.group
+	return g.version != l.record && !g.record.Replacing && g.record.Primary != l.Upstream.entry.ID
+}
+
+// LedNow reports whether evidence at hand shows that l led at t.
+func (f *Fleet) LedNow(l Leader, t tables.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := l.group
+	return g.Primary == l.Upstream.entry.ID && g.Record == l.record && g.Leadership.LedAt(t)
+}
+
+// LedAt reports whether l surely led at t, looking for evidence until ctx ends.
+func (f *Fleet) LedAt(ctx context.Context, l Leader, t tables.Time) bool {
+	for {
+		f.mu.Lock()
+		g := l.group
+		current := g.Primary == l.Upstream.entry.ID && g.Record == l.record
+		led := g.Leadership.LedAt(t)
+		lost := f.storeLostAt != 0
+		f.mu.Unlock()
+		if !current || led {
+			return current && led
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		f.seekEvidence(ctx, l, lost)
+	}
+}
+
+// seekEvidence makes one try at the store, and at a replica if the store is
+// away or slow.
+func (f *Fleet) seekEvidence(ctx context.Context, l Leader, lost bool) {
+	if !lost {
+		quick, cancel := context.WithTimeout(ctx, slowLook)
+		err := f.look(quick)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	if f.askReplica(ctx, l) {
+		return
+	}
+	if !lost && f.look(ctx) == nil {
+		return
+	}
+	_ = sleep.For(ctx, proofPause) // the caller looks at ctx
+}
+
+// askReplica asks a replica whether it still follows l's term. Calls of one
+// group at the same time share one.
+func (f *Fleet) askReplica(ctx context.Context, l Leader) bool {
+	ok, _, _ := f.looks.Do("replica/"+string(l.group.id), func() (any, error) {
+		return f.askReplicaOnce(ctx, l), nil
+	})
+	return ok.(bool)
+}
+
+func (f *Fleet) askReplicaOnce(ctx context.Context, l Leader) bool {
+	f.mu.Lock()
+	term, since := l.group.term, l.group.storeProvenAt
+	replicas := f.members(l.group.id, func(u *Upstream) bool {
+		return u != l.Upstream && !u.leaving && u.missingSince == 0
+	})
+	f.mu.Unlock()
+	if term == 0 {
+		return false
+	}
+	for _, u := range replicas {
+		at := f.Now()
+		account, opened, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+		// A connection that is older than the last look proves that the replica
+		// has not forgotten since that it was held.
+		if err != nil || opened > since || account.Leads || account.Held != 0 || account.Term != term {
+			continue
+		}
+		f.mu.Lock()
+		l.group.Prove(l.Upstream.entry.ID, l.record, at)
+		f.mu.Unlock()
+		return true
+	}
+	return false
+}
+
+// members returns the servers of a group that fit, those of this data centre
+// first. The lock must be held.
+func (f *Fleet) members(id tables.GroupID, fits func(*Upstream) bool) []*Upstream {
+	var near, far []*Upstream
+	for _, u := range f.upstreams {
+		switch {
+		case u.entry.Group != id || !fits(u):
+		case u.local:
+			near = append(near, u)
+		default:
+			far = append(far, u)
+		}
+	}
+	return append(near, far...)
+}
+
+// ask puts a question of the proxy's own about the server's account.
+func (u *Upstream) ask(ctx context.Context, st statement.Statement) (statement.Account, tables.Time, error) {
+	r, opened, err := u.own(ctx, st)
+	if err != nil {
+		return statement.Account{}, 0, err
+	}
+	if r.Account == nil {
+		return statement.Account{}, 0, errors.Errorf("fleet: no account in the answer to %s", st.Kind)
+	}
+	return *r.Account, opened, nil
+}
+
+// own runs a statement of the proxy's own on a connection of the pool.
+func (u *Upstream) own(ctx context.Context, st statement.Statement) (statement.Reply, tables.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	c, err := u.Connect(ctx)
+	if err != nil {
+		return statement.Reply{}, 0, err
+	}
+	deadline, _ := ctx.Deadline()
+	r, err := u.Exchange(c, deadline, false, st)
+	if err != nil {
+		u.Discard(c)
+		return r, 0, err
+	}
+	if st.Kind == statement.Reset {
+		c.State = preparation.Connection{}
+	}
+	u.Release(c)
+	if r.Code != statement.OK {
+		return r, 0, errors.Errorf("fleet: %s refused: %s %s", st.Kind, r.Code, r.Detail)
+	}
+	return r, c.OpenedAt, nil
+}
+
+// refreshPoint asks the primary for its position. A reset costs it no slot.
+func (f *Fleet) refreshPoint(ctx context.Context, l Leader) error {
+	at := f.Now()
+	r, _, err := l.Upstream.own(ctx, statement.Statement{Kind: statement.Reset})
+	if err != nil {
+		return err
+	}
+	f.Observe(l, at, r.Position)
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/primaries.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/replace"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+const (
+	// watchInterval is how often primaries are judged.
+	watchInterval = 100 * time.Millisecond
+	// probeTimeout bounds a probe of a primary that does not answer.
+	probeTimeout = 350 * time.Millisecond
+	// usedRecently is how long after its last statement a group is kept ready for reads.
+	usedRecently = 3 * time.Second
+	// pointAge is the age of the newest point beyond which the primary is asked for one.
+	pointAge = 500 * time.Millisecond
+	// termPause is the pause between two questions for a primary's term.
+	termPause = time.Second
+)
+
+// watchPrimaries judges the primaries, and keeps what reads need at hand.
+func (f *Fleet) watchPrimaries(ctx context.Context) {
+	probing := make(map[tables.UpstreamID]bool)
+	asked := make(map[tables.GroupID]tables.Time)
+	ended := make(chan tables.UpstreamID, 64)
+	for sleep.For(ctx, watchInterval) == nil {
+		for {
+			select {
+			case id := <-ended:
+				delete(probing, id)
+				continue
+			default:
+			}
+			break
+		}
+		f.dropGone()
+		for _, w := range f.judge() {
+			switch {
+			case w.cause != replace.CauseNone:
+				go f.takeOver(ctx, w.id, w.cause, w.leader)
+			case w.troubled && !probing[w.leader.Upstream.ID()]:
+				probing[w.leader.Upstream.ID()] = true
+				go func() {
+					w.leader.Upstream.probe(ctx)
+					ended <- w.leader.Upstream.ID()
+				}()
+			case w.askTerm && f.Now().Sub(asked[w.id]) > termPause:
+				asked[w.id] = f.Now()
+				go f.learnTerm(ctx, w.leader)
+			case w.askPoint:
+				go f.refresh(ctx, w.leader)
+			}
+		}
+	}
+}
+
+// watched is what one look at a group gave.
+type watched struct {
+	id     tables.GroupID
+	leader Leader
+	cause  replace.Cause
+	// troubled says that the primary does not answer and is to be probed.
+	troubled bool
+	askTerm  bool
+	askPoint bool
+}
+
+func (f *Fleet) judge() []watched {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	var out []watched
+	for id, g := range f.groups {
+		if g.replacing || now < g.restUntil || f.storeLostAt != 0 {
+			continue
+		}
+		w := watched{id: id}
+		u, ok := f.upstreams[g.Primary]
+		switch {
+		case g.record.Replacing:
+			if now.Sub(g.announcedAt) < dutyTime {
+				continue
+			}
+			w.cause = replace.CauseUnfinished
+		case !ok:
+			if !f.settled(now) || !f.hasMembers(id) {
+				continue
+			}
+			// The primary's entry is gone and its server forgotten, or none ever led.
+			w.cause = replace.CauseGone
+		default:
+			w.leader = Leader{Upstream: u, group: g, record: g.version}
+			silent, commit, refused := u.silence()
+			w.cause = replace.Judge(replace.View{
+				Now: now, Leaving: u.leaving, MissingSince: f.missingWhileStoreAnswers(u),
+				RefusedSince: refused, SilentSince: silent, CommitSince: commit,
+			})
+			w.troubled = refused != 0 || silent != 0 && now.Sub(silent) > probeTimeout/2
+			w.askTerm = g.term == 0
+			newest, known := g.NewestPoint()
+			w.askPoint = now.Sub(g.usedAt) < usedRecently && (!known || now.Sub(newest) > pointAge)
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// settled reports whether the store has answered for so long that a missing
+// entry means a server that is gone. The lock must be held.
+func (f *Fleet) settled(now tables.Time) bool {
+	return f.entriesReadAt != 0 && now.Sub(max(f.entriesReadAt, f.storeBackAt)) >= replace.GoneAfter
+}
+
+// hasMembers reports whether any server of a group is known. The lock must be held.
+func (f *Fleet) hasMembers(id tables.GroupID) bool {
+	for _, u := range f.upstreams {
+		if u.entry.Group == id {
+			return true
+		}
+	}
+	return false
+}
+
+// dropGone forgets servers whose entries are gone for good.
+func (f *Fleet) dropGone() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	for id, u := range f.upstreams {
+		u.pool.Trim()
+		since := f.missingWhileStoreAnswers(u)
+		if since == 0 || now.Sub(since) < goneKept {
+			continue
+		}
+		f.log.Info("Forgot a server that is gone.", "upstream", id, "group", u.entry.Group)
+		u.pool.Close()
+		delete(f.upstreams, id)
+	}
+}
+
+// goneKept is how long a server without an entry is remembered, so that a
+// replacement knows that it counted.
+const goneKept = 2 * replace.GoneAfter
+
+// probe tries a new connection, so that a server that is silent on old ones
+// alone is told from one that does not answer.
+func (u *Upstream) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	token := u.began(false)
+	c, err := u.pool.Get(ctx, true)
+	if err != nil {
+		u.probeFailed(token, err)
+		return
+	}
+	u.answered(token, false)
+	u.pool.Put(c)
+}
+
+// refresh brings a point and the evidence for it up to date.
+func (f *Fleet) refresh(ctx context.Context, l Leader) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	at := f.Now()
+	if err := f.refreshPoint(ctx, l); err != nil {
+		f.log.Debug("A primary gave no position.", "group", l.group.id, "upstream", l.Upstream.ID(), "error", err)
+		return
+	}
+	f.LedAt(ctx, l, at)
+}
+
+// learnTerm asks a primary that was never replaced for its term.
+func (f *Fleet) learnTerm(ctx context.Context, l Leader) {
+	account, _, err := l.Upstream.ask(ctx, statement.Statement{Kind: statement.Status})
+	if err != nil || !account.Leads {
+		f.log.Debug("A primary did not tell its term.", "group", l.group.id, "upstream", l.Upstream.ID(), "error", err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.group.Primary == l.Upstream.entry.ID && l.group.Record == l.record && l.group.term == 0 {
+		l.group.term = account.Term
+		f.log.Info("Learnt a primary's term.", "group", l.group.id, "upstream", l.Upstream.ID(), "term", account.Term)
+	}
+}
+
+// stagger spreads the proxies that see the same failure over a short time.
+func stagger() time.Duration { return rand.N(60 * time.Millisecond) }
--- /dev/null
+++ b/internal/fleet/reads.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/systems/place"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// Need returns the position that a read of a group must have seen which
+// accepts to miss what was acknowledged after cut. It asks the primary for a
+// point if none is at hand, until ctx ends.
+func (f *Fleet) Need(ctx context.Context, id tables.GroupID, cut tables.Time) (tables.Position, bool) {
+	for {
+		f.mu.Lock()
+		need, ok := f.group(id).Need(cut)
+		f.mu.Unlock()
+		if ok {
+			return need, true
+		}
+		l, changed, expected, led := f.Leader(id)
+		if !led {
+			if !WaitFor(ctx, changed, expected) {
+				return tables.Position{}, false
+			}
+			continue
+		}
+		at := f.Now()
+		if f.refreshPoint(ctx, l) != nil || !f.LedAt(ctx, l, at) {
+			if ctx.Err() != nil {
+				return tables.Position{}, false
+			}
+			continue
+		}
+	}
+}
+
+// WaitFor waits for a change that is expected within a time. It returns false
+// at once if that is beyond ctx's end, or if nothing is expected.
+func WaitFor(ctx context.Context, changed <-chan struct{}, expected time.Duration) bool {
+	deadline, bounded := ctx.Deadline()
+	if expected == 0 || bounded && time.Until(deadline) < expected {
+		return false
+	}
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Reader chooses the server of a group for a read, leaving out those tried.
+func (f *Fleet) Reader(id tables.GroupID, tried []tables.UpstreamID) (*Upstream, bool) {
+	f.mu.Lock()
+	now := f.Now()
+	g := f.group(id)
+	g.usedAt = now
+	members := f.members(id, func(u *Upstream) bool { return !u.leaving && !f.gone(u) })
+	f.mu.Unlock()
+	list := make([]place.Candidate, len(members))
+	for i, u := range members {
+		list[i] = u.candidate(now, slices.Contains(tried, u.entry.ID))
+	}
+	if len(list) == 0 {
+		return nil, false
+	}
+	i, ok := place.Choose(list, rand.Uint32())
+	if !ok {
+		return nil, false
+	}
+	return members[i], true
+}
+
+// Group returns the group of the server.
+func (u *Upstream) Group() tables.GroupID { return u.entry.Group }
--- /dev/null
+++ b/internal/fleet/upstream.go
@@ -0,0 +1,278 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/gate"
+	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
+	"github.com/cranberrystage/cranberrystage/internal/systems/place"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+const (
+	// failurePause is how long a server that could not be reached gets no reads.
+	failurePause = 300 * time.Millisecond
+	// latencyWeight is the weight divisor of a new answer's time in the smoothed one.
+	latencyWeight = 8
+)
+
+// Upstream is one database server as this proxy uses it.
+type Upstream struct {
+	fleet *Fleet
+	entry tables.Entry
+	local bool
+	pool  *links.Pool
+	gate  *gate.Gate
+
+	// What its entry said last, guarded by the fleet's lock.
+	leaving, claims bool
+	slots           int
+	missingSince    tables.Time
+	leavingSince    tables.Time
+
+	mu sync.Mutex
+	health
+}
+
+// health is what this proxy saw of a server.
+type health struct {
+	ahead       int
+	latency     time.Duration
+	barredUntil tables.Time
+	refused     tables.Time
+	answeredAt  tables.Time
+	// waiting holds when statements without an answer were sent, by token.
+	waiting map[uint64]sent
+	next    uint64
+}
+
+type sent struct {
+	at     tables.Time
+	commit bool
+}
+
+// ID names the server.
+func (u *Upstream) ID() tables.UpstreamID { return u.entry.ID }
+
+// candidate returns how a read sees the server.
+func (u *Upstream) candidate(now tables.Time, barred bool) place.Candidate {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return place.Candidate{
+		ID:      u.entry.ID,
+		Local:   u.local,
+		Barred:  barred || now < u.barredUntil,
+		Slots:   u.entry.Slots,
+		Ahead:   u.ahead,
+		Latency: u.latency,
+	}
+}
+
+// Enter waits for the right to run a statement.
+func (u *Upstream) Enter(ctx context.Context, r admit.Request) (gate.Pass, error) {
+	u.mu.Lock()
+	u.ahead++
+	u.mu.Unlock()
+	p, err := u.gate.Enter(ctx, r)
+	if err != nil {
+		u.mu.Lock()
+		u.ahead--
+		u.mu.Unlock()
+	}
+	return p, err
+}
+
+// Leave gives the right back.
+func (u *Upstream) Leave(p *gate.Pass) {
+	p.Leave()
+	u.mu.Lock()
+	u.ahead--
+	u.mu.Unlock()
+}
+
+// Connect returns a connection to the server.
+func (u *Upstream) Connect(ctx context.Context) (*links.Conn, error) {
+	token := u.began(false)
+	c, err := u.pool.Get(ctx, false)
+	switch {
+	case err == nil:
+		u.forget(token)
+	case err == links.ErrFull, err == links.ErrMisrouted, err == links.ErrClosed:
+		u.forget(token)
+		u.bar(failurePause / 4)
+	default:
+		u.failed(token, err)
+	}
+	return c, err
+}
+
+// Release gives a connection back that has no answer outstanding.
+func (u *Upstream) Release(c *links.Conn) { u.pool.Put(c) }
+
+// Discard closes a connection.
+func (u *Upstream) Discard(c *links.Conn) { u.pool.Discard(c) }
+
+// began records that something was sent.
+func (u *Upstream) began(commit bool) uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.waiting == nil {
+		u.waiting = make(map[uint64]sent)
+	}
+	u.next++
+	u.waiting[u.next] = sent{at: u.fleet.Now(), commit: commit}
+	return u.next
+}
+
+func (u *Upstream) forget(token uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.waiting, token)
+}
+
+// answered records an answer.
+func (u *Upstream) answered(token uint64, timed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.fleet.Now()
+	s, ok := u.waiting[token]
+	delete(u.waiting, token)
+	u.answeredAt = now
+	u.refused = 0
+	if !ok || !timed {
+		return
+	}
+	took := now.Sub(s.at)
+	if u.latency == 0 {
+		u.latency = took
+	}
+	u.latency += (took - u.latency) / latencyWeight
+}
+
+// failed records that a connection could not be opened or broke.
+func (u *Upstream) failed(token uint64, err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.fleet.Now()
+	s, ok := u.waiting[token]
+	if isTimeout(err) {
+		// It stays in view as silent until it answers something.
+		if ok && (u.silentMark() == 0 || s.at < u.silentMark()) {
+			u.waiting[0] = sent{at: s.at}
+		}
+	} else if u.refused == 0 {
+		u.refused = now
+	}
+	delete(u.waiting, token)
+	u.barredUntil = now.Add(failurePause)
+}
+
+func (h *health) silentMark() tables.Time { return h.waiting[0].at }
+
+// bar keeps reads away for d.
+func (u *Upstream) bar(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.barredUntil = max(u.barredUntil, u.fleet.Now().Add(d))
+}
+
+// silence returns when the oldest statement without an answer was sent, if
+// nothing was answered since, and the same of commits.
+func (u *Upstream) silence() (silent, commit, refused tables.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.waiting[0].at != 0 && u.waiting[0].at < u.answeredAt {
+		delete(u.waiting, 0)
+	}
+	for _, s := range u.waiting {
+		if s.at >= u.answeredAt && (silent == 0 || s.at < silent) {
+			silent = s.at
+		}
+		if s.commit && (commit == 0 || s.at < commit) {
+			commit = s.at
+		}
+	}
+	return silent, commit, u.refused
+}
+
+// Exchange runs one statement on a connection and returns the answer. commit
+// says that the answer waits for a replica. After an error the connection must
+// be discarded.
+func (u *Upstream) Exchange(c *links.Conn, deadline time.Time, commit bool, st statement.Statement) (statement.Reply, error) {
+	token := u.began(commit)
+	r, err := exchange(c, deadline, st)
+	if err != nil {
+		u.failed(token, err)
+		return r, err
+	}
+	u.answered(token, st.ID != "" && !commit && r.Code == statement.OK)
+	return r, nil
+}
+
+// Prepare tells a connection what it lacks for a session's next statement.
+func (u *Upstream) Prepare(c *links.Conn, deadline time.Time, list []statement.Statement, inTransaction bool) (statement.Reply, error) {
+	if len(list) == 0 {
+		return statement.Reply{}, nil
+	}
+	token := u.began(false)
+	r, err := exchangeAll(c, deadline, list)
+	if err != nil {
+		u.failed(token, err)
+		return r, err
+	}
+	u.answered(token, false)
+	if r.Code == statement.OK {
+		c.State.Told(list, inTransaction)
+	}
+	return r, nil
+}
+
+func exchange(c *links.Conn, deadline time.Time, st statement.Statement) (statement.Reply, error) {
+	if err := c.SetDeadline(deadline); err != nil {
+		return statement.Reply{}, err
+	}
+	if err := c.Send(st); err != nil {
+		return statement.Reply{}, err
+	}
+	return c.Receive()
+}
+
+// exchangeAll returns the last answer, or the first that is a refusal; all are read.
+func exchangeAll(c *links.Conn, deadline time.Time, list []statement.Statement) (statement.Reply, error) {
+	if err := c.SetDeadline(deadline); err != nil {
+		return statement.Reply{}, err
+	}
+	if err := c.Send(list...); err != nil {
+		return statement.Reply{}, err
+	}
+	var out statement.Reply
+	for range list {
+		r, err := c.Receive()
+		if err != nil {
+			return r, err
+		}
+		if out.Code == statement.OK {
+			out = r
+		}
+	}
+	return out, nil
+}
+
+func isTimeout(err error) bool {
+	t, ok := err.(interface{ Timeout() bool })
+	return ok && t.Timeout()
+}
+
+// probeFailed records that a new connection gave no answer. A server without
+// room for one is alive.
+func (u *Upstream) probeFailed(token uint64, err error) {
+	if err == links.ErrFull || err == links.ErrClosed {
+		u.forget(token)
+		return
+	}
+	u.failed(token, err)
+}
--- /dev/null
+++ b/internal/relay/request.go
@@ -0,0 +1,268 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
+	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+const (
+	// defaultTimeout bounds a statement where its route names no bound.
+	defaultTimeout = 5 * time.Second
+	// busyPause is the mean pause before a server that was busy is asked again.
+	busyPause = 15 * time.Millisecond
+)
+
+// request is one statement on its way.
+type request struct {
+	s       *session
+	route   tables.Route
+	st      statement.Statement
+	writes  bool
+	arrived tables.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// deadline is when the statement's time is over.
+	deadline time.Time
+	tried    []tables.UpstreamID
+	// last names the server that was tried last.
+	last tables.UpstreamID
+}
+
+func newRequest(ctx context.Context, s *session, route tables.Route, st statement.Statement, writes bool) *request {
+	timeout := route.StatementTimeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	q := &request{s: s, route: route, st: st, writes: writes, arrived: s.fleet.Now(), deadline: time.Now().Add(timeout)}
+	q.ctx, q.cancel = context.WithDeadline(ctx, q.deadline)
+	return q
+}
+
+// stage is how far a try came.
+type stage uint8
+
+const (
+	// notSent means that no byte of the statement left.
+	notSent stage = iota
+	// sent means that the statement may have run.
+	sent
+	// answered means that the server answered.
+	answered
+)
+
+// outcome is how one try ended.
+type outcome struct {
+	stage stage
+	reply statement.Reply
+	err   error
+	// refused says that the proxy itself had no room.
+	refused bool
+}
+
+func (q *request) admission() admit.Request {
+	return admit.Request{
+		Weight:   1,
+		Priority: -q.route.Priority,
+		Deadline: q.s.fleet.Now().Add(time.Until(q.deadline)),
+	}
+}
+
+// once runs the statement outside a transaction at one server.
+func (q *request) once(u *fleet.Upstream, after tables.Position) outcome {
+	q.last = u.ID()
+	pass, err := u.Enter(q.ctx, q.admission())
+	if err != nil {
+		return outcome{err: err, refused: true}
+	}
+	defer u.Leave(&pass)
+	c, err := u.Connect(q.ctx)
+	if err != nil {
+		return outcome{err: err}
+	}
+	st, out := q.prepare(u, c, false)
+	if out.err != nil || out.reply.Code != statement.OK {
+		u.Discard(c)
+		return out
+	}
+	st.After = after
+	r, err := u.Exchange(c, q.deadline, q.writes, st)
+	if err != nil {
+		u.Discard(c)
+		return outcome{stage: sent, err: err}
+	}
+	if r.Code == statement.NoStatement {
+		c.State.Lacks()
+	}
+	if r.State == statement.Idle {
+		u.Release(c)
+	} else {
+		u.Discard(c)
+	}
+	return outcome{stage: answered, reply: r}
+}
+
+// prepare tells the connection what it lacks for the statement, which it
+// returns under the connection's names.
+func (q *request) prepare(u *fleet.Upstream, c *links.Conn, inTransaction bool) (statement.Statement, outcome) {
+	list, st := preparation.Plan(&c.State, &q.s.state, q.st, inTransaction)
+	r, err := u.Prepare(c, q.deadline, list, inTransaction)
+	return st, outcome{reply: r, err: err}
+}
+
+// read serves a read that replicas may answer.
+func (q *request) read() statement.Reply {
+	need, ok := q.s.need(q.ctx, q.route, q.arrived)
+	if !ok {
+		return q.refuse("no primary tells how fresh the replicas are")
+	}
+	for {
+		u, ok := q.s.fleet.Reader(q.route.Group, q.tried)
+		if !ok {
+			if len(q.tried) == 0 && !q.anyServer() || !q.pause() {
+				return q.refuse("no server can answer")
+			}
+			q.tried = q.tried[:0]
+			continue
+		}
+		out := q.once(u, need)
+		if out.stage == answered && out.reply.Code == statement.OK {
+			return out.reply
+		}
+		if q.ctx.Err() != nil {
+			return q.timeout(out)
+		}
+		q.tried = append(q.tried, u.ID())
+	}
+}
+
+// anyServer reports whether waiting may help: a server exists but is barred.
+func (q *request) anyServer() bool { return time.Until(q.deadline) > busyPause }
+
+// readPrimary serves a read that needs every commit acknowledged before it.
+func (q *request) readPrimary() statement.Reply {
+	for {
+		l, reply, ok := q.leader()
+		if !ok {
+			return reply
+		}
+		proof := q.prove(l)
+		at := q.s.fleet.Now()
+		out := q.once(l.Upstream, tables.Position{})
+		switch {
+		case out.stage == answered && out.reply.Code == statement.OK:
+			if <-proof {
+				q.s.fleet.Observe(l, at, out.reply.Position)
+				return out.reply
+			}
+		case out.refused:
+			return q.refuse("the primary has no room")
+		}
+		if q.ctx.Err() != nil {
+			return q.timeout(out)
+		}
+		if !q.pause() {
+			return q.refuse("the primary does not answer")
+		}
+	}
+}
+
+// prove finds evidence, while the statement runs, that l led when the request
+// arrived.
+func (q *request) prove(l fleet.Leader) <-chan bool {
+	proof := make(chan bool, 1)
+	if q.s.fleet.LedNow(l, q.arrived) {
+		proof <- true
+		return proof
+	}
+	go func() { proof <- q.s.fleet.LedAt(q.ctx, l, q.arrived) }()
+	return proof
+}
+
+// leader returns the primary, waiting for one if it is expected in time. If ok
+// is false, the reply is the answer.
+func (q *request) leader() (fleet.Leader, statement.Reply, bool) {
+	for {
+		l, changed, expected, ok := q.s.fleet.Leader(q.route.Group)
+		if ok {
+			return l, statement.Reply{}, true
+		}
+		if !fleet.WaitFor(q.ctx, changed, expected) {
+			return l, q.refuseFor("no primary", expected), false
+		}
+	}
+}
+
+// write serves a single write. It is sent again only after a server's word
+// that it did not run.
+func (q *request) write() statement.Reply {
+	for {
+		l, reply, ok := q.leader()
+		if !ok {
+			return reply
+		}
+		at := q.s.fleet.Now()
+		out := q.once(l.Upstream, tables.Position{})
+		switch {
+		case out.stage == sent:
+			return q.unsure(out.err)
+		case out.stage == answered && out.reply.Code == statement.OK:
+			return q.committed(l, at, out.reply)
+		case out.stage == answered && !out.reply.Code.NotRun():
+			return out.reply
+		case out.refused:
+			return q.refuse("the primary has no room")
+		}
+		if q.ctx.Err() != nil || !q.pause() {
+			return q.refuse("the primary does not take the write")
+		}
+	}
+}
+
+// committed takes note of a commit that l acknowledged to a statement sent at at.
+func (q *request) committed(l fleet.Leader, at tables.Time, r statement.Reply) statement.Reply {
+	f := q.s.fleet
+	if f.Replaced(l) {
+		return statement.Refuse(statement.Unsure, statement.Idle, "the primary was replaced meanwhile")
+	}
+	f.Observe(l, at, r.Position)
+	f.Committed(l, at)
+	q.s.acknowledged(r.Position)
+	return r
+}
+
+// pause waits a moment before the next try; false means that there is no time.
+func (q *request) pause() bool {
+	return sleep.For(q.ctx, busyPause/2+rand.N(busyPause)) == nil
+}
+
+// refuse says that the statement did not run.
+func (q *request) refuse(why string) statement.Reply { return q.refuseFor(why, 0) }
+
+// refuseFor is refuse with the time after which it is worth to come back.
+func (q *request) refuseFor(why string, after time.Duration) statement.Reply {
+	after = max(after, comeBack)
+	after += rand.N(after/2 + 1)
+	return statement.Refuse(statement.Busy, q.s.status, fmt.Sprintf("%s, retry after %d ms", why, after.Milliseconds()))
+}
+
+// timeout answers a read whose time is over.
+func (q *request) timeout(out outcome) statement.Reply {
+	if out.stage == notSent {
+		return q.refuse("no room in time")
+	}
+	return statement.Refuse(statement.Timeout, q.s.status, "no answer in time")
+}
+
+func (q *request) unsure(err error) statement.Reply {
+	return statement.Refuse(statement.Unsure, statement.Idle, "the outcome was not learnt: "+err.Error())
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,223 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/pkg/errors"
+)
+
+// startupTimeout bounds a caller's first message where the configuration names no bound.
+const startupTimeout = 3 * time.Second
+
+// Caller is the codec's end of a caller's connection.
+type Caller interface {
+	// Startup reads which database the caller asks for.
+	Startup() (database string, err error)
+	// Welcome says that the session stands.
+	Welcome() error
+	// Reject answers a startup that is not accepted.
+	Reject(r statement.Reply) error
+	// Await returns once the next statement begins to arrive.
+	Await() error
+	// Next returns the next statement; ok is false when the caller ends the session.
+	Next() (st statement.Statement, ok bool, err error)
+	// Reply answers the last statement.
+	Reply(r statement.Reply) error
+	// SetReadDeadline bounds the reads that follow.
+	SetReadDeadline(t time.Time) error
+	// Close closes the connection.
+	Close() error
+}
+
+// Server serves callers' connections.
+type Server struct {
+	fleet *fleet.Fleet
+	wrap  func(net.Conn) Caller
+	log   *slog.Logger
+	lines *journal
+
+	mu       sync.Mutex
+	sessions map[*served]struct{}
+	wg       sync.WaitGroup
+	// closing says that resting sessions are closed.
+	closing atomic.Bool
+	// cutting says that open transactions are ended too.
+	cutting atomic.Bool
+}
+
+// served is one connection.
+type served struct {
+	caller Caller
+	// resting says that it waits for a statement.
+	resting atomic.Bool
+	open    atomic.Bool
+}
+
+// NewServer returns a server whose connections wrap makes.
+func NewServer(f *fleet.Fleet, wrap func(net.Conn) Caller, log *slog.Logger) *Server {
+	return &Server{
+		fleet:    f,
+		wrap:     wrap,
+		log:      logging.For(log, "relay"),
+		lines:    newJournal(log),
+		sessions: make(map[*served]struct{}),
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			s.log.Warn("A connection was not accepted.", "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		sv := &served{caller: s.wrap(nc)}
+		s.mu.Lock()
+		s.sessions[sv] = struct{}{}
+		s.mu.Unlock()
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.serve(ctx, sv)
+			_ = sv.caller.Close() // the session has ended
+			s.mu.Lock()
+			delete(s.sessions, sv)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// acceptPause is the pause after a failure to accept, such as too few descriptors.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) serve(ctx context.Context, sv *served) {
+	c := sv.caller
+	if c.SetReadDeadline(time.Now().Add(startupTimeout)) != nil {
+		return
+	}
+	database, err := c.Startup()
+	if err != nil {
+		s.lines.malformed(err)
+		return
+	}
+	sess := &session{fleet: s.fleet, log: s.lines, database: database}
+	if _, ok := sess.route(); !ok {
+		s.lines.rejected(database)
+		_ = c.Reject(statement.Refuse(statement.NoDatabase, statement.Idle, database)) // the caller is closed next
+		return
+	}
+	defer sess.close()
+	if c.Welcome() != nil {
+		return
+	}
+	for s.step(ctx, sv, sess) {
+	}
+}
+
+// step serves one statement; false ends the session.
+func (s *Server) step(ctx context.Context, sv *served, sess *session) bool {
+	if !s.await(sv, sess) {
+		return false
+	}
+	if sv.caller.SetReadDeadline(time.Now().Add(startupTimeout)) != nil {
+		return false
+	}
+	st, ok, err := sv.caller.Next()
+	if err != nil {
+		s.lines.malformed(err)
+		return false
+	}
+	return ok && sv.caller.Reply(sess.handle(ctx, st)) == nil
+}
+
+// await waits until a statement arrives; false means that the session ends.
+func (s *Server) await(sv *served, sess *session) bool {
+	for {
+		open := sess.status != statement.Idle
+		if !open && s.closing.Load() {
+			return false
+		}
+		if sess.status == statement.Open && s.cutting.Load() {
+			sess.expire("the proxy shuts down")
+		}
+		if sv.caller.SetReadDeadline(s.patience(sess)) != nil {
+			return false
+		}
+		sv.open.Store(open)
+		sv.resting.Store(true)
+		if s.closing.Load() && !open {
+			return false
+		}
+		err := sv.caller.Await()
+		sv.resting.Store(false)
+		switch {
+		case err == nil:
+			return true
+		case !isTimeout(err):
+			return false
+		case !s.closing.Load() && !s.cutting.Load():
+			sess.expire("the transaction rested for too long")
+		}
+	}
+}
+
+// patience returns until when the session may rest; zero is forever.
+func (s *Server) patience(sess *session) time.Time {
+	routing := s.fleet.Routing()
+	if sess.status != statement.Open || routing == nil || routing.IdleTransaction <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(routing.IdleTransaction)
+}
+
+// CloseResting closes the sessions that rest, now and from now on. Open
+// transactions go on; with transactions set they are ended too.
+func (s *Server) CloseResting(transactions bool) {
+	s.closing.Store(true)
+	if transactions {
+		s.cutting.Store(true)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sv := range s.sessions {
+		if sv.resting.Load() && (transactions || !sv.open.Load()) {
+			// Its wait ends with a timeout, unless a statement has just arrived.
+			_ = sv.caller.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// Wait waits until all sessions have ended or ctx ends; it returns how many remain.
+func (s *Server) Wait(ctx context.Context) int {
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return 0
+	case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.sessions)
+	}
+}
+
+func isTimeout(err error) bool {
+	t, ok := err.(interface{ Timeout() bool })
+	return ok && t.Timeout()
+}
--- /dev/null
+++ b/internal/sockopt/within.go
@@ -0,0 +1,21 @@
+package sockopt
+
+import (
+	"net"
+	"time"
+)
+
+// probes is how many keep-alive probes go unanswered before a connection is closed.
+const probes = 2
+
+// BoundWithin is Bound with a limit of the caller's: the kernel closes nc when
+// its other end has given no sign of life for about d.
+func BoundWithin(nc net.Conn, d time.Duration) {
+	tc, ok := nc.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	step := max(d/(probes+1), time.Second)
+	_ = tc.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: step, Interval: step, Count: probes})
+	setUserTimeout(tc, d)
+}
--- /dev/null
+++ b/internal/systems/freshness/freshness.go
@@ -0,0 +1,128 @@
+// Package freshness decides which log position a read must have seen, from
+// answers of a group's primary and from evidence that it still led.
+//
+// # Points
+//
+// A point is a pair of a moment and a position that the primary reported to a
+// statement sent no earlier than that moment. If the server was still the only
+// one to acknowledge commits at the moment, every commit acknowledged before
+// it lies at or below the position. An upstream that has applied the position
+// may answer a read that needs nothing newer.
+//
+// # Evidence
+//
+// A replacement of the primary is announced in the platform's store first and
+// ordered no earlier than Lease after the announcement and after the last
+// replica was held. So a look at the store that began at t and found no
+// announcement shows that nobody else acknowledges commits before t + Lease,
+// and so does a commit sent at t that the primary acknowledged after a replica
+// received it.
+//
+// Times are of a clock that counts suspensions of the machine.
+package freshness
+
+import (
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+const (
+	// Lease is how long evidence holds. It is a part of each failover's gap and
+	// must exceed the time between two looks at the store under load.
+	Lease = 400 * time.Millisecond
+	// Horizon is the age beyond which points are dropped; routes that accept
+	// older data get by with the oldest point kept.
+	Horizon = 10 * time.Second
+	// maxPoints bounds the points of one group.
+	maxPoints = 200
+	// spacing is the least time between two kept points.
+	spacing = Horizon / maxPoints
+)
+
+// Point is a position that the primary reported to a statement sent no earlier than At.
+type Point struct {
+	At       tables.Time
+	Position tables.Position
+}
+
+// Leadership is what a proxy knows of a group's primary.
+type Leadership struct {
+	// Primary leads, as far as is known; empty while unknown or being replaced.
+	Primary tables.UpstreamID
+	// Record is the version of the store's record that says so.
+	Record uint64
+	// ProvenAt is the beginning of the newest look or commit that gave evidence.
+	ProvenAt tables.Time
+	// points are in ascending order of At.
+	points []Point
+}
+
+// Lead takes note of who leads by a record. Points of another primary or an
+// older record say nothing of the new one.
+func (l *Leadership) Lead(primary tables.UpstreamID, record uint64) {
+	if l.Primary == primary && l.Record == record {
+		return
+	}
+	*l = Leadership{Primary: primary, Record: record}
+}
+
+// Prove takes note of evidence for the primary of a record, begun at at.
+func (l *Leadership) Prove(primary tables.UpstreamID, record uint64, at tables.Time) {
+	if l.Primary == primary && l.Record == record && at > l.ProvenAt {
+		l.ProvenAt = at
+	}
+}
+
+// LedAt reports whether the primary surely was the only one to acknowledge
+// commits at t.
+func (l *Leadership) LedAt(t tables.Time) bool {
+	return l.Primary != "" && l.ProvenAt != 0 && t < l.ProvenAt.Add(Lease)
+}
+
+// Note takes note of a position that the primary of a record reported to a
+// statement sent at at.
+func (l *Leadership) Note(primary tables.UpstreamID, record uint64, p Point) {
+	if l.Primary != primary || l.Record != record || p.Position == (tables.Position{}) {
+		return
+	}
+	n := len(l.points)
+	if n > 0 && (p.At <= l.points[n-1].At || !p.Position.AtLeast(l.points[n-1].Position)) {
+		return
+	}
+	if n > 1 && p.At.Sub(l.points[n-2].At) < spacing {
+		l.points[n-1] = p
+		return
+	}
+	l.points = append(l.points, p)
+	l.trim(p.At)
+}
+
+func (l *Leadership) trim(now tables.Time) {
+	drop := max(0, len(l.points)-maxPoints)
+	for drop < len(l.points) && now.Sub(l.points[drop].At) > Horizon {
+		drop++
+	}
+	if drop > 0 {
+		l.points = append(l.points[:0], l.points[drop:]...)
+	}
+}
+
+// Need returns the position that a read must have seen which accepts to miss
+// what was acknowledged after cut; ok is false if no proven point says so.
+func (l *Leadership) Need(cut tables.Time) (need tables.Position, ok bool) {
+	for _, p := range l.points {
+		if p.At >= cut {
+			return p.Position, l.LedAt(p.At)
+		}
+	}
+	return tables.Position{}, false
+}
+
+// NewestPoint returns when the newest point was taken; ok is false without one.
+func (l *Leadership) NewestPoint() (at tables.Time, ok bool) {
+	if len(l.points) == 0 {
+		return 0, false
+	}
+	return l.points[len(l.points)-1].At, true
+}
--- /dev/null
+++ b/internal/systems/place/place.go
@@ -0,0 +1,67 @@
+// Package place chooses the upstream for a read that several can answer. It
+// serves the load of many short reads with a few slots a server, which all
+// proxies share without telling each other: what a server's answers take shows
+// what the others send it.
+package place
+
+import (
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+const (
+	// crossDelay is what a server in another data centre costs beside its own
+	// time: the round trip and the bytes, which are dear between data centres.
+	crossDelay = 4 * time.Millisecond
+	// firstLatency is assumed of a server that has answered nothing yet.
+	firstLatency = 10 * time.Millisecond
+)
+
+// Candidate is an upstream as a proxy sees it.
+type Candidate struct {
+	// ID names the server.
+	ID tables.UpstreamID
+	// Local says that it runs in the proxy's data centre.
+	Local bool
+	// Barred says that it must not get the request: it is leaving, failing, or was tried.
+	Barred bool
+	// Slots is how many statements it runs at once, over all proxies.
+	Slots int
+	// Ahead is how many of this proxy's statements run or wait there.
+	Ahead int
+	// Latency is the smoothed time of its last answers; 0 means unknown.
+	Latency time.Duration
+}
+
+// Choose returns the index of the candidate that is expected to answer first;
+// ok is false if all are barred. Random decides between equal ones.
+func Choose(list []Candidate, random uint32) (best int, ok bool) {
+	var least time.Duration
+	n := len(list)
+	for k := range n {
+		i := (k + int(random%uint32(n))) % n
+		if list[i].Barred {
+			continue
+		}
+		if cost := expected(&list[i]); !ok || cost < least {
+			best, least, ok = i, cost, true
+		}
+	}
+	return best, ok
+}
+
+// expected returns when an answer of c is due: its last answers' time, longer
+// by what of this proxy's already fills its slots.
+func expected(c *Candidate) time.Duration {
+	latency := c.Latency
+	if latency == 0 {
+		latency = firstLatency
+	}
+	slots := max(c.Slots, 1)
+	cost := latency + latency*time.Duration(c.Ahead)/time.Duration(slots)
+	if !c.Local {
+		cost += crossDelay
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/tables/record.go
@@ -0,0 +1,29 @@
+package tables
+
+import "time"
+
+// PrimaryRecord is what the platform's store holds of a group's primary. A
+// group whose primary was never replaced has none. Term never decreases.
+type PrimaryRecord struct {
+	// Primary leads, or led when the replacement under way began.
+	Primary UpstreamID `json:"primary"`
+	// Term is the term under which Primary leads; 0 while it was never replaced.
+	Term Term `json:"term"`
+	// Replacing says that a replacement is under way.
+	Replacing bool `json:"replacing,omitempty"`
+	// Ordered is the server that the platform was, or is about to be, told to promote.
+	Ordered UpstreamID `json:"ordered,omitempty"`
+	// OrderedAt is the store's clock before that order.
+	OrderedAt time.Duration `json:"orderedAt,omitempty"`
+}
+
+// DutyRecord is what the platform's store holds of the duty to replace
+// primaries. One proxy at a time has it, for all groups.
+type DutyRecord struct {
+	// Holder has the duty.
+	Holder VMID `json:"holder"`
+	// Claim tells one claim of a holder from the next.
+	Claim string `json:"claim"`
+	// Until is the store's clock at which the duty ends.
+	Until time.Duration `json:"until"`
+}
