Keep the servers whose logs count in the store; serve reads while a group is frozen

Now the list lies in the store, and a server leaves it once another replica has all that the primary had applied since. Besides: a loop without a pause when a primary refuses connections (28 s of processor time), and reads that waited for a primary during a replacement now run on held replicas.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -95,6 +95,13 @@
 	leaderChanged chan struct{}
 	// promoteTook is how long the last order took to take effect.
 	promoteTook time.Duration
+	// members are the servers whose logs a replacement needs, as the store has them.
+	members        []tables.UpstreamID
+	membersVersion uint64
+	// membersBusy says that this proxy works on the list of members.
+	membersBusy bool
+	// membersRest is when it may do so again.
+	membersRest tables.Time
 	// announcedAt is when the replacement under way was learnt of.
 	announcedAt tables.Time
 }
--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -16,11 +16,12 @@
 )
 
 // The project's own table in the store: one row a group that ever had its
-// primary replaced, and one for the duty.
+// primary replaced, one for its members, and one for the duty.
 const (
-	recordTable = "cranberrystage"
-	groupPrefix = "group/"
-	dutyKey     = "duty"
+	recordTable   = "cranberrystage"
+	groupPrefix   = "group/"
+	membersPrefix = "members/"
+	dutyKey       = "duty"
 )
 
 const (
@@ -47,6 +48,10 @@
 	defer f.mu.Unlock()
 	seen := make(map[tables.GroupID]uint64, len(rows.Rows))
 	for _, r := range rows.Rows {
+		if id, ok := strings.CutPrefix(r.Key, membersPrefix); ok && !r.Dropped {
+			f.takeMembers(f.group(tables.GroupID(id)), r)
+			continue
+		}
 		id, ok := strings.CutPrefix(r.Key, groupPrefix)
 		if !ok || r.Dropped {
 			continue
@@ -78,7 +83,7 @@
 	if record.Replacing && !g.record.Replacing {
 		g.announcedAt = f.Now()
 	}
-	g.record, g.version, g.term = record, r.Version, record.Term
+	g.record, g.version = record, r.Version
 	f.lead(g)
 }
 
@@ -91,15 +96,27 @@
 	if g.version == 0 {
 		primary = f.firstPrimary(g.id)
 	}
+	if g.record.Replacing && g.record.Ordered != "" {
+		if g.Record != g.version || g.Leadership.Frozen != g.record.Safe {
+			g.Freeze(g.version, g.record.Safe)
+			g.announce()
+		}
+		return
+	}
 	if g.Primary == primary && g.Record == g.version {
 		return
 	}
 	f.log.Info("The primary of a group changed.", "group", g.id, "primary", primary, "before", g.Primary,
 		"record", g.version, "term", g.record.Term, "replacing", g.record.Replacing)
-	if g.Primary != primary {
+	if g.Primary != primary || g.record.Term != 0 {
 		g.term = g.record.Term
 	}
 	g.Lead(primary, g.version)
+	g.announce()
+}
+
+// announce wakes all that wait for news of the primary.
+func (g *group) announce() {
 	close(g.leaderChanged)
 	g.leaderChanged = make(chan struct{})
 }
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -40,6 +40,9 @@
 			break
 		}
 		f.dropGone()
+		for _, w := range f.membersToKeep() {
+			go f.keepMembers(ctx, w)
+		}
 		for _, w := range f.judge() {
 			switch {
 			case w.cause != replace.CauseNone:
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/systems/place"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
@@ -22,22 +23,45 @@
 			return need, true
 		}
 		l, changed, expected, led := f.Leader(id)
-		if !led {
-			if !WaitFor(ctx, changed, expected) {
-				return tables.Position{}, false
-			}
-			continue
+		switch {
+		case led:
+			f.seekPoint(ctx, l)
+		case f.Frozen(id):
+			f.seekFrozen(ctx)
+		case !WaitFor(ctx, changed, expected):
+			return tables.Position{}, false
 		}
-		at := f.Now()
-		if f.refreshPoint(ctx, l) != nil || !f.LedAt(ctx, l, at) {
-			if ctx.Err() != nil {
-				return tables.Position{}, false
-			}
-			continue
+		if ctx.Err() != nil {
+			return tables.Position{}, false
 		}
 	}
 }
 
+// seekPoint makes one try to get a proven point from a primary.
+func (f *Fleet) seekPoint(ctx context.Context, l Leader) {
+	at := f.Now()
+	if err := f.refreshPoint(ctx, l); err != nil {
+		_ = sleep.For(ctx, proofPause) // the caller looks at ctx
+		return
+	}
+	f.LedAt(ctx, l, at)
+}
+
+// seekFrozen makes one try to get a point from the store.
+func (f *Fleet) seekFrozen(ctx context.Context) {
+	if err := f.look(ctx); err != nil {
+		_ = sleep.For(ctx, proofPause) // the caller looks at ctx
+	}
+}
+
+// Frozen reports whether a group has no primary and a position that covers all
+// acknowledged commits.
+func (f *Fleet) Frozen(id tables.GroupID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.group(id).Leadership.Frozen != tables.Position{}
+}
+
 // WaitFor waits for a change that is expected within a time. It returns false
 // at once if that is beyond ctx's end, or if nothing is expected.
 func WaitFor(ctx context.Context, changed <-chan struct{}, expected time.Duration) bool {
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -144,7 +144,11 @@
 func (f *Fleet) survey(ctx context.Context, id tables.GroupID, cause replace.Cause, l Leader) error {
 	f.mu.Lock()
 	replicas := f.members(id, func(u *Upstream) bool { return u != l.Upstream && !f.gone(u) })
+	lost, ok := f.lostMember(f.group(id))
 	f.mu.Unlock()
+	if ok {
+		return errLostMember(lost)
+	}
 	if len(replicas) == 0 {
 		return errors.New("no replica is known")
 	}
@@ -267,6 +271,9 @@
 	if a.version == 0 {
 		a.record.Primary = f.group(a.id).Primary
 	}
+	if lost, ok := f.lostMember(f.group(a.id)); ok {
+		return d, errLostMember(lost)
+	}
 	return d, nil
 }
 
@@ -468,7 +475,7 @@
 		return errors.New("no replica is held")
 	}
 	next := a.record
-	next.Ordered, next.OrderedAt = best.ID, a.clock
+	next.Ordered, next.OrderedAt, next.Safe = best.ID, a.clock, best.Account.Received
 	if err := a.update(ctx, next); err != nil {
 		return err
 	}
@@ -488,7 +495,7 @@
 	err := f.Promoter.Promote(orderCtx, d.token, a.id, best.ID)
 	cancel()
 	if errors.Is(err, f.Codec.NotRunning) || errors.Is(err, platform.ErrUnavailable) {
-		next.Ordered, next.OrderedAt = "", 0
+		next.Ordered, next.OrderedAt, next.Safe = "", 0, tables.Position{}
 		if uerr := a.update(ctx, next); uerr != nil {
 			f.log.Warn("An order that was refused stays on record.", "group", a.id, "error", uerr)
 		}
@@ -564,7 +571,7 @@
 		return false, errors.Errorf("the order for %s may still take effect", a.record.Ordered)
 	}
 	next := a.record
-	next.Ordered, next.OrderedAt = "", 0
+	next.Ordered, next.OrderedAt, next.Safe = "", 0, tables.Position{}
 	return false, a.update(ctx, next)
 }
 
@@ -575,7 +582,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout)
 	defer cancel()
 	next := a.record
-	next.Replacing, next.Ordered = false, ""
+	next.Replacing, next.Ordered, next.OrderedAt, next.Safe = false, "", 0, tables.Position{}
 	if err := a.update(ctx, next); err != nil {
 		f.log.Warn("A replacement that was given up stays announced.", "group", a.id, "error", err)
 		return
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -20,6 +20,9 @@
 	defaultTimeout = 5 * time.Second
 	// busyPause is the mean pause before a server that was busy is asked again.
 	busyPause = 15 * time.Millisecond
+	// freezeTime is how long the replicas of a group take to be held after the
+	// announcement of a replacement.
+	freezeTime = 60 * time.Millisecond
 )
 
 // request is one statement on its way.
@@ -151,9 +154,16 @@
 // readPrimary serves a read that needs every commit acknowledged before it.
 func (q *request) readPrimary() statement.Reply {
 	for {
-		l, reply, ok := q.leader()
+		if q.s.fleet.Frozen(q.route.Group) {
+			return q.read()
+		}
+		l, changed, expected, ok := q.s.fleet.Leader(q.route.Group)
 		if !ok {
-			return reply
+			// The group is about to be frozen, or stays without a primary.
+			if !fleet.WaitFor(q.ctx, changed, min(expected, freezeTime)) {
+				return q.refuseFor("no primary", expected)
+			}
+			continue
 		}
 		proof := q.prove(l)
 		at := q.s.fleet.Now()
--- a/internal/systems/freshness/freshness.go
+++ b/internal/systems/freshness/freshness.go
@@ -18,6 +18,13 @@
 // and so does a commit sent at t that the primary acknowledged after a replica
 // received it.
 //
+// # Frozen groups
+//
+// While all replicas are held and the new primary is not named yet, nobody
+// acknowledges commits: the newest position that was received covers all that
+// were. Every look at the store that finds the group still in this state is a
+// point of its own, so that reads go on during a replacement.
+//
 // Times are of a clock that counts suspensions of the machine.
 package freshness
 
@@ -52,8 +59,14 @@
 	Primary tables.UpstreamID
 	// Record is the version of the store's record that says so.
 	Record uint64
+	// Frozen is the position that covers all acknowledged commits while there is
+	// no primary; zero otherwise.
+	Frozen tables.Position
 	// ProvenAt is the beginning of the newest look or commit that gave evidence.
 	ProvenAt tables.Time
+	// thawedAt is the ProvenAt that came with the points of a frozen group: they
+	// are proven, but nothing shows yet that the new primary leads.
+	thawedAt tables.Time
 	// points are in ascending order of At.
 	points []Point
 }
@@ -64,28 +77,55 @@
 	if l.Primary == primary && l.Record == record {
 		return
 	}
+	points := l.points
+	thawed := l.Frozen != (tables.Position{})
 	*l = Leadership{Primary: primary, Record: record}
+	if thawed {
+		// The new primary has received the frozen position, so that the points stay true.
+		l.points = points
+		if len(points) > 0 {
+			l.ProvenAt = points[len(points)-1].At
+			l.thawedAt = l.ProvenAt
+		}
+	}
+}
+
+// Freeze takes note that a record names no primary and that position covers
+// all acknowledged commits.
+func (l *Leadership) Freeze(record uint64, position tables.Position) {
+	if l.Record == record && l.Frozen == position {
+		return
+	}
+	*l = Leadership{Record: record, Frozen: position}
 }
 
 // Prove takes note of evidence for the primary of a record, begun at at.
 func (l *Leadership) Prove(primary tables.UpstreamID, record uint64, at tables.Time) {
-	if l.Primary == primary && l.Record == record && at > l.ProvenAt {
-		l.ProvenAt = at
+	if l.Primary != primary || l.Record != record || at <= l.ProvenAt {
+		return
+	}
+	l.ProvenAt = at
+	if l.Frozen != (tables.Position{}) {
+		l.add(Point{At: at, Position: l.Frozen})
 	}
 }
 
 // LedAt reports whether the primary surely was the only one to acknowledge
 // commits at t.
 func (l *Leadership) LedAt(t tables.Time) bool {
-	return l.Primary != "" && l.ProvenAt != 0 && t < l.ProvenAt.Add(Lease)
+	return l.Primary != "" && l.ProvenAt > l.thawedAt && t < l.ProvenAt.Add(Lease)
 }
 
 // Note takes note of a position that the primary of a record reported to a
 // statement sent at at.
 func (l *Leadership) Note(primary tables.UpstreamID, record uint64, p Point) {
-	if l.Primary != primary || l.Record != record || p.Position == (tables.Position{}) {
+	if l.Primary == "" || l.Primary != primary || l.Record != record || p.Position == (tables.Position{}) {
 		return
 	}
+	l.add(p)
+}
+
+func (l *Leadership) add(p Point) {
 	n := len(l.points)
 	if n > 0 && (p.At <= l.points[n-1].At || !p.Position.AtLeast(l.points[n-1].Position)) {
 		return
@@ -113,7 +153,7 @@
 func (l *Leadership) Need(cut tables.Time) (need tables.Position, ok bool) {
 	for _, p := range l.points {
 		if p.At >= cut {
-			return p.Position, l.LedAt(p.At)
+			return p.Position, p.At <= l.ProvenAt || l.LedAt(p.At)
 		}
 	}
 	return tables.Position{}, false
--- /dev/null
+++ b/internal/systems/replace/members.go
@@ -0,0 +1,38 @@
+package replace
+
+import (
+	"slices"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// Members returns the list of a group's members after present ones were added
+// and covered ones removed, in ascending order, and whether it differs. A
+// member that ended stays on the list until it is covered: another replica has
+// all that it may have received.
+func Members(list, present, covered []tables.UpstreamID) (next []tables.UpstreamID, differs bool) {
+	for _, id := range list {
+		if !slices.Contains(covered, id) || slices.Contains(present, id) {
+			next = append(next, id)
+		}
+	}
+	for _, id := range present {
+		if !slices.Contains(next, id) {
+			next = append(next, id)
+		}
+	}
+	slices.Sort(next)
+	return next, !slices.Equal(list, next)
+}
+
+// Ended returns the members that are not present, without the primary: its log
+// is what the others are measured by.
+func Ended(list, present []tables.UpstreamID, primary tables.UpstreamID) []tables.UpstreamID {
+	var out []tables.UpstreamID
+	for _, id := range list {
+		if id != primary && !slices.Contains(present, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/internal/tables/record.go
+++ b/internal/tables/record.go
@@ -13,6 +13,10 @@
 	Replacing bool `json:"replacing,omitempty"`
 	// Ordered is the server that the platform was, or is about to be, told to promote.
 	Ordered UpstreamID `json:"ordered,omitempty"`
+	// Safe is the newest position that any held replica had received; valid with
+	// Ordered. Until the record names the new primary, no commit beyond it is
+	// acknowledged.
+	Safe Position `json:"safe,omitzero"`
 	// OrderedAt is the store's clock before that order.
 	OrderedAt time.Duration `json:"orderedAt,omitempty"`
 }
