--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -33,6 +33,8 @@
 	askTimeout = 400 * time.Millisecond
 	// proofPause is the pause between two tries to get evidence.
 	proofPause = 15 * time.Millisecond
+	// proofTries bounds the tries to get evidence for one request.
+	proofTries = 3
 )
 
 func (f *Fleet) watchRecords(ctx context.Context) {
@@ -242,9 +244,10 @@
 	return g.Primary == l.Upstream.entry.ID && g.Record == l.record && g.Leadership.LedAt(t)
 }
 
-// LedAt reports whether l surely led at t, looking for evidence until ctx ends.
+// LedAt reports whether l surely led at t. It gives up after a few tries to
+// find evidence: the caller then does better at another proxy.
 func (f *Fleet) LedAt(ctx context.Context, l Leader, t tables.Time) bool {
-	for {
+	for try := 0; ; try++ {
 		f.mu.Lock()
 		g := l.group
 		current := g.Primary == l.Upstream.entry.ID && g.Record == l.record
@@ -254,7 +257,7 @@
 		if !current || led {
 			return current && led
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || try >= proofTries {
 			return false
 		}
 		f.seekEvidence(ctx, l, lost)
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -15,7 +15,7 @@
 // accepts to miss what was acknowledged after cut. It asks the primary for a
 // point if none is at hand, until ctx ends.
 func (f *Fleet) Need(ctx context.Context, id tables.GroupID, cut tables.Time) (tables.Position, bool) {
-	for {
+	for try := 0; ; try++ {
 		f.mu.Lock()
 		need, ok := f.group(id).Need(cut)
 		f.mu.Unlock()
@@ -31,7 +31,7 @@
 		case !WaitFor(ctx, changed, expected):
 			return tables.Position{}, false
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || try >= proofTries {
 			return tables.Position{}, false
 		}
 	}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -45,6 +45,8 @@
 	barredUntil tables.Time
 	refused     tables.Time
 	answeredAt  tables.Time
+	// dialFailed says that the last attempt to connect failed.
+	dialFailed bool
 	// waiting holds when statements without an answer were sent, by token.
 	waiting map[uint64]sent
 	next    uint64
@@ -106,10 +108,22 @@
 		u.bar(failurePause / 4)
 	default:
 		u.failed(token, err)
+		u.mu.Lock()
+		u.dialFailed = true
+		u.mu.Unlock()
 	}
 	return c, err
 }
 
+// Unreachable reports whether the server has neither answered nor taken a
+// connection since it was last tried. One connection that broke says nothing
+// yet: new ones may work.
+func (u *Upstream) Unreachable() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.dialFailed || u.silentMark() > u.answeredAt
+}
+
 // Release gives a connection back that has no answer outstanding.
 func (u *Upstream) Release(c *links.Conn) { u.pool.Put(c) }
 
@@ -142,7 +156,7 @@
 	s, ok := u.waiting[token]
 	delete(u.waiting, token)
 	u.answeredAt = now
-	u.refused = 0
+	u.refused, u.dialFailed = 0, false
 	if !ok || !timed {
 		return
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -20,6 +20,8 @@
 	defaultTimeout = 5 * time.Second
 	// busyPause is the mean pause before a server that was busy is asked again.
 	busyPause = 15 * time.Millisecond
+	// leastPatience is how long a request is tried at least.
+	leastPatience = 60 * time.Millisecond
 	// freezeTime is how long the replicas of a group take to be held after the
 	// announcement of a replacement.
 	freezeTime = 60 * time.Millisecond
@@ -131,7 +133,7 @@
 	for {
 		u, ok := q.s.fleet.Reader(q.route.Group, q.tried)
 		if !ok {
-			if len(q.tried) == 0 && !q.anyServer() || !q.pause() {
+			if !q.pause() {
 				return q.refuse("no server can answer")
 			}
 			q.tried = q.tried[:0]
@@ -148,9 +150,6 @@
 	}
 }
 
-// anyServer reports whether waiting may help: a server exists but is barred.
-func (q *request) anyServer() bool { return time.Until(q.deadline) > busyPause }
-
 // readPrimary serves a read that needs every commit acknowledged before it.
 func (q *request) readPrimary() statement.Reply {
 	for {
@@ -165,6 +164,9 @@
 			}
 			continue
 		}
+		if l.Upstream.Unreachable() {
+			return q.refuse("the primary does not answer")
+		}
 		proof := q.prove(l)
 		at := q.s.fleet.Now()
 		out := q.once(l.Upstream, tables.Position{})
@@ -203,6 +205,9 @@
 func (q *request) leader() (fleet.Leader, statement.Reply, bool) {
 	for {
 		l, changed, expected, ok := q.s.fleet.Leader(q.route.Group)
+		if ok && l.Upstream.Unreachable() {
+			return l, q.refuse("the primary does not answer"), false
+		}
 		if ok {
 			return l, statement.Reply{}, true
 		}
@@ -250,8 +255,12 @@
 	return r
 }
 
-// pause waits a moment before the next try; false means that there is no time.
+// pause waits a moment before the next try; false means that trying on takes
+// more of the request's time than the caller can spare: another proxy may serve it.
 func (q *request) pause() bool {
+	if q.s.fleet.Now().Sub(q.arrived) > max(q.route.Target/2, leastPatience) {
+		return false
+	}
 	return sleep.For(q.ctx, busyPause/2+rand.N(busyPause)) == nil
 }
 
