Reload the settings on SIGHUP; probe a primary while it is being replaced; test replacements on a virtual clock

Found by the new tests: a primary that came back was never tried again while a replacement was pending, and a primary cut from its replicas was not noticed, as its commits timed out before they counted as hanging.

--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cranberrystage/cranberrystage/internal/boottime"
@@ -52,13 +53,13 @@
 	if *check {
 		return
 	}
-	if err := serve(s); err != nil {
+	if err := serve(*path, s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
 }
 
-func serve(s settings.Entry) error {
+func serve(path string, s settings.Entry) error {
 	log := logging.New(os.Stdout, slog.LevelInfo)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -85,9 +86,53 @@
 	if err != nil {
 		return err
 	}
+	go reload(ctx, path, p, log)
 	return p.Run(ctx)
 }
 
+// reloadInterval is how often the settings file is looked at: it may change
+// without a signal.
+const reloadInterval = 5 * time.Second
+
+// reload puts a changed settings file in force until ctx ends.
+func reload(ctx context.Context, path string, p *entry.Proxy, log *slog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	tick := time.NewTicker(reloadInterval)
+	defer tick.Stop()
+	last := modified(path)
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			signalled = true
+		case <-tick.C:
+		}
+		now := modified(path)
+		if !signalled && now.Equal(last) {
+			continue
+		}
+		last = now
+		s, err := process.Load(path)
+		if err != nil {
+			log.Error("entry: Kept the settings in force, the changed ones can't be used.", "error", err)
+			continue
+		}
+		p.Reload(s)
+	}
+}
+
+// modified returns when the file was changed last; the zero time if it can't be read now.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // opener returns how connections to servers are opened.
 func opener(vm tables.VMID) links.Open {
 	return func(ctx context.Context, e tables.Entry) (links.Link, statement.Reply, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,7 @@
 
 // Proxy is the daemon of an entry VM.
 type Proxy struct {
+	mu       sync.Mutex
 	settings settings.Entry
 	fleet    *fleet.Fleet
 	server   *relay.Server
@@ -63,6 +65,28 @@
 	}
 }
 
+// Reload puts changed settings in force. Addresses and names stay until the
+// next start, because callers and servers use them.
+func (p *Proxy) Reload(s settings.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.settings
+	now.Grace, now.DrainLimit = s.Grace, s.DrainLimit
+	if s != p.settings {
+		p.log.Info("Reloaded the settings.", "grace", s.Grace, "drainLimit", s.DrainLimit, "restartNeeded", now != s)
+	} else {
+		p.log.Info("Reloaded the settings, nothing changed.")
+	}
+	p.settings = now
+	p.fleet.SetDrainLimit(s.DrainLimit)
+}
+
+func (p *Proxy) grace() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settings.Grace
+}
+
 // Run serves until ctx ends, then lets callers go: first the balancer learns
 // of it, then resting sessions are closed, then open transactions are ended.
 func (p *Proxy) Run(ctx context.Context) error {
@@ -86,12 +110,13 @@
 func (p *Proxy) shutdown(ctx context.Context) {
 	began := time.Now()
 	p.leaving.Store(true)
-	p.log.Info("Stopping.", "grace", p.settings.Grace)
-	ctx, cancel := context.WithDeadline(ctx, began.Add(p.settings.Grace-endMargin))
+	grace := p.grace()
+	p.log.Info("Stopping.", "grace", grace)
+	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-endMargin))
 	defer cancel()
 	_ = sleep.For(ctx, rotationTime) // ctx only ends later
 	p.server.CloseResting(false)
-	half, cancelHalf := context.WithDeadline(ctx, began.Add(p.settings.Grace/2))
+	half, cancelHalf := context.WithDeadline(ctx, began.Add(grace/2))
 	left := p.server.Wait(half)
 	cancelHalf()
 	if left > 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -119,6 +119,13 @@
 // Routing returns the configuration in force, or nil before the first one.
 func (f *Fleet) Routing() *tables.Routing { return f.routing.Load() }
 
+// SetDrainLimit changes how long after its notice a leaving server may get new work.
+func (f *Fleet) SetDrainLimit(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.DrainLimit = d
+}
+
 // Ready reports whether callers can be served.
 func (f *Fleet) Ready() bool {
 	f.mu.Lock()
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -44,15 +44,16 @@
 			go f.keepMembers(ctx, w)
 		}
 		for _, w := range f.judge() {
-			switch {
-			case w.cause != replace.CauseNone:
-				go f.takeOver(ctx, w.id, w.cause, w.leader)
-			case w.troubled && !probing[w.leader.Upstream.ID()]:
+			if w.troubled && !probing[w.leader.Upstream.ID()] {
 				probing[w.leader.Upstream.ID()] = true
 				go func() {
 					w.leader.Upstream.probe(ctx)
 					ended <- w.leader.Upstream.ID()
 				}()
+			}
+			switch {
+			case w.cause != replace.CauseNone && w.due:
+				go f.takeOver(ctx, w.id, w.cause, w.leader)
 			case w.askTerm && f.Now().Sub(asked[w.id]) > termPause:
 				asked[w.id] = f.Now()
 				go f.learnTerm(ctx, w.leader)
@@ -68,6 +69,8 @@
 	id     tables.GroupID
 	leader Leader
 	cause  replace.Cause
+	// due says that a replacement may begin now.
+	due bool
 	// troubled says that the primary does not answer and is to be probed.
 	troubled bool
 	askTerm  bool
@@ -80,10 +83,7 @@
 	now := f.Now()
 	var out []watched
 	for id, g := range f.groups {
-		if g.replacing || now < g.restUntil || f.storeLostAt != 0 {
-			continue
-		}
-		w := watched{id: id}
+		w := watched{id: id, due: !g.replacing && now >= g.restUntil && f.storeLostAt == 0}
 		u, ok := f.upstreams[g.Primary]
 		switch {
 		case g.record.Replacing:
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -47,6 +47,9 @@
 	answeredAt  tables.Time
 	// dialFailed says that the last attempt to connect failed.
 	dialFailed bool
+	// commitLost is when the oldest commit was sent that got no answer, with no
+	// commit answered since; 0 without one.
+	commitLost tables.Time
 	// waiting holds when statements without an answer were sent, by token.
 	waiting map[uint64]sent
 	next    uint64
@@ -157,6 +160,9 @@
 	delete(u.waiting, token)
 	u.answeredAt = now
 	u.refused, u.dialFailed = 0, false
+	if s.commit {
+		u.commitLost = 0
+	}
 	if !ok || !timed {
 		return
 	}
@@ -181,6 +187,9 @@
 	} else if u.refused == 0 {
 		u.refused = now
 	}
+	if s.commit && u.commitLost == 0 {
+		u.commitLost = s.at
+	}
 	delete(u.waiting, token)
 	u.barredUntil = now.Add(failurePause)
 }
@@ -210,6 +219,9 @@
 			commit = s.at
 		}
 	}
+	if u.commitLost != 0 && (commit == 0 || u.commitLost < commit) {
+		commit = u.commitLost
+	}
 	return silent, commit, u.refused
 }
 
--- /dev/null
+++ b/internal/relay/replace_test.go
@@ -0,0 +1,199 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
+	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"gotest.tools/v3/assert"
+)
+
+func TestCalmLoadIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(5 * time.Second)
+		l.end()
+		assert.Equal(t, l.refused, 0)
+		assert.Assert(t, l.served > 1000, "served %d", l.served)
+	})
+}
+
+// gapLimit is the target for a killed primary: writes are served again within
+// a second plus the platform's own time for a promotion.
+const gapLimit = time.Second + time.Second
+
+func TestCrashedPrimaryIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.group.Change("s1", (*dbgroup.Server).Crash)
+		time.Sleep(5 * time.Second)
+		l.end()
+		assert.Equal(t, w.group.Promotions(), 1)
+		assert.Assert(t, l.longestGap <= gapLimit, "gap %s", l.longestGap)
+	})
+}
+
+func TestSilentPrimaryIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.group.Change("s1", func(s *dbgroup.Server) { s.SetSilent(true); s.SetIsolated(true) })
+		time.Sleep(6 * time.Second)
+		l.end()
+		assert.Equal(t, w.group.Promotions(), 1)
+	})
+}
+
+func TestLeavingPrimaryIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.mark(w.leaving, "s1")
+		time.Sleep(5 * time.Second)
+		l.end()
+		assert.Equal(t, w.group.Promotions(), 1)
+		assert.Assert(t, w.group.Primary() != "s1")
+	})
+}
+
+// The primary's replicas are cut off from it: it answers, but ends no commit,
+// and its own log runs ahead.
+func TestPrimaryCutFromItsReplicasIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.group.Change("s1", func(s *dbgroup.Server) { s.SetIsolated(true) })
+		time.Sleep(8 * time.Second)
+		l.end()
+		assert.Equal(t, w.group.Promotions(), 1)
+	})
+}
+
+func TestPrimaryThatOneProxyCantReachStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.sever("vm0", "s1", true)
+		time.Sleep(4 * time.Second)
+		w.sever("vm0", "s1", false)
+		time.Sleep(time.Second)
+		l.end()
+		assert.Equal(t, w.group.Promotions(), 0)
+	})
+}
+
+// A leaving replica was the only one to receive the primary's last commits,
+// and ends before the primary crashes. A proxy that starts afterwards does not
+// know of it. Seen on the bench as LOST (batbayar-stock, mix, seed 263297380034).
+func TestPrimaryWithTheOnlyCopyIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.mark(w.leaving, "s2")
+		time.Sleep(time.Second)
+		w.group.Change("s3", func(s *dbgroup.Server) { s.SetDeaf(true) })
+		time.Sleep(500 * time.Millisecond)
+		w.group.Change("s1", (*dbgroup.Server).Crash)
+		w.group.Change("s2", (*dbgroup.Server).Crash)
+		w.mark(w.gone, "s2")
+		w.proxies[1].stop()
+		w.proxies[1] = w.startProxy(1)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, w.group.Promotions(), 0)
+		w.group.Change("s3", func(s *dbgroup.Server) { s.SetDeaf(false) })
+		w.group.Change("s1", (*dbgroup.Server).Restart)
+		time.Sleep(3 * time.Second)
+		served := w.write(w.proxies[1].session(newest), "last", 1)
+		l.end()
+		assert.Equal(t, served.Code, statement.OK, served.Detail)
+	})
+}
+
+func TestStoreOutageMakesNoPromotion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.store.SetFaults(metadata.Faults{Down: true})
+		time.Sleep(8 * time.Second)
+		w.store.SetFaults(metadata.Faults{})
+		time.Sleep(4 * time.Second)
+		l.end()
+		assert.Equal(t, w.group.Promotions(), 0)
+		assert.Assert(t, l.served > 2000, "served %d", l.served)
+	})
+}
+
+// While the store is away the primary crashes: it is replaced once the store
+// is back, and nothing is lost or read stale before.
+func TestPrimaryThatCrashesInAStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.store.SetFaults(metadata.Faults{Down: true})
+		time.Sleep(time.Second)
+		w.group.Change("s1", (*dbgroup.Server).Crash)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.group.Promotions(), 0)
+		w.store.SetFaults(metadata.Faults{})
+		time.Sleep(5 * time.Second)
+		l.end()
+		assert.Equal(t, w.group.Promotions(), 1)
+	})
+}
+
+func TestLostAndLateWritesOfTheStore(t *testing.T) {
+	for name, faults := range map[string]metadata.Faults{
+		"lost": {LoseWrites: true},
+		"late": {LateWrites: 3 * time.Second},
+		"slow": {Slow: 240 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 3)
+				l := w.startLoad()
+				time.Sleep(2 * time.Second)
+				w.store.SetFaults(faults)
+				time.Sleep(200 * time.Millisecond)
+				w.group.Change("s1", (*dbgroup.Server).Crash)
+				time.Sleep(8 * time.Second)
+				w.store.SetFaults(metadata.Faults{})
+				time.Sleep(12 * time.Second)
+				r := w.write(w.proxies[0].session(newest), "last", 1)
+				l.end()
+				assert.Equal(t, r.Code, statement.OK, r.Detail)
+				assert.Assert(t, w.group.Promotions() >= 1)
+			})
+		})
+	}
+}
+
+// A request for a primary that can't be reached is refused long before its
+// time is over, so that its caller can try another proxy.
+func TestUnreachablePrimaryIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.sever("vm0", "s1", true)
+		time.Sleep(3 * time.Second)
+		at := time.Now()
+		r := w.proxies[0].session(newest).run(statement.Write, "x 1")
+		assert.Equal(t, r.Code, statement.Busy)
+		assert.Assert(t, time.Since(at) < 100*time.Millisecond, "refused after %s", time.Since(at))
+		w.sever("vm0", "s1", false)
+		l.end()
+	})
+}
--- /dev/null
+++ b/internal/relay/world_test.go
@@ -0,0 +1,400 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
+	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"gotest.tools/v3/assert"
+)
+
+// Databases of the tests' configuration, by what their reads must have seen.
+const (
+	newest  = "newest"
+	bounded = "bounded"
+	own     = "own"
+)
+
+const (
+	testTimeout = time.Second
+	testMaxAge  = 1500 * time.Millisecond
+)
+
+// world is a set-up of proxies before one database group, in memory and on a
+// virtual clock.
+type world struct {
+	t       *testing.T
+	ctx     context.Context
+	began   time.Time
+	store   *metadata.Store
+	group   *dbgroup.Group
+	proxies []*proxyUnderTest
+
+	mu sync.Mutex
+	// cut are the servers that a proxy can't reach.
+	cut map[string]bool
+	// gone are servers whose entries were removed for good.
+	gone map[tables.UpstreamID]bool
+	// leaving are servers that report that they leave.
+	leaving map[tables.UpstreamID]bool
+	// acked holds, by item, the values that writers were told to be kept.
+	acked map[string][]ackedValue
+}
+
+type ackedValue struct {
+	at    time.Time
+	value int
+}
+
+type proxyUnderTest struct {
+	w     *world
+	vm    tables.VMID
+	fleet *fleet.Fleet
+	lines *journal
+	stop  context.CancelFunc
+	store *proxyStore
+}
+
+// proxyStore is the store as one proxy reaches it.
+type proxyStore struct {
+	*metadata.Store
+}
+
+var servers = []tables.UpstreamID{"s1", "s2", "s3"}
+
+func newWorld(t *testing.T, proxies int) *world {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	w := &world{
+		t: t, ctx: ctx, began: time.Now(), store: metadata.New(),
+		cut: make(map[string]bool), gone: make(map[tables.UpstreamID]bool),
+		leaving: make(map[tables.UpstreamID]bool), acked: make(map[string][]ackedValue),
+	}
+	var entries []tables.Entry
+	for i, id := range servers {
+		entries = append(entries, tables.Entry{
+			ID: id, Group: "g", Address: fmt.Sprintf("10.0.0.%d:1", i), Slots: 3, StartedAt: 1,
+			DataCentre: tables.DataCentreID(fmt.Sprintf("dc%d", i)),
+		})
+	}
+	w.group = dbgroup.New("g", entries...)
+	w.configure(1)
+	go w.reportEntries()
+	for i := range proxies {
+		w.proxies = append(w.proxies, w.startProxy(i))
+	}
+	time.Sleep(time.Second)
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+	return w
+}
+
+func (w *world) configure(version uint64) {
+	route := func(name string, f tables.Freshness) tables.Route {
+		return tables.Route{Name: name, Database: name, Group: "g", Freshness: f, MaxAge: testMaxAge,
+			StatementTimeout: testTimeout, Target: 200 * time.Millisecond}
+	}
+	value, err := json.Marshal(tables.Routing{
+		Version: version,
+		Routes: map[string]tables.Route{
+			newest: route(newest, tables.FreshNewest), bounded: route(bounded, tables.FreshBounded), own: route(own, tables.FreshSession),
+		},
+		Groups: map[tables.GroupID]tables.GroupLimits{"g": {Connections: 22, SyncReplicas: 1}},
+	})
+	assert.NilError(w.t, err)
+	w.store.Put("op", "config", value)
+}
+
+// reportEntries writes servers' entries when they change, and drops those of
+// servers that are gone or silent for three check-ins.
+func (w *world) reportEntries() {
+	last := make(map[tables.UpstreamID]string)
+	for w.ctx.Err() == nil {
+		for _, id := range servers {
+			e := w.group.Entry(id)
+			w.mu.Lock()
+			e.Leaving = w.leaving[id]
+			gone := w.gone[id]
+			w.mu.Unlock()
+			value, err := json.Marshal(e)
+			assert.NilError(w.t, err)
+			switch {
+			case gone && last[id] != "":
+				w.store.Drop("servers", string(id))
+				last[id] = ""
+			case !gone && last[id] != string(value):
+				w.store.Put("servers", string(id), value)
+				last[id] = string(value)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (w *world) mark(set map[tables.UpstreamID]bool, id tables.UpstreamID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	set[id] = true
+}
+
+// sever cuts or mends the way from a proxy to a server.
+func (w *world) sever(vm tables.VMID, id tables.UpstreamID, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[string(vm)+"/"+string(id)] = on
+}
+
+func (w *world) severed(vm tables.VMID, id tables.UpstreamID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut[string(vm)+"/"+string(id)]
+}
+
+// pathLink is a session over a way that may be cut.
+type pathLink struct {
+	*dbgroup.Session
+	w        *world
+	vm       tables.VMID
+	id       tables.UpstreamID
+	deadline time.Time
+}
+
+func (l *pathLink) SetDeadline(t time.Time) error {
+	l.deadline = t
+	return l.Session.SetDeadline(t)
+}
+
+func (l *pathLink) Receive() (statement.Reply, error) {
+	if l.w.severed(l.vm, l.id) {
+		time.Sleep(time.Until(l.deadline))
+		return statement.Reply{}, os.ErrDeadlineExceeded
+	}
+	return l.Session.Receive()
+}
+
+func (w *world) startProxy(i int) *proxyUnderTest {
+	ctx, cancel := context.WithCancel(w.ctx)
+	vm := tables.VMID(fmt.Sprintf("vm%d", i))
+	p := &proxyUnderTest{w: w, vm: vm, stop: cancel, store: &proxyStore{Store: w.store}}
+	log := slog.New(slog.NewTextHandler(w.logTo(), nil)).With("vm", vm)
+	p.fleet = fleet.New(fleet.Options{
+		VM: vm, DataCentre: tables.DataCentreID(fmt.Sprintf("dc%d", i%3)), Store: p.store, Promoter: promoter{w.group},
+		Codec: fleet.Codec{
+			ConfigTable: "op", ConfigKey: "config", Config: decode[*tables.Routing], EntryTable: "servers",
+			Entry: func(_ string, value []byte) (tables.Entry, error) { return decode[tables.Entry](value) }, NotRunning: dbgroup.ErrNotRunning,
+		},
+		Open: func(ctx context.Context, e tables.Entry) (links.Link, statement.Reply, error) {
+			if w.severed(vm, e.ID) {
+				<-ctx.Done()
+				return nil, statement.Reply{}, os.ErrDeadlineExceeded
+			}
+			s, r, err := w.group.Open(ctx, e)
+			if s == nil {
+				return nil, r, err
+			}
+			return &pathLink{Session: s, w: w, vm: vm, id: e.ID}, r, err
+		},
+		Now:        func() tables.Time { return tables.Time(time.Since(w.began) + time.Hour) },
+		Log:        log,
+		DrainLimit: 7 * time.Second,
+	})
+	p.lines = newJournal(log)
+	go p.fleet.Run(ctx)
+	return p
+}
+
+// logTo returns where the proxies' logs go: nowhere, unless a test is debugged.
+func (w *world) logTo() io.Writer {
+	if os.Getenv("CRANBERRYSTAGE_TEST_LOG") != "" {
+		return os.Stderr
+	}
+	return io.Discard
+}
+
+func decode[T any](value []byte) (T, error) {
+	var out T
+	err := json.Unmarshal(value, &out)
+	return out, err
+}
+
+type promoter struct{ group *dbgroup.Group }
+
+func (p promoter) Promote(ctx context.Context, _ uint64, _ tables.GroupID, u tables.UpstreamID) error {
+	return p.group.Promote(ctx, u)
+}
+
+// session opens a session of a database at the proxy.
+func (p *proxyUnderTest) session(database string) *session {
+	return &session{fleet: p.fleet, log: p.lines, database: database}
+}
+
+var lastID struct {
+	sync.Mutex
+	n int
+}
+
+// run runs one statement of a session.
+func (s *session) run(kind statement.Kind, arguments string) statement.Reply {
+	lastID.Lock()
+	lastID.n++
+	id := strconv.Itoa(lastID.n)
+	lastID.Unlock()
+	return s.handle(context.Background(), statement.Statement{ID: id, Kind: kind, Arguments: arguments})
+}
+
+// write writes a value and takes note of its acknowledgement.
+func (w *world) write(s *session, item string, value int) statement.Reply {
+	r := s.run(statement.Write, fmt.Sprintf("%s %d", item, value))
+	if r.Code == statement.OK {
+		w.mu.Lock()
+		w.acked[item] = append(w.acked[item], ackedValue{at: time.Now(), value: value})
+		w.mu.Unlock()
+	}
+	return r
+}
+
+// known returns the newest value of an item that was acknowledged by t.
+func (w *world) known(item string, t time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	best := 0
+	for _, a := range w.acked[item] {
+		if !a.at.After(t) {
+			best = max(best, a.value)
+		}
+	}
+	return best
+}
+
+// read reads an item; stale says that the answer lacks what it must have seen.
+func (w *world) read(s *session, item string) (r statement.Reply, stale bool) {
+	at := time.Now()
+	if s.database != newest {
+		at = at.Add(-testMaxAge)
+	}
+	need := w.known(item, at)
+	r = s.run(statement.Read, item)
+	if r.Code != statement.OK {
+		return r, false
+	}
+	return r, valueOf(r) < need
+}
+
+func valueOf(r statement.Reply) int {
+	n, err := strconv.Atoi(r.Rows[0])
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// load runs writers and readers at all proxies until it is stopped, and checks
+// each answer.
+type load struct {
+	w    *world
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu          sync.Mutex
+	served      int
+	refused     int
+	stale       []string
+	lastWrite   time.Time
+	longestGap  time.Duration
+	slowRefusal time.Duration
+}
+
+func (w *world) startLoad() *load {
+	ctx, cancel := context.WithCancel(w.ctx)
+	l := &load{w: w, stop: cancel, lastWrite: time.Now()}
+	for i, p := range w.proxies {
+		for _, database := range []string{newest, bounded, own} {
+			l.wg.Go(func() { l.reader(ctx, p.session(database)) })
+		}
+		l.wg.Go(func() { l.writer(ctx, p.session(own), fmt.Sprintf("item%d", i)) })
+	}
+	return l
+}
+
+func (l *load) writer(ctx context.Context, s *session, item string) {
+	for n := 1; ctx.Err() == nil; n++ {
+		r := l.w.write(s, item, n)
+		l.count(r, 0)
+		if r.Code == statement.OK {
+			l.wrote()
+			if got := s.run(statement.Read, item); got.Code == statement.OK && valueOf(got) < n {
+				l.fail(fmt.Sprintf("%s: read %d after writing %d", item, valueOf(got), n))
+			}
+		}
+		time.Sleep(17 * time.Millisecond)
+	}
+}
+
+func (l *load) reader(ctx context.Context, s *session) {
+	for i := 0; ctx.Err() == nil; i++ {
+		item := fmt.Sprintf("item%d", i%len(l.w.proxies))
+		at := time.Now()
+		r, stale := l.w.read(s, item)
+		l.count(r, time.Since(at))
+		if stale {
+			l.fail(fmt.Sprintf("%s of %s at %s: %d", item, s.database, at.Sub(l.w.began), valueOf(r)))
+		}
+		time.Sleep(11 * time.Millisecond)
+	}
+}
+
+func (l *load) count(r statement.Reply, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Code == statement.OK {
+		l.served++
+		return
+	}
+	l.refused++
+	l.slowRefusal = max(l.slowRefusal, took)
+}
+
+func (l *load) wrote() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.longestGap = max(l.longestGap, now.Sub(l.lastWrite))
+	l.lastWrite = now
+}
+
+func (l *load) fail(what string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stale = append(l.stale, what)
+}
+
+// end stops the load and checks the promises over all that was seen.
+func (l *load) end() {
+	l.stop()
+	l.wg.Wait()
+	t := l.w.t
+	assert.DeepEqual(t, l.stale, []string(nil))
+	assert.DeepEqual(t, l.w.group.Lost(), []string(nil))
+	for item := range l.w.acked {
+		acked := l.w.known(item, time.Now())
+		s := l.w.proxies[0].session(newest)
+		if r := s.run(statement.Read, item); r.Code == statement.OK {
+			assert.Assert(t, valueOf(r) >= acked, "%s: %d after %d was acknowledged", item, valueOf(r), acked)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/dbgroup/session.go
@@ -0,0 +1,268 @@
+package dbgroup
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+)
+
+// errReset is what a session sees of a server that ended.
+var errReset = errors.Wrap(syscall.ECONNRESET, "dbgroup")
+
+// Session is one connection to a server. It implements the project's Link.
+type Session struct {
+	s        *Server
+	life     int
+	queue    []statement.Statement
+	deadline time.Time
+	closed   bool
+	state    statement.State
+	readOnly bool
+	writes   map[string]string
+	values   map[string]string
+	prepared map[string]statement.Statement
+}
+
+// Open opens a session at the server that an entry names.
+func (g *Group) Open(ctx context.Context, e tables.Entry) (*Session, statement.Reply, error) {
+	time.Sleep(2 * travel)
+	g.mu.Lock()
+	s, ok := g.servers[e.ID]
+	up, silent := ok && s.up, ok && s.silent
+	g.mu.Unlock()
+	if !up {
+		return nil, statement.Reply{}, errReset
+	}
+	if silent {
+		<-ctx.Done()
+		return nil, statement.Reply{}, os.ErrDeadlineExceeded
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &Session{s: s, life: s.lives, prepared: make(map[string]statement.Statement)},
+		statement.Reply{Position: s.appliedAt()}, nil
+}
+
+// SetDeadline bounds the answers that follow.
+func (c *Session) SetDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// Send takes statements.
+func (c *Session) Send(list ...statement.Statement) error {
+	c.queue = append(c.queue, list...)
+	return nil
+}
+
+// Alive reports whether the session stands.
+func (c *Session) Alive() bool {
+	c.s.g.mu.Lock()
+	defer c.s.g.mu.Unlock()
+	return !c.broken()
+}
+
+// Close rolls an open transaction back.
+func (c *Session) Close() error {
+	c.s.g.mu.Lock()
+	defer c.s.g.mu.Unlock()
+	c.closed = true
+	return nil
+}
+
+// broken reports whether the session has ended. The lock must be held.
+func (c *Session) broken() bool { return c.closed || !c.s.up || c.s.lives != c.life }
+
+// Receive runs the oldest statement and returns its answer.
+func (c *Session) Receive() (statement.Reply, error) {
+	st := c.queue[0]
+	c.queue = c.queue[1:]
+	time.Sleep(travel)
+	g := c.s.g
+	g.mu.Lock()
+	if c.broken() {
+		g.mu.Unlock()
+		return statement.Reply{}, errReset
+	}
+	if c.s.silent {
+		g.mu.Unlock()
+		return c.hang()
+	}
+	if work := c.worth(st); work > 0 {
+		g.mu.Unlock()
+		time.Sleep(work)
+		g.mu.Lock()
+	}
+	r, ok := c.run(st)
+	over := !c.deadline.IsZero() && time.Now().After(c.deadline)
+	ok = ok && !c.broken()
+	g.mu.Unlock()
+	time.Sleep(travel)
+	if over {
+		return statement.Reply{}, os.ErrDeadlineExceeded
+	}
+	if !ok {
+		return statement.Reply{}, errReset
+	}
+	return r, nil
+}
+
+func (c *Session) hang() (statement.Reply, error) {
+	if c.deadline.IsZero() {
+		return statement.Reply{}, errReset
+	}
+	time.Sleep(time.Until(c.deadline))
+	return statement.Reply{}, os.ErrDeadlineExceeded
+}
+
+func (c *Session) worth(st statement.Statement) time.Duration {
+	switch st.Kind {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit:
+		return c.s.work
+	default:
+		return 0
+	}
+}
+
+// run executes a statement; false means that its answer is lost. The lock must
+// be held; it is released while a commit waits.
+func (c *Session) run(st statement.Statement) (statement.Reply, bool) {
+	s := c.s
+	if c.broken() {
+		return statement.Reply{}, false
+	}
+	r := statement.Reply{State: c.state, Position: s.appliedAt()}
+	if st.After != (tables.Position{}) && !s.appliedAt().AtLeast(st.After) {
+		r.Code = statement.Behind
+		return r, true
+	}
+	switch st.Kind {
+	case statement.Reset:
+		c.values, c.prepared = nil, make(map[string]statement.Statement)
+	case statement.Set:
+		if c.values == nil {
+			c.values = make(map[string]string)
+		}
+		c.values[st.Name] = st.Value
+	case statement.Prepare:
+		c.prepared[st.Name] = st
+	case statement.Begin, statement.BeginRead:
+		return c.begin(st, r), true
+	case statement.Rollback:
+		c.state, c.writes = statement.Idle, nil
+	case statement.Commit:
+		return c.commit(r)
+	case statement.Read:
+		r.Rows, r.Proof = []string{s.read(st.Arguments)}, string(s.entry.ID)
+	case statement.Write:
+		return c.write(st, r)
+	case statement.Execute:
+		return c.execute(st, r)
+	default:
+		return c.control(st, r), true
+	}
+	r.State = c.state
+	return r, true
+}
+
+func (c *Session) begin(st statement.Statement, r statement.Reply) statement.Reply {
+	if st.Kind == statement.Begin && !c.s.leads {
+		r.Code = statement.ReadOnly
+		return r
+	}
+	c.state, c.readOnly, c.writes = statement.Open, st.Kind == statement.BeginRead, nil
+	r.State = c.state
+	return r
+}
+
+func (c *Session) execute(st statement.Statement, r statement.Reply) (statement.Reply, bool) {
+	p, ok := c.prepared[st.Name]
+	if !ok {
+		r.Code = statement.NoStatement
+		return r, true
+	}
+	kind := statement.Read
+	if p.Writes {
+		kind = statement.Write
+	}
+	return c.run(statement.Statement{ID: st.ID, Kind: kind, Arguments: st.Arguments})
+}
+
+func (c *Session) write(st statement.Statement, r statement.Reply) (statement.Reply, bool) {
+	if !c.s.leads {
+		r.Code = statement.ReadOnly
+		if c.state == statement.Open {
+			c.state = statement.Failed
+		}
+		r.State = c.state
+		return r, true
+	}
+	item, value := splitWrite(st.Arguments)
+	if c.state == statement.Open {
+		if c.writes == nil {
+			c.writes = make(map[string]string)
+		}
+		c.writes[item] = value
+		r.Proof = string(c.s.entry.ID)
+		return r, true
+	}
+	return c.keep(map[string]string{item: value}, r)
+}
+
+func (c *Session) commit(r statement.Reply) (statement.Reply, bool) {
+	writes := c.writes
+	c.state, c.writes = statement.Idle, nil
+	r.State = c.state
+	r.Proof = string(c.s.entry.ID)
+	if len(writes) == 0 {
+		return r, true
+	}
+	if !c.s.leads {
+		r.Code = statement.ReadOnly
+		return r, true
+	}
+	return c.keep(writes, r)
+}
+
+// keep commits and takes note of the acknowledgement.
+func (c *Session) keep(items map[string]string, r statement.Reply) (statement.Reply, bool) {
+	at, ok := c.s.commit(items, func() bool {
+		return c.broken() || !c.deadline.IsZero() && time.Now().After(c.deadline)
+	})
+	if !ok || c.broken() {
+		return r, false
+	}
+	if c.deadline.IsZero() || time.Now().Add(travel).Before(c.deadline) {
+		c.s.g.acknowledged = append(c.s.g.acknowledged, record{at: at, items: items})
+	}
+	r.Proof, r.Position = string(c.s.entry.ID), c.s.appliedAt()
+	return r, true
+}
+
+// control answers the statements about the server itself.
+func (c *Session) control(st statement.Statement, r statement.Reply) statement.Reply {
+	s := c.s
+	switch st.Kind {
+	case statement.Hold:
+		if !s.leads && st.Term > s.g.term {
+			s.held = st.Term
+		}
+	case statement.Resume:
+		s.held = 0
+	case statement.Demote:
+		if s.leads && st.Term > s.term {
+			s.leads, s.term = false, st.Term
+		}
+	case statement.Status:
+	default:
+		r.Code = statement.Bad
+		return r
+	}
+	r.Account = &statement.Account{Leads: s.leads, Term: s.term, Received: s.received(), Held: s.held}
+	return r
+}
--- /dev/null
+++ b/internal/standin/metadata/metadata.go
@@ -0,0 +1,224 @@
+// Package metadata is a stand-in of the platform's metadata store for tests:
+// tables of rows in memory, with one counter for all versions, and the faults
+// that the real one has.
+package metadata
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
+)
+
+// answerTime is how long a call takes.
+const answerTime = 4 * time.Millisecond
+
+// Store holds the rows. It is safe for concurrent use and needs no network.
+type Store struct {
+	began time.Time
+
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]map[string]row
+	// oldest is the version since which changes are known.
+	oldest  uint64
+	changed chan struct{}
+	faults  Faults
+	calls   int
+}
+
+type row struct {
+	value   []byte
+	version uint64
+	dropped bool
+}
+
+// Faults are what goes wrong from now on.
+type Faults struct {
+	// Down refuses every call.
+	Down bool
+	// Slow is added to the time of every call.
+	Slow time.Duration
+	// LoseWrites answers no write; the write is done.
+	LoseWrites bool
+	// LateWrites answers no write; it is done so much later if its condition
+	// still holds.
+	LateWrites time.Duration
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{began: time.Now(), rows: make(map[string]map[string]row), changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Forget drops the history of changes.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.version
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a row as its owner does; faults do not matter to it.
+func (s *Store) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(table, key, row{value: value})
+}
+
+// Drop removes a row as its owner does.
+func (s *Store) Drop(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(table, key, row{dropped: true})
+}
+
+// Get returns a row's value.
+func (s *Store) Get(table, key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rows[table][key]
+	return r.value, ok && !r.dropped
+}
+
+func (s *Store) set(table, key string, r row) {
+	s.version++
+	r.version = s.version
+	if s.rows[table] == nil {
+		s.rows[table] = make(map[string]row)
+	}
+	s.rows[table][key] = r
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// begin takes the time of a call and returns its faults.
+func (s *Store) begin(ctx context.Context) (Faults, error) {
+	s.mu.Lock()
+	s.calls++
+	f := s.faults
+	s.mu.Unlock()
+	if err := sleep.For(ctx, answerTime+f.Slow); err != nil {
+		return f, platform.ErrUnknown
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return f, platform.ErrUnavailable
+	}
+	return f, nil
+}
+
+// ReadTable implements platform.Metadata.
+func (s *Store) ReadTable(ctx context.Context, table string) (platform.Rows, error) {
+	if _, err := s.begin(ctx); err != nil {
+		return platform.Rows{}, platform.ErrUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answer(table, func(r row) bool { return !r.dropped }), nil
+}
+
+// answer returns the rows that fit, by key. The lock must be held.
+func (s *Store) answer(table string, fits func(row) bool) platform.Rows {
+	out := platform.Rows{Version: s.version, Clock: time.Since(s.began)}
+	for key, r := range s.rows[table] {
+		if fits(r) {
+			out.Rows = append(out.Rows, platform.TableRow{Key: key, Value: r.value, Version: r.version, Dropped: r.dropped})
+		}
+	}
+	sort.Slice(out.Rows, func(i, j int) bool { return out.Rows[i].Key < out.Rows[j].Key })
+	return out
+}
+
+// WatchTable implements platform.Metadata.
+func (s *Store) WatchTable(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Rows, error) {
+	if _, err := s.begin(ctx); err != nil {
+		return platform.Rows{}, platform.ErrUnavailable
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		if s.faults.Down {
+			s.mu.Unlock()
+			return platform.Rows{}, platform.ErrUnavailable
+		}
+		if after < s.oldest {
+			s.mu.Unlock()
+			return platform.Rows{}, platform.ErrHistoryLost
+		}
+		out := s.answer(table, func(r row) bool { return r.version > after })
+		changed := s.changed
+		s.mu.Unlock()
+		if len(out.Rows) > 0 {
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return out, nil
+		case <-ctx.Done():
+			return platform.Rows{}, platform.ErrUnavailable
+		}
+	}
+}
+
+// Apply implements platform.Metadata.
+func (s *Store) Apply(ctx context.Context, c platform.Change) (platform.Rows, error) {
+	f, err := s.begin(ctx)
+	if err != nil {
+		return platform.Rows{}, err
+	}
+	if f.LateWrites > 0 {
+		time.AfterFunc(f.LateWrites, func() { _, _ = s.apply(c) })
+		return platform.Rows{}, platform.ErrUnknown
+	}
+	out, err := s.apply(c)
+	if f.LoseWrites {
+		return platform.Rows{}, platform.ErrUnknown
+	}
+	return out, err
+}
+
+func (s *Store) apply(c platform.Change) (platform.Rows, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range c.Expect {
+		r := s.rows[c.Table][e.Key]
+		if have := r.version; r.dropped && e.Version != 0 || !r.dropped && have != e.Version {
+			return platform.Rows{}, platform.ErrConflict
+		}
+	}
+	for _, w := range c.Writes {
+		s.set(c.Table, w.Key, row{value: w.Value})
+	}
+	for _, k := range c.Remove {
+		s.set(c.Table, k, row{dropped: true})
+	}
+	// All rows of a transaction have its version.
+	for _, w := range c.Writes {
+		r := s.rows[c.Table][w.Key]
+		r.version = s.version
+		s.rows[c.Table][w.Key] = r
+	}
+	return platform.Rows{Version: s.version, Clock: time.Since(s.began)}, nil
+}
+
+var _ platform.Metadata = (*Store)(nil)
