--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -18,7 +18,9 @@
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
 	"github.com/cranberrystage/cranberrystage/internal/relay"
+	"github.com/cranberrystage/cranberrystage/internal/rowrelay"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -30,6 +32,9 @@
 	"github.com/cranberrystage/cranberrystage/platform/wire"
 )
 
+// peerQueueBytes bounds the bytes queued for one peer.
+const peerQueueBytes = 1 << 20
+
 // Exit codes.
 const (
 	exitFailed = 1
@@ -63,10 +68,23 @@
 	log := logging.New(os.Stdout, slog.LevelInfo)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	bus, err := tcpbus.New(s.PeerAddress, tcpbus.Options{Logger: logging.For(log, "peers"), QueueBytes: peerQueueBytes})
+	if err != nil {
+		return err
+	}
+	defer bus.Close()
+	relayed := rowrelay.New(rowrelay.Options{
+		Self:   rowrelay.Peer{VM: s.VM, DataCentre: s.DataCentre, Address: s.PeerAddress},
+		Store:  store.New(s.MetadataAddress),
+		Shared: fleet.RecordTable,
+		Bus:    bus,
+		Now:    boottime.Now,
+		Log:    log,
+	})
 	f := fleet.New(fleet.Options{
 		VM:         s.VM,
 		DataCentre: s.DataCentre,
-		Store:      store.New(s.MetadataAddress),
+		Store:      relayed,
 		Promoter:   promoter{client: duty.New(s.DutyAddress), vm: s.VM},
 		Codec: fleet.Codec{
 			ConfigTable: routes.Table,
@@ -86,6 +104,11 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		if err := relayed.Run(ctx); err != nil {
+			log.Error("entry: The proxies' messages are not served.", "error", err)
+		}
+	}()
 	go reload(ctx, path, p, log)
 	return p.Run(ctx)
 }
--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -18,7 +18,8 @@
 // The project's own table in the store: one row a group that ever had its
 // primary replaced, one for its members, and one for the duty.
 const (
-	recordTable   = "cranberrystage"
+	// RecordTable is its name.
+	RecordTable   = "cranberrystage"
 	groupPrefix   = "group/"
 	membersPrefix = "members/"
 	dutyKey       = "duty"
@@ -38,8 +39,8 @@
 )
 
 func (f *Fleet) watchRecords(ctx context.Context) {
-	f.follow(ctx, recordTable, func(rows platform.Rows, all bool, at tables.Time) {
-		f.takeRecords(rows, all, at)
+	f.follow(ctx, RecordTable, func(rows platform.Rows, all bool, at tables.Time) {
+		f.takeRecords(rows, all, at.Add(-rows.Age))
 	})
 }
 
@@ -149,11 +150,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
 		defer cancel()
 		at := f.Now()
-		rows, err := f.Store.ReadTable(ctx, recordTable)
+		rows, err := f.Store.ReadTable(ctx, RecordTable)
 		if err != nil {
 			return nil, err
 		}
-		f.takeRecords(rows, true, at)
+		f.takeRecords(rows, true, at.Add(-rows.Age))
 		return nil, nil
 	})
 	select {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -115,7 +115,7 @@
 		return
 	}
 	_, err = f.Store.Apply(ctx, platform.Change{
-		Table:  recordTable,
+		Table:  RecordTable,
 		Expect: []platform.Expectation{{Key: membersPrefix + string(id), Version: version}},
 		Writes: []platform.Write{{Key: membersPrefix + string(id), Value: value}},
 	})
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -203,10 +203,11 @@
 	f := a.f
 	for try := 0; try < writeTries; try++ {
 		at := f.Now()
-		rows, err := f.Store.ReadTable(ctx, recordTable)
+		rows, err := f.Store.ReadTable(ctx, RecordTable)
 		if err != nil {
 			return errors.Wrap(err, "read the records")
 		}
+		at = at.Add(-rows.Age)
 		f.takeRecords(rows, true, at)
 		d, err := a.plan(rows, at)
 		if err != nil {
@@ -294,7 +295,7 @@
 		return errors.Wrap(err, "encode the duty")
 	}
 	done, err := f.Store.Apply(ctx, platform.Change{
-		Table:  recordTable,
+		Table:  RecordTable,
 		Expect: []platform.Expectation{{Key: groupPrefix + string(a.id), Version: a.version}, {Key: dutyKey, Version: d.version}},
 		Writes: []platform.Write{{Key: groupPrefix + string(a.id), Value: row}, {Key: dutyKey, Value: dutyRow}},
 	})
@@ -339,7 +340,7 @@
 		return
 	}
 	_, err = f.Store.Apply(context.WithoutCancel(ctx), platform.Change{
-		Table:  recordTable,
+		Table:  RecordTable,
 		Expect: []platform.Expectation{{Key: dutyKey, Version: d.version}},
 		Writes: []platform.Write{{Key: dutyKey, Value: row}},
 	})
@@ -357,7 +358,7 @@
 	}
 	for try := 0; ; try++ {
 		done, err := a.f.Store.Apply(ctx, platform.Change{
-			Table:  recordTable,
+			Table:  RecordTable,
 			Expect: []platform.Expectation{{Key: groupPrefix + string(a.id), Version: a.version}},
 			Writes: []platform.Write{{Key: groupPrefix + string(a.id), Value: row}},
 		})
@@ -380,7 +381,7 @@
 
 // applied reads back whether a write without an answer took effect.
 func (a *attempt) applied(ctx context.Context, row []byte) (bool, error) {
-	rows, err := a.f.Store.ReadTable(ctx, recordTable)
+	rows, err := a.f.Store.ReadTable(ctx, RecordTable)
 	if err != nil {
 		return false, err
 	}
--- a/internal/platform/rows.go
+++ b/internal/platform/rows.go
@@ -31,6 +31,9 @@
 	Version uint64
 	// Clock is the store's steady clock at the moment of the answer.
 	Clock time.Duration
+	// Age is how long before the call's beginning that moment may lie; 0 for an
+	// answer of the store itself.
+	Age time.Duration
 }
 
 // Expectation is the version that a row must have; 0 means that it must not exist.
--- /dev/null
+++ b/internal/rowrelay/read.go
@@ -0,0 +1,300 @@
+package rowrelay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Apply implements platform.Metadata.
+func (r *Relay) Apply(ctx context.Context, c platform.Change) (platform.Rows, error) {
+	return r.Store.Apply(ctx, c)
+}
+
+// ReadTable implements platform.Metadata. Rows.Age says how much older than
+// the call the answer may be.
+func (r *Relay) ReadTable(ctx context.Context, table string) (platform.Rows, error) {
+	if table == r.Shared {
+		if p, ok := r.looker(); ok {
+			rows, err := r.ask(ctx, p, question{Table: table}, nearTimeout)
+			if err == nil {
+				return rows, nil
+			}
+		}
+	}
+	return r.read(ctx, question{Table: table}, 0, func(ctx context.Context) (platform.Rows, error) {
+		return r.Store.ReadTable(ctx, table)
+	})
+}
+
+// WatchTable implements platform.Metadata.
+func (r *Relay) WatchTable(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Rows, error) {
+	q := question{Table: table, Watch: true, After: after, WaitMillis: wait.Milliseconds()}
+	return r.read(ctx, q, wait, func(ctx context.Context) (platform.Rows, error) {
+		return r.Store.WatchTable(ctx, table, after, wait)
+	})
+}
+
+// result is the end of one way to read.
+type result struct {
+	rows platform.Rows
+	err  error
+}
+
+// read asks the store, and a peer if the store is lost or slow to answer.
+func (r *Relay) read(ctx context.Context, q question, wait time.Duration, direct func(context.Context) (platform.Rows, error)) (platform.Rows, error) {
+	if r.skipDirect() {
+		if rows, err := r.askAny(ctx, q, wait); err == nil || errors.Is(err, platform.ErrHistoryLost) {
+			return rows, err
+		}
+	}
+	// The call may outlive this one's ctx, so that its end tells whether the store answers.
+	done := make(chan result, 2)
+	go func() {
+		rows, err := direct(context.WithoutCancel(ctx))
+		r.directEnded(err)
+		done <- result{rows, err}
+	}()
+	timer := time.NewTimer(wait + hedgeAfter)
+	defer timer.Stop()
+	var first result
+	select {
+	case first = <-done:
+		if first.err == nil || !retryable(first.err) {
+			return first.rows, first.err
+		}
+	case <-timer.C:
+	case <-ctx.Done():
+		return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+	}
+	rows, err := r.askAny(ctx, q, 0)
+	if err == nil || first.err != nil {
+		return rows, err
+	}
+	select {
+	case first = <-done:
+		return first.rows, first.err
+	case <-ctx.Done():
+		return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+	}
+}
+
+func retryable(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown)
+}
+
+// skipDirect reports whether the store is lost and was tried a moment ago.
+func (r *Relay) skipDirect() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	if r.lostAt == 0 || len(r.peers) < 2 || now.Sub(r.triedAt) >= directPause {
+		r.triedAt = now
+		return false
+	}
+	return true
+}
+
+func (r *Relay) directEnded(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err != nil && retryable(err) && r.lostAt == 0:
+		r.lostAt = r.Now()
+		r.log.Warn("The store does not answer this proxy, reading through peers.", "error", err)
+	case (err == nil || !retryable(err)) && r.lostAt != 0:
+		r.log.Info("The store answers this proxy again.", "lostFor", r.Now().Sub(r.lostAt))
+		r.lostAt = 0
+	}
+}
+
+// Lost reports whether the store does not answer this proxy.
+func (r *Relay) Lost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lostAt != 0
+}
+
+// looker returns the peer that looks at the shared table for this data centre:
+// the first one by name that answers. ok is false if it is this proxy.
+func (r *Relay) looker() (Peer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	best := r.Self
+	for _, p := range r.peers {
+		if p.DataCentre == r.Self.DataCentre && p.VM < best.VM && now >= r.avoid[p.VM] {
+			best = p
+		}
+	}
+	return best, best.VM != r.Self.VM
+}
+
+// askAny asks up to two peers, those of this data centre first.
+func (r *Relay) askAny(ctx context.Context, q question, wait time.Duration) (platform.Rows, error) {
+	err := errors.Wrap(platform.ErrUnavailable, "no peer to ask")
+	for _, p := range r.candidates(2) {
+		var rows platform.Rows
+		if rows, err = r.ask(ctx, p, q, wait+peerTimeout); err == nil || errors.Is(err, platform.ErrHistoryLost) {
+			return rows, err
+		}
+	}
+	return platform.Rows{}, err
+}
+
+// candidates returns up to n peers in random order, one of each data centre first.
+func (r *Relay) candidates(n int) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	var near, far []Peer
+	for _, i := range rand.Perm(len(r.peers)) {
+		p := r.peers[i]
+		switch {
+		case p.VM == r.Self.VM || now < r.avoid[p.VM]:
+		case p.DataCentre == r.Self.DataCentre:
+			near = append(near, p)
+		default:
+			far = append(far, p)
+		}
+	}
+	if len(near) > 1 {
+		near = near[:1]
+	}
+	all := append(near, far...)
+	return all[:min(n, len(all))]
+}
+
+// ask asks one peer.
+func (r *Relay) ask(ctx context.Context, p Peer, q question, timeout time.Duration) (platform.Rows, error) {
+	reply := make(chan answer, 1)
+	r.mu.Lock()
+	r.lastID++
+	q.ID, q.From = r.lastID, r.Self.Address
+	r.waiting[q.ID] = reply
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.waiting, q.ID)
+	}()
+	r.Bus.Send(p.Address, topicQuestion, q)
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case a := <-reply:
+		return r.taken(p, a)
+	case <-timer.C:
+		r.leaveAlone(p)
+		return platform.Rows{}, errors.Wrapf(platform.ErrUnavailable, "%s did not answer", p.VM)
+	case <-ctx.Done():
+		return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+	}
+}
+
+// taken turns a peer's answer into rows.
+func (r *Relay) taken(p Peer, a answer) (platform.Rows, error) {
+	switch a.Failure {
+	case failureNone:
+		return a.Rows, nil
+	case failureHistory:
+		return platform.Rows{}, platform.ErrHistoryLost
+	default:
+		r.leaveAlone(p)
+		return platform.Rows{}, errors.Wrapf(platform.ErrUnavailable, "%s does not reach the store either", p.VM)
+	}
+}
+
+func (r *Relay) leaveAlone(p Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoid[p.VM] = r.Now().Add(peerPause)
+}
+
+func (r *Relay) takeAnswers(in <-chan *message.Message) {
+	for m := range in {
+		var a answer
+		err := msgpack.Unmarshal(m.Payload, &a)
+		m.Ack()
+		if err != nil {
+			r.log.Warn("Ignored an answer that can't be read.", "error", err)
+			continue
+		}
+		r.mu.Lock()
+		reply, ok := r.waiting[a.ID]
+		delete(r.waiting, a.ID)
+		r.mu.Unlock()
+		if ok {
+			reply <- a
+		}
+	}
+}
+
+// serve answers a peer's question from the store itself.
+func (r *Relay) serve(ctx context.Context, q question) {
+	out := answer{ID: q.ID, Failure: failureUnavailable}
+	if !r.Lost() {
+		rows, err := r.answerRows(ctx, q)
+		switch {
+		case err == nil:
+			out.Failure, out.Rows = failureNone, rows
+		case errors.Is(err, platform.ErrHistoryLost):
+			out.Failure = failureHistory
+		}
+	}
+	r.Bus.Send(q.From, topicAnswer, out)
+}
+
+func (r *Relay) answerRows(ctx context.Context, q question) (platform.Rows, error) {
+	if q.Watch {
+		rows, err := r.Store.WatchTable(ctx, q.Table, q.After, time.Duration(q.WaitMillis)*time.Millisecond)
+		r.directEnded(err)
+		return rows, err
+	}
+	if q.Table != r.Shared {
+		rows, err := r.Store.ReadTable(ctx, q.Table)
+		r.directEnded(err)
+		return rows, err
+	}
+	return r.sharedLook(ctx)
+}
+
+// sharedLook returns the newest look at the shared table, taking one if it is old.
+func (r *Relay) sharedLook(ctx context.Context) (platform.Rows, error) {
+	arrived := r.Now()
+	r.mu.Lock()
+	rows, began := r.look, r.lookBegan
+	r.mu.Unlock()
+	if began != 0 && arrived.Sub(began) <= sharedAge {
+		rows.Age = arrived.Sub(began)
+		return rows, nil
+	}
+	_, err, _ := r.reads.Do(r.Shared, func() (any, error) { return nil, r.takeLook(ctx) })
+	if err != nil {
+		return platform.Rows{}, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rows = r.look
+	rows.Age = max(arrived.Sub(r.lookBegan), 0)
+	return rows, nil
+}
+
+// takeLook reads the shared table.
+func (r *Relay) takeLook(ctx context.Context) error {
+	began := r.Now()
+	rows, err := r.Store.ReadTable(ctx, r.Shared)
+	r.directEnded(err)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.look, r.lookBegan = rows, began
+	return nil
+}
--- /dev/null
+++ b/internal/rowrelay/rowrelay.go
@@ -0,0 +1,236 @@
+// Package rowrelay lets proxies read the platform's metadata store through
+// each other: a proxy that the store turns away reads through one that it
+// serves, and the proxies of one data centre share their looks at the table of
+// records. Writes are never relayed: who can't reach the store decides nothing.
+package rowrelay
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/singleflight"
+)
+
+const (
+	// directoryTable has one row a proxy.
+	directoryTable = "cranberrystage-vms"
+	// directoryInterval is how often the directory is read.
+	directoryInterval = 20 * time.Second
+	// directoryFirst is when it is read first: all proxies start within a
+	// fraction of a second of each other.
+	directoryFirst = 3 * time.Second
+	// hedgeAfter is how long the store may take until a peer is asked too.
+	hedgeAfter = 80 * time.Millisecond
+	// peerTimeout bounds the wait for a peer's answer, beside the wait that was asked for.
+	peerTimeout = 300 * time.Millisecond
+	// nearTimeout bounds the wait for a peer of the same data centre that has a look at hand.
+	nearTimeout = 60 * time.Millisecond
+	// peerPause is how long a peer that did not answer is left alone.
+	peerPause = 2 * time.Second
+	// sharedAge is the greatest age of a look that is handed on.
+	sharedAge = 100 * time.Millisecond
+	// directPause is the pause between two tries of a store that is lost.
+	directPause = 300 * time.Millisecond
+	// serving bounds the questions answered at the same time.
+	serving = 64
+)
+
+// Topics of the messages.
+const (
+	topicQuestion = "rows-question"
+	topicAnswer   = "rows-answer"
+)
+
+// Bus carries messages between proxies; they may be lost, late or repeated.
+type Bus interface {
+	// Send sends a message to the proxy at an address, without blocking.
+	Send(address, topic string, msg any)
+	// Subscribe returns the messages of a topic that arrive.
+	Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error)
+}
+
+// question asks a peer for rows.
+type question struct {
+	ID    uint64 `msgpack:"i"`
+	From  string `msgpack:"f"`
+	Table string `msgpack:"t"`
+	// Watch asks for changes after After, waiting WaitMillis for one.
+	Watch      bool   `msgpack:"w,omitempty"`
+	After      uint64 `msgpack:"a,omitempty"`
+	WaitMillis int64  `msgpack:"m,omitempty"`
+}
+
+// failure says why there are no rows.
+type failure uint8
+
+const (
+	failureNone failure = iota
+	failureUnavailable
+	failureHistory
+)
+
+// answer returns the rows.
+type answer struct {
+	ID      uint64        `msgpack:"i"`
+	Failure failure       `msgpack:"e,omitempty"`
+	Rows    platform.Rows `msgpack:"r"`
+}
+
+// Peer is another proxy.
+type Peer struct {
+	VM         tables.VMID         `json:"vm"`
+	DataCentre tables.DataCentreID `json:"dataCentre"`
+	// Address is its IP:port for messages.
+	Address string `json:"address"`
+}
+
+// Options are what a Relay is made of.
+type Options struct {
+	// Self is this proxy.
+	Self Peer
+	// Store is the platform's store.
+	Store platform.Metadata
+	// Shared is the table whose reads a data centre's proxies share.
+	Shared string
+	Bus    Bus
+	// Now is a clock that counts suspensions.
+	Now func() tables.Time
+	Log *slog.Logger
+}
+
+// Relay is the store as read directly or through peers. It implements
+// platform.Metadata and is safe for concurrent use.
+type Relay struct {
+	Options
+	log   *slog.Logger
+	reads singleflight.Group
+
+	mu      sync.Mutex
+	peers   []Peer
+	avoid   map[tables.VMID]tables.Time
+	waiting map[uint64]chan answer
+	lastID  uint64
+	// lostAt is when the store stopped answering; 0 while it answers.
+	lostAt    tables.Time
+	triedAt   tables.Time
+	look      platform.Rows
+	lookBegan tables.Time
+}
+
+var _ platform.Metadata = (*Relay)(nil)
+
+// New returns a relay without peers.
+func New(o Options) *Relay {
+	return &Relay{
+		Options: o,
+		log:     logging.For(o.Log, "rowrelay"),
+		avoid:   make(map[tables.VMID]tables.Time),
+		waiting: make(map[uint64]chan answer),
+	}
+}
+
+// Run answers peers and keeps the directory until ctx ends.
+func (r *Relay) Run(ctx context.Context) error {
+	questions, err := r.Bus.Subscribe(ctx, topicQuestion)
+	if err != nil {
+		return errors.Wrap(err, "subscribe to questions")
+	}
+	answers, err := r.Bus.Subscribe(ctx, topicAnswer)
+	if err != nil {
+		return errors.Wrap(err, "subscribe to answers")
+	}
+	go r.keepDirectory(ctx)
+	go r.takeAnswers(answers)
+	slots := make(chan struct{}, serving)
+	for m := range questions {
+		var q question
+		err := msgpack.Unmarshal(m.Payload, &q)
+		m.Ack()
+		if err != nil || q.From == "" {
+			r.log.Warn("Ignored a question that can't be read.", "error", err)
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+			go func() {
+				r.serve(ctx, q)
+				<-slots
+			}()
+		default:
+			r.Bus.Send(q.From, topicAnswer, answer{ID: q.ID, Failure: failureUnavailable})
+		}
+	}
+	return nil
+}
+
+// Leave takes this proxy out of the directory.
+func (r *Relay) Leave(ctx context.Context) error {
+	_, err := r.Store.Apply(ctx, platform.Change{Table: directoryTable, Remove: []string{string(r.Self.VM)}})
+	return err
+}
+
+func (r *Relay) keepDirectory(ctx context.Context) {
+	for wait := directoryFirst; ; wait = directoryInterval {
+		if err := r.register(ctx); err != nil {
+			r.log.Info("This proxy is not in the directory yet.", "error", err)
+		}
+		if sleep.For(ctx, wait) != nil {
+			return
+		}
+		rows, err := r.Store.ReadTable(ctx, directoryTable)
+		if err != nil {
+			r.log.Info("The directory of proxies can't be read.", "error", err)
+			continue
+		}
+		r.takeDirectory(rows)
+	}
+}
+
+// register writes this proxy's row unless the directory as read has it.
+func (r *Relay) register(ctx context.Context) error {
+	r.mu.Lock()
+	for _, p := range r.peers {
+		if p == r.Self {
+			r.mu.Unlock()
+			return nil
+		}
+	}
+	r.mu.Unlock()
+	value, err := json.Marshal(r.Self)
+	if err != nil {
+		return errors.Wrap(err, "encode a row of the directory")
+	}
+	_, err = r.Store.Apply(ctx, platform.Change{
+		Table:  directoryTable,
+		Writes: []platform.Write{{Key: string(r.Self.VM), Value: value}},
+	})
+	return err
+}
+
+func (r *Relay) takeDirectory(rows platform.Rows) {
+	peers := make([]Peer, 0, len(rows.Rows))
+	for _, row := range rows.Rows {
+		var p Peer
+		if err := json.Unmarshal(row.Value, &p); err != nil || p.Address == "" {
+			r.log.Warn("Ignored a row of the directory.", "key", row.Key, "error", err)
+			continue
+		}
+		peers = append(peers, p)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(peers) != len(r.peers) {
+		r.log.Info("Learnt of other proxies.", "proxies", len(peers), "before", len(r.peers))
+	}
+	r.peers = peers
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -18,6 +18,8 @@
 	Address string
 	// CallerAddress is the IP:port for callers.
 	CallerAddress string
+	// PeerAddress is the IP:port for messages between proxies.
+	PeerAddress string
 	// ReadyAddress is the IP:port of the readiness probe.
 	ReadyAddress string
 	// MetadataAddress is the IP:port of the platform's metadata store.
@@ -44,6 +46,7 @@
 		{"zone", e.DataCentre != ""},
 		{"listenAddrs.front", e.CallerAddress != ""},
 		{"listenAddrs.ready", e.ReadyAddress != ""},
+		{"internalPorts", e.PeerAddress != ""},
 		{"platform.address", e.MetadataAddress != ""},
 		{"heartbeatMs", e.Heartbeat > 0},
 		{"bounds.graceS", e.Grace > 0},
