--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,8 @@
 	server   *relay.Server
 	log      *slog.Logger
 	leaving  atomic.Bool
+	// isolated says that callers are sent elsewhere.
+	isolated atomic.Bool
 
 	callers net.Listener
 	ready   *http.Server
@@ -60,7 +62,7 @@
 
 // answerProbe says whether this proxy takes new connections.
 func (p *Proxy) answerProbe(w http.ResponseWriter, _ *http.Request) {
-	if p.leaving.Load() || !p.fleet.Ready() {
+	if p.leaving.Load() || p.isolated.Load() || !p.fleet.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -98,6 +100,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- p.server.Serve(work, p.callers) }()
 	go func() { failed <- p.ready.Serve(p.probes) }()
+	go p.watchIsolation(ctx)
 	select {
 	case err := <-failed:
 		return err
@@ -107,6 +110,27 @@
 	return nil
 }
 
+// isolationInterval is how often a proxy asks itself whether it is cut off.
+const isolationInterval = 200 * time.Millisecond
+
+// watchIsolation sends callers elsewhere while this proxy is cut off: new ones
+// through the balancer, and resting sessions once the balancer knows.
+func (p *Proxy) watchIsolation(ctx context.Context) {
+	var since time.Time
+	moved := false
+	for sleep.For(ctx, isolationInterval) == nil {
+		isolated := p.fleet.Isolated()
+		if was := p.isolated.Swap(isolated); was != isolated {
+			p.log.Info("Isolation changed.", "isolated", isolated)
+			since, moved = time.Now(), false
+		}
+		if isolated && !moved && time.Since(since) > rotationTime {
+			moved = true
+			p.server.MoveResting()
+		}
+	}
+}
+
 func (p *Proxy) shutdown(ctx context.Context) {
 	began := time.Now()
 	p.leaving.Store(true)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -71,6 +71,8 @@
 	storeLostAt tables.Time
 	// storeBackAt is when it answered again.
 	storeBackAt tables.Time
+	// unprovenAt is when evidence for a primary was last sought in vain.
+	unprovenAt tables.Time
 	duty        duty
 }
 
@@ -133,6 +135,25 @@
 	return f.routing.Load() != nil && f.entriesReadAt != 0
 }
 
+const (
+	// isolatedAfter is how long the store must have been lost, through peers
+	// too, until a proxy counts as cut off.
+	isolatedAfter = 400 * time.Millisecond
+	// unprovenFor is how long evidence that was missing counts.
+	unprovenFor = time.Second
+)
+
+// Isolated reports whether this proxy is cut off: it reaches the store neither
+// itself nor through peers, and can't show otherwise who leads. Callers are
+// served better elsewhere.
+func (f *Fleet) Isolated() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	return f.storeLostAt != 0 && now.Sub(f.storeLostAt) > isolatedAfter &&
+		f.unprovenAt != 0 && now.Sub(f.unprovenAt) < unprovenFor
+}
+
 // Run follows the platform until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -152,8 +152,10 @@
 		at := f.Now()
 		rows, err := f.Store.ReadTable(ctx, RecordTable)
 		if err != nil {
+			f.storeFailed(RecordTable, err)
 			return nil, err
 		}
+		f.storeAnswered(RecordTable)
 		f.takeRecords(rows, true, at.Add(-rows.Age))
 		return nil, nil
 	})
@@ -259,12 +261,20 @@
 			return current && led
 		}
 		if ctx.Err() != nil || try >= proofTries {
+			f.unproven()
 			return false
 		}
 		f.seekEvidence(ctx, l, lost)
 	}
 }
 
+// unproven takes note that evidence was sought in vain.
+func (f *Fleet) unproven() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unprovenAt = f.Now()
+}
+
 // seekEvidence makes one try at the store, and at a replica if the store is
 // away or slow.
 func (f *Fleet) seekEvidence(ctx context.Context, l Leader, lost bool) {
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -32,6 +32,7 @@
 			return tables.Position{}, false
 		}
 		if ctx.Err() != nil || try >= proofTries {
+			f.unproven()
 			return tables.Position{}, false
 		}
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -51,6 +51,8 @@
 	closing atomic.Bool
 	// cutting says that open transactions are ended too.
 	cutting atomic.Bool
+	// moving says that sessions which rest at this moment are closed.
+	moving atomic.Bool
 }
 
 // served is one connection.
@@ -168,6 +170,8 @@
 			return true
 		case !isTimeout(err):
 			return false
+		case s.moving.Load() && !open:
+			return false
 		case !s.closing.Load() && !s.cutting.Load():
 			sess.expire("the transaction rested for too long")
 		}
@@ -190,6 +194,22 @@
 	if transactions {
 		s.cutting.Store(true)
 	}
+	s.wakeResting(transactions)
+}
+
+// moveTime is how long sessions take to notice that they are to move.
+const moveTime = 200 * time.Millisecond
+
+// MoveResting closes the sessions that rest now, so that their callers come
+// back where they are served. Sessions that come later stay.
+func (s *Server) MoveResting() {
+	s.moving.Store(true)
+	s.wakeResting(false)
+	time.AfterFunc(moveTime, func() { s.moving.Store(false) })
+}
+
+// wakeResting ends the waits of sessions without an open transaction, or of all.
+func (s *Server) wakeResting(transactions bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for sv := range s.sessions {
