--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,7 +73,7 @@
 	storeBackAt tables.Time
 	// unprovenAt is when evidence for a primary was last sought in vain.
 	unprovenAt tables.Time
-	duty        duty
+	duty       duty
 }
 
 // group is one database group.
@@ -135,23 +135,18 @@
 	return f.routing.Load() != nil && f.entriesReadAt != 0
 }
 
-const (
-	// isolatedAfter is how long the store must have been lost, through peers
-	// too, until a proxy counts as cut off.
-	isolatedAfter = 400 * time.Millisecond
-	// unprovenFor is how long evidence that was missing counts.
-	unprovenFor = time.Second
-)
+// isolatedAfter is how long the store must have been lost, through peers too,
+// until a proxy counts as cut off.
+const isolatedAfter = 400 * time.Millisecond
 
 // Isolated reports whether this proxy is cut off: it reaches the store neither
-// itself nor through peers, and can't show otherwise who leads. Callers are
-// served better elsewhere.
+// itself nor through peers, and has since failed to show otherwise who leads.
+// Callers are served better elsewhere.
 func (f *Fleet) Isolated() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.Now()
-	return f.storeLostAt != 0 && now.Sub(f.storeLostAt) > isolatedAfter &&
-		f.unprovenAt != 0 && now.Sub(f.unprovenAt) < unprovenFor
+	lost := f.storeLostAt
+	return lost != 0 && f.Now().Sub(lost) > isolatedAfter && f.unprovenAt > lost
 }
 
 // Run follows the platform until ctx ends.
