--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -77,6 +77,7 @@
 		Self:   rowrelay.Peer{VM: s.VM, DataCentre: s.DataCentre, Address: s.PeerAddress},
 		Store:  store.New(s.MetadataAddress),
 		Shared: fleet.RecordTable,
+		Own:    map[string]bool{routes.Table: true},
 		Bus:    bus,
 		Now:    boottime.Now,
 		Log:    log,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,6 +61,8 @@
 	log     *slog.Logger
 	routing atomic.Pointer[tables.Routing]
 	looks   singleflight.Group
+	// gather is how long changes of a table are let come together, by table.
+	gather map[string]time.Duration
 
 	mu        sync.Mutex
 	upstreams map[tables.UpstreamID]*Upstream
@@ -113,6 +115,7 @@
 	return &Fleet{
 		Options:   o,
 		log:       logging.For(o.Log, "fleet"),
+		gather:    map[string]time.Duration{o.Codec.EntryTable: gatherEntries, RecordTable: gatherRecords},
 		upstreams: make(map[tables.UpstreamID]*Upstream),
 		groups:    make(map[tables.GroupID]*group),
 	}
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -107,7 +107,7 @@
 			w.troubled = refused != 0 || silent != 0 && now.Sub(silent) > probeTimeout/2
 			w.askTerm = g.term == 0
 			newest, known := g.NewestPoint()
-			w.askPoint = now.Sub(g.usedAt) < usedRecently && (!known || now.Sub(newest) > pointAge)
+			w.askPoint = g.usedAt != 0 && now.Sub(g.usedAt) < usedRecently && (!known || now.Sub(newest) > pointAge)
 		}
 		out = append(out, w)
 	}
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -19,6 +19,13 @@
 	watchPause = 150 * time.Millisecond
 )
 
+// Changes of servers come in bursts, and one call brings all that came
+// meanwhile; news of a primary is waited for by callers.
+const (
+	gatherEntries = 200 * time.Millisecond
+	gatherRecords = 20 * time.Millisecond
+)
+
 // take handles the rows of a table. all says that they are the whole table as
 // of a moment after at.
 type take func(rows platform.Rows, all bool, at tables.Time)
@@ -57,6 +64,9 @@
 		}
 		handle(rows, !whole, at)
 		after, whole = rows.Version, true
+		if len(rows.Rows) > 0 {
+			_ = sleep.For(ctx, f.gather[table]) // the loop looks at ctx
+		}
 	}
 }
 
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -35,9 +36,29 @@
 // WatchTable implements platform.Metadata.
 func (r *Relay) WatchTable(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Rows, error) {
 	q := question{Table: table, Watch: true, After: after, WaitMillis: wait.Milliseconds()}
+	if !r.Own[table] {
+		if p, ok := r.looker(); ok {
+			rows, err := r.ask(ctx, p, q, wait+peerTimeout)
+			if err == nil || errors.Is(err, platform.ErrHistoryLost) {
+				return rows, err
+			}
+		}
+	}
 	return r.read(ctx, q, wait, func(ctx context.Context) (platform.Rows, error) {
-		return r.Store.WatchTable(ctx, table, after, wait)
+		return r.sharedWatch(ctx, q)
+	})
+}
+
+// sharedWatch waits for changes; calls for the same ones share one.
+func (r *Relay) sharedWatch(ctx context.Context, q question) (platform.Rows, error) {
+	key := q.Table + "/" + strconv.FormatUint(q.After, 10)
+	v, err, _ := r.reads.Do(key, func() (any, error) {
+		return r.Store.WatchTable(ctx, q.Table, q.After, time.Duration(q.WaitMillis)*time.Millisecond)
 	})
+	if err != nil {
+		return platform.Rows{}, err
+	}
+	return v.(platform.Rows), nil
 }
 
 // result is the end of one way to read.
@@ -201,6 +222,9 @@
 func (r *Relay) taken(p Peer, a answer) (platform.Rows, error) {
 	switch a.Failure {
 	case failureNone:
+		r.mu.Lock()
+		delete(r.misses, p.VM)
+		r.mu.Unlock()
 		return a.Rows, nil
 	case failureHistory:
 		return platform.Rows{}, platform.ErrHistoryLost
@@ -213,7 +237,8 @@
 func (r *Relay) leaveAlone(p Peer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.avoid[p.VM] = r.Now().Add(peerPause)
+	r.misses[p.VM] = min(r.misses[p.VM]+1, maxMisses)
+	r.avoid[p.VM] = r.Now().Add(peerPause << r.misses[p.VM])
 }
 
 func (r *Relay) takeAnswers(in <-chan *message.Message) {
@@ -252,7 +277,7 @@
 
 func (r *Relay) answerRows(ctx context.Context, q question) (platform.Rows, error) {
 	if q.Watch {
-		rows, err := r.Store.WatchTable(ctx, q.Table, q.After, time.Duration(q.WaitMillis)*time.Millisecond)
+		rows, err := r.sharedWatch(ctx, q)
 		r.directEnded(err)
 		return rows, err
 	}
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -25,20 +25,23 @@
 	// directoryTable has one row a proxy.
 	directoryTable = "cranberrystage-vms"
 	// directoryInterval is how often the directory is read.
-	directoryInterval = 20 * time.Second
+	directoryInterval = 30 * time.Second
 	// directoryFirst is when it is read first: all proxies start within a
 	// fraction of a second of each other.
-	directoryFirst = 3 * time.Second
+	directoryFirst = time.Second
 	// hedgeAfter is how long the store may take until a peer is asked too.
 	hedgeAfter = 80 * time.Millisecond
 	// peerTimeout bounds the wait for a peer's answer, beside the wait that was asked for.
 	peerTimeout = 300 * time.Millisecond
 	// nearTimeout bounds the wait for a peer of the same data centre that has a look at hand.
 	nearTimeout = 60 * time.Millisecond
-	// peerPause is how long a peer that did not answer is left alone.
-	peerPause = 2 * time.Second
-	// sharedAge is the greatest age of a look that is handed on.
-	sharedAge = 100 * time.Millisecond
+	// peerPause is how long a peer that did not answer is left alone; it doubles
+	// with each further time, maxMisses times at most.
+	peerPause = time.Second
+	maxMisses = 5
+	// sharedAge is the greatest age of a look that is handed on: half of what
+	// evidence is good for.
+	sharedAge = 200 * time.Millisecond
 	// directPause is the pause between two tries of a store that is lost.
 	directPause = 300 * time.Millisecond
 	// serving bounds the questions answered at the same time.
@@ -102,6 +105,9 @@
 	Store platform.Metadata
 	// Shared is the table whose reads a data centre's proxies share.
 	Shared string
+	// Own are the tables whose changes every proxy watches itself, so that no
+	// peer's failure delays them.
+	Own map[string]bool
 	Bus    Bus
 	// Now is a clock that counts suspensions.
 	Now func() tables.Time
@@ -118,6 +124,7 @@
 	mu      sync.Mutex
 	peers   []Peer
 	avoid   map[tables.VMID]tables.Time
+	misses  map[tables.VMID]int
 	waiting map[uint64]chan answer
 	lastID  uint64
 	// lostAt is when the store stopped answering; 0 while it answers.
@@ -135,6 +142,7 @@
 		Options: o,
 		log:     logging.For(o.Log, "rowrelay"),
 		avoid:   make(map[tables.VMID]tables.Time),
+		misses:  make(map[tables.VMID]int),
 		waiting: make(map[uint64]chan answer),
 	}
 }
--- a/internal/systems/place/place.go
+++ b/internal/systems/place/place.go
@@ -13,7 +13,7 @@
 const (
 	// crossDelay is what a server in another data centre costs beside its own
 	// time: the round trip and the bytes, which are dear between data centres.
-	crossDelay = 4 * time.Millisecond
+	crossDelay = 8 * time.Millisecond
 	// firstLatency is assumed of a server that has answered nothing yet.
 	firstLatency = 10 * time.Millisecond
 )
