--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -78,8 +78,9 @@
 	}
 }
 
-// Reader chooses the server of a group for a read, leaving out those tried.
-func (f *Fleet) Reader(id tables.GroupID, tried []tables.UpstreamID) (*Upstream, bool) {
+// Reader chooses the server of a group for a read that needs a position,
+// leaving out those tried.
+func (f *Fleet) Reader(id tables.GroupID, need tables.Position, tried []tables.UpstreamID) (*Upstream, bool) {
 	f.mu.Lock()
 	now := f.Now()
 	g := f.group(id)
@@ -88,7 +89,7 @@
 	f.mu.Unlock()
 	list := make([]place.Candidate, len(members))
 	for i, u := range members {
-		list[i] = u.candidate(now, slices.Contains(tried, u.entry.ID))
+		list[i] = u.candidate(now, need, slices.Contains(tried, u.entry.ID))
 	}
 	if len(list) == 0 {
 		return nil, false
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -47,6 +47,10 @@
 	answeredAt  tables.Time
 	// dialFailed says that the last attempt to connect failed.
 	dialFailed bool
+	// applied is the newest position that it showed to have applied, and
+	// behindUntil how long it is not asked for a later one.
+	applied     tables.Position
+	behindUntil tables.Time
 	// commitLost is when the oldest commit was sent that got no answer, with no
 	// commit answered since; 0 without one.
 	commitLost tables.Time
@@ -64,19 +68,28 @@
 func (u *Upstream) ID() tables.UpstreamID { return u.entry.ID }
 
 // candidate returns how a read sees the server.
-func (u *Upstream) candidate(now tables.Time, barred bool) place.Candidate {
+func (u *Upstream) candidate(now tables.Time, need tables.Position, barred bool) place.Candidate {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return place.Candidate{
 		ID:      u.entry.ID,
 		Local:   u.local,
-		Barred:  barred || now < u.barredUntil,
+		Barred:  barred || now < u.barredUntil || u.behind(now, need),
 		Slots:   u.entry.Slots,
 		Ahead:   u.ahead,
 		Latency: u.latency,
 	}
 }
 
+// behindFor is how long a server that lacked a position is not asked for it
+// again. Replicas apply in steps, and a vain question costs a round trip.
+const behindFor = 60 * time.Millisecond
+
+// behind reports whether the server has just shown that it has not applied need.
+func (h *health) behind(now tables.Time, need tables.Position) bool {
+	return now < h.behindUntil && !h.applied.AtLeast(need)
+}
+
 // Enter waits for the right to run a statement.
 func (u *Upstream) Enter(ctx context.Context, r admit.Request) (gate.Pass, error) {
 	u.mu.Lock()
@@ -236,9 +249,22 @@
 		return r, err
 	}
 	u.answered(token, st.ID != "" && !commit && r.Code == statement.OK)
+	u.showed(r)
 	return r, nil
 }
 
+// showed takes note of how far the server has applied its log.
+func (u *Upstream) showed(r statement.Reply) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if r.Position != (tables.Position{}) {
+		u.applied = r.Position
+	}
+	if r.Code == statement.Behind {
+		u.behindUntil = u.fleet.Now().Add(behindFor)
+	}
+}
+
 // Prepare tells a connection what it lacks for a session's next statement.
 func (u *Upstream) Prepare(c *links.Conn, deadline time.Time, list []statement.Statement, inTransaction bool) (statement.Reply, error) {
 	if len(list) == 0 {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -39,8 +39,11 @@
 	// deadline is when the statement's time is over.
 	deadline time.Time
 	tried    []tables.UpstreamID
-	// last names the server that was tried last.
+	// last names the server that was tried last, and how that ended.
 	last tables.UpstreamID
+	how  string
+	// tries counts the servers asked.
+	tries int
 }
 
 func newRequest(ctx context.Context, s *session, route tables.Route, st statement.Statement, writes bool) *request {
@@ -79,12 +82,28 @@
 		Weight:   1,
 		Priority: -q.route.Priority,
 		Deadline: q.s.fleet.Now().Add(time.Until(q.deadline)),
+		Patience: q.route.Target * 6 / 10,
 	}
 }
 
 // once runs the statement outside a transaction at one server.
 func (q *request) once(u *fleet.Upstream, after tables.Position) outcome {
+	out := q.try(u, after)
+	q.note(u, out)
+	return out
+}
+
+// note keeps what the log is to say of a try.
+func (q *request) note(u *fleet.Upstream, out outcome) {
 	q.last = u.ID()
+	q.tries++
+	q.how = out.reply.Code.String()
+	if out.err != nil {
+		q.how = out.err.Error()
+	}
+}
+
+func (q *request) try(u *fleet.Upstream, after tables.Position) outcome {
 	pass, err := u.Enter(q.ctx, q.admission())
 	if err != nil {
 		return outcome{err: err, refused: true}
@@ -131,7 +150,7 @@
 		return q.refuse("no primary tells how fresh the replicas are")
 	}
 	for {
-		u, ok := q.s.fleet.Reader(q.route.Group, q.tried)
+		u, ok := q.s.fleet.Reader(q.route.Group, need, q.tried)
 		if !ok {
 			if !q.pause() {
 				return q.refuse("no server can answer")
@@ -271,6 +290,9 @@
 func (q *request) refuseFor(why string, after time.Duration) statement.Reply {
 	after = max(after, comeBack)
 	after += rand.N(after/2 + 1)
+	if q.tries > 0 {
+		why = fmt.Sprintf("%s after %d tries, %s last: %s", why, q.tries, q.last, q.how)
+	}
 	return statement.Refuse(statement.Busy, q.s.status, fmt.Sprintf("%s, retry after %d ms", why, after.Milliseconds()))
 }
 
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -135,7 +135,6 @@
 // server is asked again: it did not run the statement.
 func (q *request) pinned(tx *transaction) outcome {
 	u, c := tx.upstream, tx.conn
-	q.last = u.ID()
 	for {
 		pass, err := u.Enter(q.ctx, q.admissionInside())
 		if err != nil {
@@ -146,6 +145,7 @@
 			out.reply, out.err = u.Exchange(c, q.deadline, st.Kind == statement.Commit && tx.wrote, st)
 		}
 		u.Leave(&pass)
+		q.note(u, out)
 		again := out.err == nil && out.reply.Code == statement.Busy && out.reply.State == statement.Open
 		if !again || !q.pause() {
 			return out
@@ -194,7 +194,7 @@
 		return q.refuse("no primary tells how fresh the replicas are"), false
 	}
 	for {
-		u, ok := q.s.fleet.Reader(tx.route.Group, q.tried)
+		u, ok := q.s.fleet.Reader(tx.route.Group, need, q.tried)
 		if !ok {
 			if !q.pause() {
 				return q.refuse("no server takes the transaction"), false
@@ -215,7 +215,12 @@
 
 // beginAt begins the transaction at one server.
 func (q *request) beginAt(u *fleet.Upstream, tx *transaction, after tables.Position) outcome {
-	q.last = u.ID()
+	out := q.tryBegin(u, tx, after)
+	q.note(u, out)
+	return out
+}
+
+func (q *request) tryBegin(u *fleet.Upstream, tx *transaction, after tables.Position) outcome {
 	c, err := u.Connect(q.ctx)
 	if err != nil {
 		return outcome{err: err}
--- a/internal/systems/admit/admit.go
+++ b/internal/systems/admit/admit.go
@@ -47,6 +47,9 @@
 	Priority int
 	// Deadline is when the caller stops waiting; 0 means never.
 	Deadline tables.Time
+	// Patience is how long a wait under overload is still of use to the caller;
+	// 0 means a few service times.
+	Patience time.Duration
 }
 
 // Kind is the answer to an Offer.
@@ -212,7 +215,7 @@
 	}
 	for _, l := range q.lanes {
 		for _, w := range l.queue {
-			consider(max(w.since.Add(q.target()), q.busySince.Add(OverloadAfter)))
+			consider(max(w.since.Add(q.target(w)), q.busySince.Add(OverloadAfter)))
 			if w.Deadline != 0 {
 				consider(w.Deadline.Add(-q.service))
 			}
@@ -236,8 +239,9 @@
 	return q.service * time.Duration(ahead) / time.Duration(max(q.slots, 1))
 }
 
-func (q *Queue) target() time.Duration {
-	return max(MinTarget, TargetServiceTimes*q.service)
+// target returns how long w may wait under overload.
+func (q *Queue) target(w waiting) time.Duration {
+	return max(MinTarget, TargetServiceTimes*q.service, w.Patience)
 }
 
 // hopeless returns the code with which w is refused at now, or codes.OK.
@@ -245,7 +249,7 @@
 	if w.Deadline != 0 && now.Add(q.service) > w.Deadline {
 		return codes.DeadlineTooShort
 	}
-	if q.Overloaded(now) && now.Sub(w.since) > q.target() {
+	if q.Overloaded(now) && now.Sub(w.since) > q.target(w) {
 		return codes.NoSlot
 	}
 	return codes.OK
