--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -82,7 +82,7 @@
 		Weight:   1,
 		Priority: -q.route.Priority,
 		Deadline: q.s.fleet.Now().Add(time.Until(q.deadline)),
-		Patience: q.route.Target * 6 / 10,
+		Patience: q.route.Target / 5,
 	}
 }
 
