--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -18,6 +20,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
 	"github.com/cranberrystage/cranberrystage/internal/relay"
 	"github.com/cranberrystage/cranberrystage/internal/rowrelay"
@@ -30,6 +33,17 @@
 	"github.com/cranberrystage/cranberrystage/platform/routes"
 	"github.com/cranberrystage/cranberrystage/platform/store"
 	"github.com/cranberrystage/cranberrystage/platform/wire"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	// metricsTimeout bounds one request for metrics.
+	metricsTimeout = 5 * time.Second
+	// logEndTimeout bounds the writing of the last log lines.
+	logEndTimeout = 200 * time.Millisecond
 )
 
 // peerQueueBytes bounds the bytes queued for one peer.
@@ -45,6 +59,8 @@
 func main() {
 	app := kingpin.New("cranberrystage-entry", "Database proxy with session consistency, on the users' platform.")
 	path := app.Flag("settings", "Settings file of the platform.").Envar(process.PathVariable).Required().String()
+	metricsPort := app.Flag("metrics-port", "TCP port of the metrics address; 0 serves none.").Default("9464").Int()
+	logLevel := app.Flag("log-level", "Least level of log lines.").Default("info").Enum("debug", "info", "warn", "error")
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintf(os.Stderr, "cranberrystage-entry: %v, try --help\n", err)
@@ -58,14 +74,27 @@
 	if *check {
 		return
 	}
-	if err := serve(*path, s); err != nil {
+	if err := serve(*path, s, *metricsPort, *logLevel); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
 }
 
-func serve(path string, s settings.Entry) error {
-	log := logging.New(os.Stdout, slog.LevelInfo)
+func serve(path string, s settings.Entry, metricsPort int, logLevel string) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(logLevel)); err != nil {
+		return err
+	}
+	out := logging.NewBounded(os.Stdout)
+	defer out.Close(logEndTimeout)
+	log := logging.New(out, level)
+	registry := prometheus.NewRegistry()
+	m := metrics.New(registry)
+	if err := serveMetrics(s.Address, metricsPort, registry, out); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	bus, err := tcpbus.New(s.PeerAddress, tcpbus.Options{Logger: logging.For(log, "peers"), QueueBytes: peerQueueBytes})
@@ -98,9 +127,10 @@
 		Open:       opener(s.VM),
 		Now:        boottime.Now,
 		Log:        log,
+		Metrics:    m,
 		DrainLimit: s.DrainLimit,
 	})
-	server := relay.NewServer(f, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, log)
+	server := relay.NewServer(f, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, m, log)
 	p, err := entry.New(s, f, server, log)
 	if err != nil {
 		return err
@@ -110,7 +140,7 @@
 			log.Error("entry: The proxies' messages are not served.", "error", err)
 		}
 	}()
-	go reload(ctx, path, p, log)
+	go reload(ctx, path, hup, p, log)
 	return p.Run(ctx)
 }
 
@@ -119,9 +149,7 @@
 const reloadInterval = 5 * time.Second
 
 // reload puts a changed settings file in force until ctx ends.
-func reload(ctx context.Context, path string, p *entry.Proxy, log *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func reload(ctx context.Context, path string, hup <-chan os.Signal, p *entry.Proxy, log *slog.Logger) {
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
 	last := modified(path)
@@ -157,6 +185,29 @@
 	return info.ModTime()
 }
 
+// serveMetrics serves the metrics on a port of the VM's address until the
+// process ends.
+func serveMetrics(address string, port int, registry *prometheus.Registry, out *logging.Bounded) error {
+	if port == 0 {
+		return nil
+	}
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "cranberrystage_log_lines_dropped_total", Help: "Log lines that found no room.",
+		}, func() float64 { return float64(out.Dropped()) }),
+	)
+	l, err := net.Listen("tcp", net.JoinHostPort(address, strconv.Itoa(port)))
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: metricsTimeout, WriteTimeout: metricsTimeout}
+	go func() { _ = server.Serve(l) }() // it ends with the process
+	return nil
+}
+
 // opener returns how connections to servers are opened.
 func opener(vm tables.VMID) links.Open {
 	return func(ctx context.Context, e tables.Entry) (links.Link, statement.Reply, error) {
--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -55,6 +55,7 @@
 	NoFreshReplica Code = 203
 	UpstreamLost   Code = 204
 	NotConfirmed   Code = 205
+	UpstreamFailed Code = 206
 
 	QueueFull        Code = 301
 	DeadlineTooShort Code = 302
@@ -106,6 +107,7 @@
 	{NoFreshReplica, "NoFreshReplica", "57P03", "No server can answer within the stated age."},
 	{UpstreamLost, "UpstreamLost", "08006", "The connection to the upstream broke while the request was under way."},
 	{NotConfirmed, "NotConfirmed", "08007", "The write was not confirmed by a second server in time."},
+	{UpstreamFailed, "UpstreamFailed", "08006", "The upstream refused the request or failed to run it."},
 	{QueueFull, "QueueFull", "53300", "The queue of this database is full."},
 	{DeadlineTooShort, "DeadlineTooShort", "53300", "The request could not be served before its deadline."},
 	{DeadlinePassed, "DeadlinePassed", "57014", "The deadline passed while the request was under way."},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -51,6 +52,7 @@
 	Open       links.Open
 	Now        func() tables.Time
 	Log        *slog.Logger
+	Metrics    *metrics.Metrics
 	// DrainLimit is how long after its notice a leaving server may get new work.
 	DrainLimit time.Duration
 }
--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -212,6 +212,18 @@
 	return max(g.announcedAt.Add(freshness.Lease+took).Sub(now), 10*time.Millisecond)
 }
 
+// Belief returns, for the log, whom this proxy takes for a group's primary, by
+// which record, and how old the evidence is; 0 means that there is none.
+func (f *Fleet) Belief(id tables.GroupID) (primary tables.UpstreamID, record uint64, provenAge time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.group(id)
+	if g.ProvenAt != 0 {
+		provenAge = f.Now().Sub(g.ProvenAt)
+	}
+	return g.Primary, g.Record, provenAge
+}
+
 // Observe takes note of a position that the primary reported to a statement
 // sent at at.
 func (f *Fleet) Observe(l Leader, at tables.Time, p tables.Position) {
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -64,7 +64,9 @@
 		log.Warn("Did not replace a primary.", "error", err, "took", f.Now().Sub(began))
 		return
 	}
-	log.Info("Replaced a primary.", "took", f.Now().Sub(began))
+	took := f.Now().Sub(began)
+	f.Metrics.ObserveWriteGap(id, took)
+	log.Info("Replaced a primary.", "took", took)
 }
 
 func (f *Fleet) enter(id tables.GroupID) bool {
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -112,6 +112,7 @@
 		return
 	}
 	f.routing.Store(next)
+	f.Metrics.SetConfigVersion(next.Version)
 	for id, limits := range next.Groups {
 		f.group(id)
 		for _, u := range f.upstreams {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
@@ -42,8 +43,13 @@
 	// last names the server that was tried last, and how that ended.
 	last tables.UpstreamID
 	how  string
-	// tries counts the servers asked.
-	tries int
+	// tries counts the servers asked; behind says that one lacked the position.
+	tries  int
+	behind bool
+	// need is the position that a read must have seen.
+	need tables.Position
+	// primary says that the request went to the primary as such.
+	primary bool
 }
 
 func newRequest(ctx context.Context, s *session, route tables.Route, st statement.Statement, writes bool) *request {
@@ -53,6 +59,7 @@
 	}
 	q := &request{s: s, route: route, st: st, writes: writes, arrived: s.fleet.Now(), deadline: time.Now().Add(timeout)}
 	q.ctx, q.cancel = context.WithDeadline(ctx, q.deadline)
+	s.last = q
 	return q
 }
 
@@ -97,6 +104,7 @@
 func (q *request) note(u *fleet.Upstream, out outcome) {
 	q.last = u.ID()
 	q.tries++
+	q.behind = q.behind || out.reply.Code == statement.Behind
 	q.how = out.reply.Code.String()
 	if out.err != nil {
 		q.how = out.err.Error()
@@ -145,15 +153,17 @@
 
 // read serves a read that replicas may answer.
 func (q *request) read() statement.Reply {
+	q.primary = false
 	need, ok := q.s.need(q.ctx, q.route, q.arrived)
+	q.need = need
 	if !ok {
-		return q.refuse("no primary tells how fresh the replicas are")
+		return q.refuse(codes.NoFreshReplica, "no primary tells how fresh the replicas are")
 	}
 	for {
 		u, ok := q.s.fleet.Reader(q.route.Group, need, q.tried)
 		if !ok {
 			if !q.pause() {
-				return q.refuse("no server can answer")
+				return q.refuse(q.whyNoServer(), "no server can answer")
 			}
 			q.tried = q.tried[:0]
 			continue
@@ -179,13 +189,14 @@
 		if !ok {
 			// The group is about to be frozen, or stays without a primary.
 			if !fleet.WaitFor(q.ctx, changed, min(expected, freezeTime)) {
-				return q.refuseFor("no primary", expected)
+				return q.refuseFor(codes.NoPrimary, "no primary", expected)
 			}
 			continue
 		}
 		if l.Upstream.Unreachable() {
-			return q.refuse("the primary does not answer")
+			return q.refuse(codes.UpstreamLost, "the primary does not answer")
 		}
+		q.primary = true
 		proof := q.prove(l)
 		at := q.s.fleet.Now()
 		out := q.once(l.Upstream, tables.Position{})
@@ -196,13 +207,13 @@
 				return out.reply
 			}
 		case out.refused:
-			return q.refuse("the primary has no room")
+			return q.refuse(reasonOf(out.err, codes.NoSlot), "the primary has no room")
 		}
 		if q.ctx.Err() != nil {
 			return q.timeout(out)
 		}
 		if !q.pause() {
-			return q.refuse("the primary does not answer")
+			return q.refuse(codes.UpstreamLost, "the primary does not answer")
 		}
 	}
 }
@@ -225,13 +236,14 @@
 	for {
 		l, changed, expected, ok := q.s.fleet.Leader(q.route.Group)
 		if ok && l.Upstream.Unreachable() {
-			return l, q.refuse("the primary does not answer"), false
+			return l, q.refuse(codes.UpstreamLost, "the primary does not answer"), false
 		}
 		if ok {
+			q.primary = true
 			return l, statement.Reply{}, true
 		}
 		if !fleet.WaitFor(q.ctx, changed, expected) {
-			return l, q.refuseFor("no primary", expected), false
+			return l, q.refuseFor(codes.NoPrimary, "no primary", expected), false
 		}
 	}
 }
@@ -254,10 +266,10 @@
 		case out.stage == answered && !out.reply.Code.NotRun():
 			return out.reply
 		case out.refused:
-			return q.refuse("the primary has no room")
+			return q.refuse(reasonOf(out.err, codes.NoSlot), "the primary has no room")
 		}
 		if q.ctx.Err() != nil || !q.pause() {
-			return q.refuse("the primary does not take the write")
+			return q.refuse(codes.UpstreamFailed, "the primary does not take the write")
 		}
 	}
 }
@@ -266,7 +278,7 @@
 func (q *request) committed(l fleet.Leader, at tables.Time, r statement.Reply) statement.Reply {
 	f := q.s.fleet
 	if f.Replaced(l) {
-		return statement.Refuse(statement.Unsure, statement.Idle, "the primary was replaced meanwhile")
+		return statement.Refuse(statement.Unsure, codes.PrimaryChanged, statement.Idle, "the primary was replaced meanwhile")
 	}
 	f.Observe(l, at, r.Position)
 	f.Committed(l, at)
@@ -284,26 +296,48 @@
 }
 
 // refuse says that the statement did not run.
-func (q *request) refuse(why string) statement.Reply { return q.refuseFor(why, 0) }
+func (q *request) refuse(reason codes.Code, why string) statement.Reply {
+	return q.refuseFor(reason, why, 0)
+}
 
 // refuseFor is refuse with the time after which it is worth to come back.
-func (q *request) refuseFor(why string, after time.Duration) statement.Reply {
+func (q *request) refuseFor(reason codes.Code, why string, after time.Duration) statement.Reply {
 	after = max(after, comeBack)
 	after += rand.N(after/2 + 1)
 	if q.tries > 0 {
 		why = fmt.Sprintf("%s after %d tries, %s last: %s", why, q.tries, q.last, q.how)
 	}
-	return statement.Refuse(statement.Busy, q.s.status, fmt.Sprintf("%s, retry after %d ms", why, after.Milliseconds()))
+	return statement.Refuse(statement.Busy, reason, q.s.status, fmt.Sprintf("%s, retry after %d ms", why, after.Milliseconds()))
+}
+
+// reasonOf returns the number inside err, or other.
+func reasonOf(err error, other codes.Code) codes.Code {
+	if e, ok := codes.From(err); ok {
+		return e.Code
+	}
+	return other
+}
+
+// whyNoServer returns the number for a read that no server answered.
+func (q *request) whyNoServer() codes.Code {
+	switch {
+	case q.tries == 0:
+		return codes.UpstreamLost
+	case q.behind:
+		return codes.NoFreshReplica
+	default:
+		return codes.NoSlot
+	}
 }
 
 // timeout answers a read whose time is over.
 func (q *request) timeout(out outcome) statement.Reply {
 	if out.stage == notSent {
-		return q.refuse("no room in time")
+		return q.refuse(reasonOf(out.err, codes.NoSlot), "no room in time")
 	}
-	return statement.Refuse(statement.Timeout, q.s.status, "no answer in time")
+	return statement.Refuse(statement.Timeout, codes.DeadlinePassed, q.s.status, "no answer in time")
 }
 
 func (q *request) unsure(err error) statement.Reply {
-	return statement.Refuse(statement.Unsure, statement.Idle, "the outcome was not learnt: "+err.Error())
+	return statement.Refuse(statement.Unsure, codes.UpstreamLost, statement.Idle, "the outcome was not learnt: "+err.Error())
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/pkg/errors"
 )
@@ -39,10 +43,11 @@
 
 // Server serves callers' connections.
 type Server struct {
-	fleet *fleet.Fleet
-	wrap  func(net.Conn) Caller
-	log   *slog.Logger
-	lines *journal
+	fleet   *fleet.Fleet
+	wrap    func(net.Conn) Caller
+	log     *slog.Logger
+	lines   *journal
+	metrics *metrics.Metrics
 
 	mu       sync.Mutex
 	sessions map[*served]struct{}
@@ -64,12 +69,13 @@
 }
 
 // NewServer returns a server whose connections wrap makes.
-func NewServer(f *fleet.Fleet, wrap func(net.Conn) Caller, log *slog.Logger) *Server {
+func NewServer(f *fleet.Fleet, wrap func(net.Conn) Caller, m *metrics.Metrics, log *slog.Logger) *Server {
 	return &Server{
 		fleet:    f,
 		wrap:     wrap,
 		log:      logging.For(log, "relay"),
-		lines:    newJournal(log),
+		lines:    newJournal(log, m),
+		metrics:  m,
 		sessions: make(map[*served]struct{}),
 	}
 }
@@ -90,6 +96,7 @@
 		s.mu.Lock()
 		s.sessions[sv] = struct{}{}
 		s.mu.Unlock()
+		s.metrics.AddCallers(1)
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
@@ -98,6 +105,7 @@
 			s.mu.Lock()
 			delete(s.sessions, sv)
 			s.mu.Unlock()
+			s.metrics.AddCallers(-1)
 		}()
 	}
 }
@@ -112,13 +120,13 @@
 	}
 	database, err := c.Startup()
 	if err != nil {
-		s.lines.malformed(err)
+		s.ended(err)
 		return
 	}
 	sess := &session{fleet: s.fleet, log: s.lines, database: database}
 	if _, ok := sess.route(); !ok {
 		s.lines.rejected(database)
-		_ = c.Reject(statement.Refuse(statement.NoDatabase, statement.Idle, database)) // the caller is closed next
+		_ = c.Reject(statement.Refuse(statement.NoDatabase, codes.UnknownService, statement.Idle, database)) // the caller is closed next
 		return
 	}
 	defer sess.close()
@@ -139,12 +147,21 @@
 	}
 	st, ok, err := sv.caller.Next()
 	if err != nil {
-		s.lines.malformed(err)
+		s.ended(err)
 		return false
 	}
 	return ok && sv.caller.Reply(sess.handle(ctx, st)) == nil
 }
 
+// ended takes note of a connection that ended in the middle. A caller that
+// just went away is nothing to tell.
+func (s *Server) ended(err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET) {
+		return
+	}
+	s.lines.malformed(err)
+}
+
 // await waits until a statement arrives; false means that the session ends.
 func (s *Server) await(sv *served, sess *session) bool {
 	for {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
@@ -23,11 +24,14 @@
 	newest tables.Position
 	status statement.State
 	tx     *transaction
+	// last is the request that was run last, for the log.
+	last *request
 }
 
 // handle answers one statement.
 func (s *session) handle(ctx context.Context, st statement.Statement) statement.Reply {
 	began := s.fleet.Now()
+	s.last = nil
 	var r statement.Reply
 	switch st.Kind {
 	case statement.Set, statement.Prepare, statement.Forget:
@@ -41,7 +45,7 @@
 	case statement.Read, statement.Write, statement.Execute:
 		r = s.data(ctx, st)
 	default:
-		r = statement.Refuse(statement.Bad, s.status, "statement is not understood")
+		r = statement.Refuse(statement.Bad, codes.Unsupported, s.status, "statement is not understood")
 	}
 	r.Position = tables.Position{}
 	s.log.answered(s, st, r, s.fleet.Now().Sub(began))
@@ -52,7 +56,7 @@
 // when a statement needs it.
 func (s *session) local(st statement.Statement) statement.Reply {
 	if s.status == statement.Failed {
-		return statement.Refuse(statement.Bad, s.status, "the transaction failed")
+		return statement.Refuse(statement.Bad, codes.SessionState, s.status, "the transaction failed")
 	}
 	ok := true
 	switch st.Kind {
@@ -62,11 +66,11 @@
 		ok = s.state.Prepare(st.Name, preparation.Shape{Text: st.Value, Writes: st.Writes})
 	case statement.Forget:
 		if !s.state.Forget(st.Name) {
-			return statement.Refuse(statement.NoStatement, s.status, st.Name)
+			return statement.Refuse(statement.NoStatement, codes.SessionState, s.status, st.Name)
 		}
 	}
 	if !ok {
-		return statement.Refuse(statement.Bad, s.status, "the session holds too much")
+		return statement.Refuse(statement.Bad, codes.SessionState, s.status, "the session holds too much")
 	}
 	return statement.Reply{State: s.status}
 }
@@ -87,19 +91,19 @@
 	if st.Kind == statement.Execute {
 		shape, ok := s.state.Shape(st.Name)
 		if !ok {
-			return statement.Refuse(statement.NoStatement, s.status, st.Name)
+			return statement.Refuse(statement.NoStatement, codes.SessionState, s.status, st.Name)
 		}
 		writes = shape.Writes
 	}
 	switch s.status {
 	case statement.Failed:
-		return statement.Refuse(statement.Bad, s.status, "the transaction failed")
+		return statement.Refuse(statement.Bad, codes.SessionState, s.status, "the transaction failed")
 	case statement.Open:
 		return s.inTransaction(ctx, st, writes)
 	}
 	route, ok := s.route()
 	if !ok {
-		return statement.Refuse(statement.NoDatabase, s.status, s.database)
+		return statement.Refuse(statement.NoDatabase, codes.UnknownService, s.status, s.database)
 	}
 	q := newRequest(ctx, s, route, st, writes)
 	defer q.cancel()
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
@@ -32,11 +33,11 @@
 
 func (s *session) begin(st statement.Statement) statement.Reply {
 	if s.status != statement.Idle {
-		return statement.Refuse(statement.Bad, s.status, "a transaction is open")
+		return statement.Refuse(statement.Bad, codes.SessionState, s.status, "a transaction is open")
 	}
 	route, ok := s.route()
 	if !ok {
-		return statement.Refuse(statement.NoDatabase, s.status, s.database)
+		return statement.Refuse(statement.NoDatabase, codes.UnknownService, s.status, s.database)
 	}
 	s.tx = &transaction{readOnly: st.Kind == statement.BeginRead, arrived: s.fleet.Now(), route: route}
 	s.status = statement.Open
@@ -105,7 +106,7 @@
 func (s *session) inTransaction(ctx context.Context, st statement.Statement, writes bool) statement.Reply {
 	tx := s.tx
 	if writes && tx.readOnly {
-		return s.fail(statement.Refuse(statement.ReadOnly, s.status, "the transaction only reads"), nil)
+		return s.fail(statement.Refuse(statement.ReadOnly, codes.SessionState, s.status, "the transaction only reads"), nil)
 	}
 	q := newRequest(ctx, s, tx.route, st, writes)
 	defer q.cancel()
@@ -116,7 +117,7 @@
 	}
 	out := q.pinned(tx)
 	if out.err != nil {
-		return s.fail(statement.Refuse(statement.Aborted, s.status, "the connection was lost: "+out.err.Error()), out.err)
+		return s.fail(statement.Refuse(statement.Aborted, codes.UpstreamLost, s.status, "the connection was lost: "+out.err.Error()), out.err)
 	}
 	if out.reply.Code != statement.OK {
 		return s.fail(out.reply, nil)
@@ -124,7 +125,7 @@
 	tx.wrote = tx.wrote || writes
 	if !writes && tx.leader != nil && !tx.proven {
 		if !q.s.fleet.LedAt(q.ctx, *tx.leader, tx.arrived) {
-			return s.fail(statement.Refuse(statement.Aborted, s.status, "the primary may have been replaced"), nil)
+			return s.fail(statement.Refuse(statement.Aborted, codes.NotConfirmed, s.status, "the primary may have been replaced"), nil)
 		}
 		tx.proven = true
 	}
@@ -138,7 +139,7 @@
 	for {
 		pass, err := u.Enter(q.ctx, q.admissionInside())
 		if err != nil {
-			return outcome{reply: q.refuse("no room in time")}
+			return outcome{reply: q.refuse(reasonOf(err, codes.NoSlot), "no room in time")}
 		}
 		st, out := q.prepare(u, c, true)
 		if out.err == nil && out.reply.Code == statement.OK {
@@ -179,10 +180,10 @@
 			return out.reply, true
 		}
 		if out.refused {
-			return q.refuse("the primary has no room"), false
+			return q.refuse(reasonOf(out.err, codes.NoSlot), "the primary has no room"), false
 		}
 		if q.ctx.Err() != nil || !q.pause() {
-			return q.refuse("the primary does not take the transaction"), false
+			return q.refuse(codes.UpstreamFailed, "the primary does not take the transaction"), false
 		}
 	}
 }
@@ -190,14 +191,15 @@
 // openRead begins a transaction that only reads at any server that is fresh enough.
 func (q *request) openRead(tx *transaction) (r statement.Reply, ok bool) {
 	need, ok := q.s.need(q.ctx, tx.route, tx.arrived)
+	q.need = need
 	if !ok {
-		return q.refuse("no primary tells how fresh the replicas are"), false
+		return q.refuse(codes.NoFreshReplica, "no primary tells how fresh the replicas are"), false
 	}
 	for {
 		u, ok := q.s.fleet.Reader(tx.route.Group, need, q.tried)
 		if !ok {
 			if !q.pause() {
-				return q.refuse("no server takes the transaction"), false
+				return q.refuse(q.whyNoServer(), "no server takes the transaction"), false
 			}
 			q.tried = q.tried[:0]
 			continue
@@ -207,7 +209,7 @@
 			return out.reply, true
 		}
 		if q.ctx.Err() != nil {
-			return q.refuse("no server takes the transaction"), false
+			return q.refuse(q.whyNoServer(), "no server takes the transaction"), false
 		}
 		q.tried = append(q.tried, u.ID())
 	}
@@ -255,11 +257,11 @@
 func (s *session) commit(ctx context.Context, st statement.Statement) statement.Reply {
 	switch s.status {
 	case statement.Idle:
-		return statement.Refuse(statement.Bad, s.status, "no transaction is open")
+		return statement.Refuse(statement.Bad, codes.SessionState, s.status, "no transaction is open")
 	case statement.Failed:
 		why := s.tx.endedFor
 		s.drop(nil)
-		return statement.Refuse(statement.Aborted, statement.Idle, "the transaction failed "+why)
+		return statement.Refuse(statement.Aborted, codes.SessionState, statement.Idle, "the transaction failed "+why)
 	}
 	tx := s.tx
 	q := newRequest(ctx, s, tx.route, st, tx.wrote)
@@ -278,7 +280,7 @@
 	case out.err != nil && tx.wrote:
 		r = q.unsure(out.err)
 	case out.err != nil:
-		r = statement.Refuse(statement.Aborted, statement.Idle, "the connection was lost: "+out.err.Error())
+		r = statement.Refuse(statement.Aborted, codes.UpstreamLost, statement.Idle, "the connection was lost: "+out.err.Error())
 	case r.Code == statement.OK && tx.wrote && tx.leader != nil:
 		r = q.committed(*tx.leader, at, r)
 	}
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -14,10 +14,12 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
 	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 )
 
@@ -192,6 +194,7 @@
 	vm := tables.VMID(fmt.Sprintf("vm%d", i))
 	p := &proxyUnderTest{w: w, vm: vm, stop: cancel, store: &proxyStore{Store: w.store}}
 	log := slog.New(slog.NewTextHandler(w.logTo(), nil)).With("vm", vm)
+	m := metrics.New(prometheus.NewRegistry())
 	p.fleet = fleet.New(fleet.Options{
 		VM: vm, DataCentre: tables.DataCentreID(fmt.Sprintf("dc%d", i%3)), Store: p.store, Promoter: promoter{w.group},
 		Codec: fleet.Codec{
@@ -211,9 +214,10 @@
 		},
 		Now:        func() tables.Time { return tables.Time(time.Since(w.began) + time.Hour) },
 		Log:        log,
+		Metrics:    m,
 		DrainLimit: 7 * time.Second,
 	})
-	p.lines = newJournal(log)
+	p.lines = newJournal(log, m)
 	go p.fleet.Run(ctx)
 	return p
 }
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -108,7 +108,7 @@
 	// Own are the tables whose changes every proxy watches itself, so that no
 	// peer's failure delays them.
 	Own map[string]bool
-	Bus    Bus
+	Bus Bus
 	// Now is a clock that counts suspensions.
 	Now func() tables.Time
 	Log *slog.Logger
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -3,7 +3,10 @@
 // from bytes; routing, session state and retries know nothing else.
 package statement
 
-import "github.com/cranberrystage/cranberrystage/internal/tables"
+import (
+	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
 
 // Kind says what a statement does.
 type Kind uint8
@@ -137,6 +140,9 @@
 type Reply struct {
 	// Code is OK or the reason why there is no result.
 	Code Code
+	// Reason is the project's number for a refusal of the proxy's own; 0 if the
+	// answer is an upstream's.
+	Reason codes.Code
 	// Detail is free text beside Code.
 	Detail string
 	// Rows are the result's rows, as received.
@@ -151,9 +157,9 @@
 	Account *Account
 }
 
-// Refuse returns a reply without a result.
-func Refuse(c Code, s State, detail string) Reply {
-	return Reply{Code: c, State: s, Detail: detail}
+// Refuse returns a reply of the proxy's own without a result.
+func Refuse(c Code, reason codes.Code, s State, detail string) Reply {
+	return Reply{Code: c, Reason: reason, State: s, Detail: detail}
 }
 
 // Account is an upstream's own account of itself.
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -3,7 +3,10 @@
 // each tick and return typed actions for the process shell.
 package tables
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Identifiers. Each is a short string from the configuration or the platform.
 type (
@@ -40,6 +43,14 @@
 	Index uint64 `json:"index" msgpack:"i"`
 }
 
+// String returns "term.index", or "-" for the zero position.
+func (p Position) String() string {
+	if p == (Position{}) {
+		return "-"
+	}
+	return fmt.Sprintf("%d.%d", p.LogTerm, p.Index)
+}
+
 // Compare returns -1, 0 or 1 as p is before, at or after q.
 func (p Position) Compare(q Position) int {
 	switch {
