--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -46,6 +46,8 @@
 	confirmNow   bool
 	keyOut       string
 	userName     string
+	files        []string
+	group        string
 }
 
 // Run parses args, carries out the command and returns the exit code.
@@ -99,6 +101,12 @@
 	add(app.Command("history", "Show every version that was in force."), c.history)
 	subject(add(app.Command("drain", "Plan that an upstream or VM receives no new work."), c.drain))
 	subject(add(app.Command("undrain", "Plan that an upstream or VM receives work again."), c.undrain))
+	story := add(app.Command("story", "Print what logs tell of one request and of its database group shortly before."), c.story)
+	story.Arg("request", "Id of the request.").Required().StringVar(&c.id)
+	story.Arg("log", "Log files; standard input if none is named.").ExistingFilesVar(&c.files)
+	timeline := add(app.Command("timeline", "Print from logs what changed the proxies' belief: primaries, configuration, servers, the store."), c.timeline)
+	timeline.Flag("group", "Only this database group.").StringVar(&c.group)
+	timeline.Arg("log", "Log files; standard input if none is named.").ExistingFilesVar(&c.files)
 	key := app.Command("key", "Operators' keys.")
 	add(key.Command("new", "Make a key pair."), c.keyNew).
 		Flag("out", "New file for the private key.").Required().StringVar(&c.keyOut)
