--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -178,11 +178,11 @@
 		f.log.Info("Learnt of a server.", "upstream", e.ID, "group", e.Group, "dataCentre", e.DataCentre,
 			"leaving", e.Leaving, "claimsToLead", e.ClaimsToLead)
 	}
-	if u.leaving != e.Leaving || u.claims != e.ClaimsToLead {
-		f.log.Info("A server changed.", "upstream", e.ID, "leaving", e.Leaving, "claimsToLead", e.ClaimsToLead)
+	if ok && (u.leaving != e.Leaving || u.claims != e.ClaimsToLead) {
+		f.log.Info("A server changed.", "upstream", e.ID, "group", e.Group, "leaving", e.Leaving, "claimsToLead", e.ClaimsToLead)
 	}
 	if u.missingSince != 0 {
-		f.log.Info("A server's entry is back.", "upstream", e.ID, "missingFor", f.Now().Sub(u.missingSince))
+		f.log.Info("A server's entry is back.", "upstream", e.ID, "group", e.Group, "missingFor", f.Now().Sub(u.missingSince))
 	}
 	if u.slots != e.Slots {
 		u.slots = e.Slots
@@ -202,7 +202,7 @@
 		return
 	}
 	u.missingSince = f.Now()
-	f.log.Info("A server's entry is missing.", "upstream", id, "how", how)
+	f.log.Info("A server's entry is missing.", "upstream", id, "group", u.entry.Group, "how", how)
 }
 
 // missingWhileStoreAnswers returns since when an entry has been missing with
