--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -243,12 +243,13 @@
 	l.group.Prove(l.Upstream.entry.ID, l.record, at)
 }
 
-// Replaced reports whether another server has taken l's place.
+// Replaced reports whether another server has taken l's place, or was ordered
+// to: a commit that l acknowledges now may be missing there.
 func (f *Fleet) Replaced(l Leader) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := l.group
-	return g.version != l.record && !g.record.Replacing && g.record.Primary != l.Upstream.entry.ID
+	return g.version != l.record && (g.record.Ordered != "" || g.record.Primary != l.Upstream.entry.ID)
 }
 
 // LedNow reports whether evidence at hand shows that l led at t.
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -104,7 +104,9 @@
 	clock time.Duration
 	// announced is when the announcement surely stood.
 	announced tables.Time
-	term      tables.Term
+	// held is when the last replica was held.
+	held tables.Time
+	term tables.Term
 }
 
 func (f *Fleet) tryTakeOver(ctx context.Context, id tables.GroupID, cause replace.Cause, l Leader) error {
@@ -128,15 +130,16 @@
 		a.abandon(ctx)
 		return errors.New("the primary still leads, the replacement is given up")
 	}
-	held, err := a.holdAll(ctx)
-	if err == nil && replace.AllLeave(held) && cause == replace.CauseLeaving {
+	held := make(holds)
+	err := a.holdAll(ctx, held)
+	if err == nil && replace.AllLeave(held.list()) && cause == replace.CauseLeaving {
 		err = errors.New("all replicas are leaving too")
 	}
 	if err != nil {
 		a.abandon(ctx)
 		return err
 	}
-	return a.order(ctx, held, f.Now())
+	return a.order(ctx, held)
 }
 
 // survey asks all replicas before anything is announced. A replacement that
@@ -396,33 +399,36 @@
 	return false, nil
 }
 
-// holdAll holds every server that may count for the old primary's commits. It
-// returns those that it held, also beside an error.
-func (a *attempt) holdAll(ctx context.Context) ([]replace.Held, error) {
+// holds are the servers held, by name.
+type holds map[tables.UpstreamID]replace.Held
+
+func (h holds) list() []replace.Held {
+	out := make([]replace.Held, 0, len(h))
+	for _, held := range h {
+		out = append(out, held)
+	}
+	return out
+}
+
+// holdAll holds every server that may count for the old primary's commits and
+// is not held yet.
+func (a *attempt) holdAll(ctx context.Context, held holds) error {
 	f := a.f
 	deadline := f.Now().Add(holdTimeout)
-	held := make(map[tables.UpstreamID]replace.Held)
-	list := func() []replace.Held {
-		out := make([]replace.Held, 0, len(held))
-		for _, h := range held {
-			out = append(out, h)
-		}
-		return out
-	}
 	for {
 		missing, err := a.holdRest(ctx, held)
 		if missing == 0 && err == nil {
-			return list(), nil
+			return nil
 		}
 		if f.Now() > deadline || ctx.Err() != nil {
-			return list(), errors.Errorf("%d replicas can't be held: %v", missing, err)
+			return errors.Errorf("%d replicas can't be held: %v", missing, err)
 		}
 		_ = sleep.For(ctx, holdPause) // the loop looks at ctx
 	}
 }
 
 // holdRest tries once to hold the servers that are not held yet.
-func (a *attempt) holdRest(ctx context.Context, held map[tables.UpstreamID]replace.Held) (missing int, err error) {
+func (a *attempt) holdRest(ctx context.Context, held holds) (missing int, err error) {
 	f := a.f
 	f.mu.Lock()
 	members := f.members(a.id, func(u *Upstream) bool {
@@ -484,34 +490,103 @@
 	return since != 0 && f.Now().Sub(since) >= replace.GoneAfter
 }
 
-// order waits until the order may be given, gives it and waits for its effect.
-func (a *attempt) order(ctx context.Context, held []replace.Held, heldAt tables.Time) error {
+// order stops the old primary if it can be reached, waits until the order may
+// be given, gives it and waits for its effect. A server that joins meanwhile
+// may receive commits of the old primary, so it is held too.
+func (a *attempt) order(ctx context.Context, held holds) error {
 	f := a.f
-	best, ok := replace.Candidate(held)
-	if !ok {
-		return errors.New("no replica is held")
+	a.stopPrimary(ctx)
+	var best replace.Held
+	for {
+		if err := a.holdAll(ctx, held); err != nil {
+			return err
+		}
+		heldAt, members := f.Now(), len(held)
+		var ok bool
+		if best, ok = replace.Candidate(held.list()); !ok {
+			return errors.New("no replica is held")
+		}
+		if err := a.choose(ctx, best); err != nil {
+			return err
+		}
+		if err := sleep.For(ctx, replace.OrderAt(a.announced, heldAt).Sub(f.Now())); err != nil {
+			return err
+		}
+		a.checkHolds(ctx, held)
+		if missing, err := a.holdRest(ctx, held); err == nil && missing == 0 && len(held) == members && a.kept(held, best) {
+			a.held = heldAt
+			break
+		}
 	}
+	return a.give(ctx, best, len(held))
+}
+
+// kept reports whether best is still the one to promote and nothing newer was received.
+func (a *attempt) kept(held holds, best replace.Held) bool {
+	now, ok := replace.Candidate(held.list())
+	return ok && now.Account.Received == best.Account.Received && held[best.ID].Account.Received == best.Account.Received
+}
+
+// checkHolds leaves out the servers that forgot that they are held, as one does
+// that started again. What they received since counts anew.
+func (a *attempt) checkHolds(ctx context.Context, held holds) {
+	f := a.f
+	for id := range held {
+		f.mu.Lock()
+		u, ok := f.upstreams[id]
+		f.mu.Unlock()
+		if !ok {
+			delete(held, id)
+			continue
+		}
+		account, _, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+		if err != nil || account.Held == 0 {
+			f.log.Info("A hold was lost.", "group", a.id, "upstream", id, "error", err)
+			delete(held, id)
+		}
+	}
+}
+
+// stopPrimary makes the old primary a replica. It may not be there to listen.
+func (a *attempt) stopPrimary(ctx context.Context) {
+	f := a.f
+	f.mu.Lock()
+	u, ok := f.upstreams[a.record.Primary]
+	f.mu.Unlock()
+	if !ok || u.Unreachable() {
+		return
+	}
+	if _, _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: a.term}); err != nil {
+		f.log.Info("The old primary was not stopped.", "group", a.id, "upstream", u.ID(), "error", err)
+	}
+}
+
+// choose records who is to be promoted.
+func (a *attempt) choose(ctx context.Context, best replace.Held) error {
 	next := a.record
 	next.Ordered, next.OrderedAt, next.Safe = best.ID, a.clock, best.Account.Received
-	if err := a.update(ctx, next); err != nil {
-		return err
-	}
-	wait := replace.OrderAt(a.announced, heldAt).Sub(f.Now())
-	if err := sleep.For(ctx, wait); err != nil {
-		return err
+	if next == a.record {
+		return nil
 	}
+	return a.update(ctx, next)
+}
+
+// give gives the order, if this proxy still has the duty.
+func (a *attempt) give(ctx context.Context, best replace.Held, held int) error {
+	f := a.f
 	f.mu.Lock()
 	d := f.duty
 	f.mu.Unlock()
-	if !replace.MayOrder(f.Now(), a.announced, heldAt, d.until) {
+	if !replace.MayOrder(f.Now(), a.announced, a.held, d.until) {
 		return errors.Wrap(errLostDuty, "the claim ran out before the order")
 	}
 	f.log.Info("Ordered a promotion.", "group", a.id, "upstream", best.ID, "token", d.token,
-		"received", best.Account.Received, "held", len(held), "before", a.record.Primary)
+		"received", best.Account.Received, "held", held, "before", a.record.Primary)
 	orderCtx, cancel := context.WithTimeout(ctx, d.until.Sub(f.Now()))
 	err := f.Promoter.Promote(orderCtx, d.token, a.id, best.ID)
 	cancel()
 	if errors.Is(err, f.Codec.NotRunning) || errors.Is(err, platform.ErrUnavailable) {
+		next := a.record
 		next.Ordered, next.OrderedAt, next.Safe = "", 0, tables.Position{}
 		if uerr := a.update(ctx, next); uerr != nil {
 			f.log.Warn("An order that was refused stays on record.", "group", a.id, "error", uerr)
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -128,6 +128,11 @@
 		}
 		p.drop(c)
 	}
+	if fresh && p.total >= p.limit && len(p.idle) > 0 {
+		// A new connection is to tell whether the server answers, so an old one makes room.
+		p.drop(p.idle[0])
+		p.idle = p.idle[1:]
+	}
 	if p.total < p.limit && p.now() >= p.fullUntil {
 		p.total++
 		return nil, nil, nil
