--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -368,7 +368,9 @@
 	if r.Account == nil {
 		return statement.Account{}, 0, errors.Errorf("fleet: no account in the answer to %s", st.Kind)
 	}
-	return *r.Account, opened, nil
+	account := *r.Account
+	account.Applied = r.Position
+	return account, opened, nil
 }
 
 // own runs a statement of the proxy's own on a connection of the pool.
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -170,6 +170,8 @@
 	Term tables.Term
 	// Received is the newest position in its log, applied or not.
 	Received tables.Position
+	// Applied is how far it had applied its log.
+	Applied tables.Position
 	// Held is the term under which it was told to stop receiving; 0 while it receives.
 	Held tables.Term
 }
--- a/internal/systems/replace/replace.go
+++ b/internal/systems/replace/replace.go
@@ -123,7 +123,9 @@
 }
 
 // Candidate returns who is to lead: the newest log, and among equal ones a
-// server that stays. ok is false without a held replica.
+// server that stays, then the one that has applied the least. A promotion
+// applies all that was received, so a replica that lags is cured by it, while
+// the other one can go on answering reads. ok is false without a held replica.
 func Candidate(held []Held) (best Held, ok bool) {
 	for _, h := range held {
 		if !ok || better(h, best) {
@@ -140,7 +142,10 @@
 	case -1:
 		return false
 	}
-	return b.Leaving && !a.Leaving
+	if a.Leaving != b.Leaving {
+		return b.Leaving
+	}
+	return a.Account.Applied.Compare(b.Account.Applied) < 0
 }
 
 // AllLeave reports whether every held replica is going to end, so that a new
