--- /dev/null
+++ b/internal/systems/freshness/freshness_test.go
@@ -0,0 +1,113 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"gotest.tools/v3/assert"
+)
+
+func at(ms int) tables.Time { return tables.Time(time.Duration(ms) * time.Millisecond) }
+
+func pos(index uint64) tables.Position { return tables.Position{LogTerm: 1, Index: index} }
+
+// lead returns a leadership of p by record 1, proven at 1000 ms.
+func lead() *Leadership {
+	var l Leadership
+	l.Lead("p", 1)
+	l.Prove("p", 1, at(1000))
+	return &l
+}
+
+func TestEvidenceEndsWithTheLease(t *testing.T) {
+	l := lead()
+	end := at(1000).Add(Lease)
+	assert.Assert(t, l.LedAt(end-1))
+	assert.Assert(t, !l.LedAt(end))
+}
+
+func TestEvidenceOfAnotherPrimaryOrRecordSaysNothing(t *testing.T) {
+	l := lead()
+	l.Prove("q", 1, at(5000))
+	l.Prove("p", 2, at(5000))
+	assert.Assert(t, !l.LedAt(at(5000)))
+}
+
+func TestNeedTakesTheOldestPointThatIsYoungEnough(t *testing.T) {
+	l := lead()
+	for i := range 10 {
+		l.Note("p", 1, Point{At: at(1000 + 100*i), Position: pos(uint64(i + 1))})
+	}
+	l.Prove("p", 1, at(2000))
+	need, ok := l.Need(at(1350))
+	assert.Assert(t, ok)
+	assert.Equal(t, need, pos(5))
+	_, ok = l.Need(at(1901))
+	assert.Assert(t, !ok)
+}
+
+func TestPointWithoutEvidenceIsNotUsed(t *testing.T) {
+	l := lead()
+	l.Note("p", 1, Point{At: at(1500), Position: pos(9)})
+	_, ok := l.Need(at(1200))
+	assert.Assert(t, !ok)
+	// Evidence that begins later covers it too.
+	l.Prove("p", 1, at(1600))
+	need, ok := l.Need(at(1200))
+	assert.Assert(t, ok)
+	assert.Equal(t, need, pos(9))
+}
+
+func TestNewPrimaryMakesPointsVoid(t *testing.T) {
+	l := lead()
+	l.Note("p", 1, Point{At: at(1000), Position: pos(74)})
+	l.Lead("q", 2)
+	_, ok := l.Need(at(0))
+	assert.Assert(t, !ok)
+	assert.Assert(t, !l.LedAt(at(1000)))
+}
+
+func TestFrozenGroupGivesAPointWithEachLook(t *testing.T) {
+	l := lead()
+	l.Freeze(2, pos(50))
+	_, ok := l.Need(at(0))
+	assert.Assert(t, !ok)
+	l.Prove("", 2, at(3000))
+	need, ok := l.Need(at(2900))
+	assert.Assert(t, ok)
+	assert.Equal(t, need, pos(50))
+	_, ok = l.Need(at(3001))
+	assert.Assert(t, !ok)
+	assert.Assert(t, !l.LedAt(at(3000)), "nobody leads a frozen group")
+}
+
+func TestFrozenPointsOutliveTheNewPrimary(t *testing.T) {
+	l := lead()
+	l.Freeze(2, pos(50))
+	l.Prove("", 2, at(3000))
+	l.Lead("q", 3)
+	need, ok := l.Need(at(2900))
+	assert.Assert(t, ok)
+	assert.Equal(t, need, pos(50))
+	assert.Assert(t, !l.LedAt(at(3000)), "nothing shows yet that q leads")
+	l.Prove("q", 3, at(3100))
+	assert.Assert(t, l.LedAt(at(3100)))
+}
+
+func TestPointsAreBounded(t *testing.T) {
+	l := lead()
+	for i := range 100_000 {
+		l.Note("p", 1, Point{At: at(1000 + i), Position: pos(uint64(i + 1))})
+	}
+	assert.Assert(t, len(l.points) <= maxPoints+1, "%d", len(l.points))
+	assert.Assert(t, l.points[len(l.points)-1].At.Sub(l.points[0].At) <= Horizon)
+}
+
+func TestPositionThatGoesBackIsNoPoint(t *testing.T) {
+	l := lead()
+	l.Note("p", 1, Point{At: at(1000), Position: pos(9)})
+	l.Note("p", 1, Point{At: at(1100), Position: pos(8)})
+	l.Note("p", 1, Point{At: at(1200)})
+	assert.Equal(t, len(l.points), 1)
+}
--- /dev/null
+++ b/internal/systems/preparation/preparation_test.go
@@ -0,0 +1,125 @@
+package preparation
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"gotest.tools/v3/assert"
+)
+
+// server plays a connection's server: what it holds after statements.
+type server struct {
+	values   map[string]string
+	prepared map[string]Shape
+}
+
+func (s *server) run(list []statement.Statement) {
+	for _, st := range list {
+		switch st.Kind {
+		case statement.Reset:
+			s.values, s.prepared = nil, nil
+		case statement.Set:
+			if s.values == nil {
+				s.values = make(map[string]string)
+			}
+			s.values[st.Name] = st.Value
+		case statement.Prepare:
+			if s.prepared == nil {
+				s.prepared = make(map[string]Shape)
+			}
+			s.prepared[st.Name] = Shape{Text: st.Value, Writes: st.Writes}
+		}
+	}
+}
+
+func execute(name string) statement.Statement {
+	return statement.Statement{Kind: statement.Execute, Name: name, Arguments: "1a4"}
+}
+
+// use runs st of a session on the connection as the relay does.
+func use(s *server, c *Connection, sess *Session, st statement.Statement, inTransaction bool) statement.Statement {
+	list, st := Plan(c, sess, st, inTransaction)
+	s.run(list)
+	c.Told(list, inTransaction)
+	return st
+}
+
+func TestSessionsWithTheSameNamesDoNotMix(t *testing.T) {
+	var one, two Session
+	one.Prepare("s1", Shape{Text: "q1"})
+	two.Prepare("s1", Shape{Text: "q2", Writes: true})
+	one.Set("role", "shop")
+	s, c := &server{}, &Connection{}
+	for range 3 {
+		st := use(s, c, &one, execute("s1"), false)
+		assert.Equal(t, s.prepared[st.Name], Shape{Text: "q1"})
+		assert.Equal(t, s.values["role"], "shop")
+		st = use(s, c, &two, execute("s1"), false)
+		assert.Equal(t, s.prepared[st.Name], Shape{Text: "q2", Writes: true})
+		assert.Equal(t, len(s.values), 0, "the other session's value stands")
+	}
+}
+
+func TestSameShapeIsPreparedOnce(t *testing.T) {
+	var one, two Session
+	one.Prepare("a", Shape{Text: "q"})
+	two.Prepare("b", Shape{Text: "q"})
+	s, c := &server{}, &Connection{}
+	use(s, c, &one, execute("a"), false)
+	list, _ := Plan(c, &two, execute("b"), false)
+	assert.Equal(t, len(list), 0)
+}
+
+// A value or name that a connection was told in a transaction which rolled
+// back may be undone there; the next session resets it. The trial of the
+// design broke PINNED in this place.
+func TestRolledBackTransactionLeavesNothing(t *testing.T) {
+	var sess Session
+	s, c := &server{}, &Connection{}
+	use(s, c, &sess, statement.Statement{Kind: statement.Read}, false)
+	sess.Set("role", "driver")
+	use(s, c, &sess, statement.Statement{Kind: statement.Read}, true)
+	c.Ended(false)
+	s.values = nil // the server undid it
+	use(s, c, &sess, statement.Statement{Kind: statement.Read}, false)
+	assert.Equal(t, s.values["role"], "driver")
+}
+
+func TestCommittedTransactionKeepsWhatItWasTold(t *testing.T) {
+	var sess Session
+	s, c := &server{}, &Connection{}
+	sess.Set("role", "driver")
+	use(s, c, &sess, statement.Statement{Kind: statement.Read}, true)
+	c.Ended(true)
+	list, _ := Plan(c, &sess, statement.Statement{Kind: statement.Read}, false)
+	assert.Equal(t, len(list), 0)
+}
+
+func TestUnknownStatementAtTheServerIsPreparedAgain(t *testing.T) {
+	var sess Session
+	sess.Prepare("a", Shape{Text: "q"})
+	s, c := &server{}, &Connection{}
+	use(s, c, &sess, execute("a"), false)
+	c.Lacks()
+	s.prepared = nil
+	st := use(s, c, &sess, execute("a"), false)
+	assert.Equal(t, s.prepared[st.Name], Shape{Text: "q"})
+}
+
+func TestSessionsAndConnectionsAreBounded(t *testing.T) {
+	var sess Session
+	for i := range MaxValues {
+		assert.Assert(t, sess.Set(fmt.Sprint(i), "v"))
+	}
+	assert.Assert(t, !sess.Set("one more", "v"))
+	assert.Assert(t, sess.Set("0", "again"))
+	c := &Connection{}
+	s := &server{}
+	for i := range 10 * maxHeld {
+		var each Session
+		each.Prepare("a", Shape{Text: fmt.Sprint(i)})
+		use(s, c, &each, execute("a"), false)
+		assert.Assert(t, len(s.prepared) <= maxHeld)
+	}
+}
