Refuse writes soon after a primary that was due does not come

What a test shows: while an order takes no effect, writes were held for their whole time. Now they are refused 0.5 s after the new primary was due.

--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -200,7 +200,11 @@
 // firstPromote is how long an order is assumed to take before one was seen.
 const firstPromote = time.Second
 
-// expectedGap returns how long the replacement under way still takes.
+// overdue is how long a new primary may be late until its time is unknown.
+const overdue = 500 * time.Millisecond
+
+// expectedGap returns how long the replacement under way still takes; 0 means
+// that nothing is known.
 func (g *group) expectedGap(now tables.Time) time.Duration {
 	if !g.record.Replacing {
 		return 0
@@ -209,9 +213,16 @@
 	if took == 0 {
 		took = firstPromote
 	}
-	return max(g.announcedAt.Add(freshness.Lease+took).Sub(now), 10*time.Millisecond)
+	left := g.announcedAt.Add(freshness.Lease + took).Sub(now)
+	if left < -overdue {
+		return 0
+	}
+	return max(left, minGap)
 }
 
+// minGap is the least time that callers wait for a primary that is due.
+const minGap = 50 * time.Millisecond
+
 // Belief returns, for the log, whom this proxy takes for a group's primary, by
 // which record, and how old the evidence is; 0 means that there is none.
 func (f *Fleet) Belief(id tables.GroupID) (primary tables.UpstreamID, record uint64, provenAge time.Duration) {
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -64,15 +64,20 @@
 }
 
 // WaitFor waits for a change that is expected within a time. It returns false
-// at once if that is beyond ctx's end, or if nothing is expected.
+// at once if that is beyond ctx's end, or if nothing is expected, and soon
+// after the time if the change does not come.
 func WaitFor(ctx context.Context, changed <-chan struct{}, expected time.Duration) bool {
 	deadline, bounded := ctx.Deadline()
 	if expected == 0 || bounded && time.Until(deadline) < expected {
 		return false
 	}
+	late := time.NewTimer(expected + overdue)
+	defer late.Stop()
 	select {
 	case <-changed:
 		return true
+	case <-late.C:
+		return false
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -222,3 +222,21 @@
 		l.end()
 	})
 }
+
+// An order without effect leaves the group without a primary for seconds. Its
+// writes are refused soon after the primary was due, not held to their end.
+func TestWritesAreNotHeldWhileAnOrderHasNoEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.group.PromoteTakes = time.Hour
+		w.group.Change("s1", (*dbgroup.Server).Crash)
+		time.Sleep(4 * time.Second)
+		at := time.Now()
+		r := w.proxies[0].session(newest).run(statement.Write, "x 1")
+		assert.Equal(t, r.Code, statement.Busy)
+		assert.Assert(t, time.Since(at) < 100*time.Millisecond, "refused after %s", time.Since(at))
+		l.stop()
+	})
+}
