--- /dev/null
+++ b/internal/relay/load_test.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"gotest.tools/v3/assert"
+)
+
+// offered plays a load of single reads at a fixed rate, however long answers
+// take, and counts what callers get.
+type offered struct {
+	mu       sync.Mutex
+	inTime   int
+	late     int
+	refused  int
+	slowest  time.Duration // of the refusals
+	requests int
+}
+
+// offer sends reads of a database to all proxies in turn for a time.
+func (w *world) offer(database string, perSecond int, lasts, target time.Duration) *offered {
+	o := &offered{}
+	var wg sync.WaitGroup
+	for i := range int(lasts.Seconds() * float64(perSecond)) {
+		p := w.proxies[i%len(w.proxies)]
+		wg.Go(func() {
+			at := time.Now()
+			r := p.session(database).run(statement.Read, fmt.Sprintf("item%d", i%7))
+			o.count(r, time.Since(at), target)
+		})
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	wg.Wait()
+	return o
+}
+
+func (o *offered) count(r statement.Reply, took, target time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.requests++
+	switch {
+	case r.Code != statement.OK:
+		o.refused++
+		o.slowest = max(o.slowest, took)
+	case took <= target:
+		o.inTime++
+	default:
+		o.late++
+	}
+}
+
+// The load of a heavy day: replicas that lag by seconds, so that the primary
+// alone can serve reads of a bounded age, and twice what it can serve. It must
+// go on serving close to what it can, in time; the rest must hear soon.
+func TestLaggingReplicasLeaveThePrimaryAsMuchAsItCanDo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			work      = 24 * time.Millisecond
+			target    = 400 * time.Millisecond
+			perSecond = 250 // the primary's 3 slots do 125
+		)
+		w := newWorld(t, 3)
+		w.group.LimitSlots(3)
+		for _, id := range servers {
+			w.group.Change(id, func(s *dbgroup.Server) { s.SetWork(work) })
+		}
+		for _, id := range servers[1:] {
+			w.group.Change(id, func(s *dbgroup.Server) { s.SetLag(time.Hour) })
+		}
+		stop := w.keepWriting()
+		defer stop()
+		time.Sleep(4 * time.Second)
+		o := w.offer(bounded, perSecond, 8*time.Second, target)
+		t.Logf("%+v", o)
+		possible := int(8*time.Second/work) * 3
+		assert.Assert(t, o.inTime > possible*7/10, "%d in time of %d possible", o.inTime, possible)
+		assert.Assert(t, o.slowest < target, "refused after %s", o.slowest)
+	})
+}
+
+// A server that is five times slower than the others must not take its share.
+func TestSlowServerGetsLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const target = 400 * time.Millisecond
+		w := newWorld(t, 3)
+		w.group.LimitSlots(3)
+		for _, id := range servers {
+			w.group.Change(id, func(s *dbgroup.Server) { s.SetWork(24 * time.Millisecond) })
+		}
+		w.group.Change("s2", func(s *dbgroup.Server) { s.SetWork(120 * time.Millisecond) })
+		stop := w.keepWriting()
+		defer stop()
+		time.Sleep(2 * time.Second)
+		o := w.offer(bounded, 180, 8*time.Second, target)
+		t.Logf("%+v", o)
+		assert.Assert(t, o.inTime > o.requests*97/100, "%d of %d in time", o.inTime, o.requests)
+	})
+}
+
+// keepWriting writes now and then, so that positions move on.
+func (w *world) keepWriting() (stop func()) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		s := w.proxies[0].session(own)
+		for n := 1; ctx.Err() == nil; n++ {
+			w.write(s, "item0", n)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
--- a/internal/standin/dbgroup/dbgroup.go
+++ b/internal/standin/dbgroup/dbgroup.go
@@ -48,6 +48,16 @@
 	ignoreHolds  bool
 }
 
+// LimitSlots bounds what each server runs at the same time; the rest waits
+// there in order of arrival.
+func (g *Group) LimitSlots(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		s.slots = make(chan struct{}, n)
+	}
+}
+
 // IgnoreHolds makes the servers say that they are held and receive all the same.
 func (g *Group) IgnoreHolds() {
 	g.mu.Lock()
@@ -76,6 +86,7 @@
 	log      []record
 	applied  int
 	lives    int
+	slots    chan struct{}
 }
 
 // New returns a group whose first server leads term 1.
--- a/internal/standin/dbgroup/session.go
+++ b/internal/standin/dbgroup/session.go
@@ -94,8 +94,9 @@
 		return c.hang()
 	}
 	if work := c.worth(st); work > 0 {
+		slots := c.s.slots
 		g.mu.Unlock()
-		time.Sleep(work)
+		occupy(slots, work)
 		g.mu.Lock()
 	}
 	r, ok := c.run(st)
@@ -112,6 +113,15 @@
 	return r, nil
 }
 
+// occupy takes a slot for a time; without slots only the time passes.
+func occupy(slots chan struct{}, work time.Duration) {
+	if slots != nil {
+		slots <- struct{}{}
+		defer func() { <-slots }()
+	}
+	time.Sleep(work)
+}
+
 func (c *Session) hang() (statement.Reply, error) {
 	if c.deadline.IsZero() {
 		return statement.Reply{}, errReset
