--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -259,9 +259,12 @@
 	case statement.Idle:
 		return statement.Refuse(statement.Bad, codes.SessionState, s.status, "no transaction is open")
 	case statement.Failed:
-		why := s.tx.endedFor
+		why := "the transaction failed"
+		if s.tx.endedFor != "" {
+			why = s.tx.endedFor
+		}
 		s.drop(nil)
-		return statement.Refuse(statement.Aborted, codes.SessionState, statement.Idle, "the transaction failed "+why)
+		return statement.Refuse(statement.Aborted, codes.SessionState, statement.Idle, why)
 	}
 	tx := s.tx
 	q := newRequest(ctx, s, tx.route, st, tx.wrote)
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -56,6 +56,8 @@
 	leaving map[tables.UpstreamID]bool
 	// alter changes what proxies read, if set.
 	alter func(string, platform.Rows) platform.Rows
+	// transactionRest is the configured bound of resting transactions.
+	transactionRest time.Duration
 	// acked holds, by item, the values that writers were told to be kept.
 	acked map[string][]ackedValue
 }
@@ -165,6 +167,13 @@
 	return w
 }
 
+// idleTransaction puts a bound on resting transactions in force.
+func (w *world) idleTransaction(d time.Duration) {
+	w.transactionRest = d
+	w.configure(2)
+	time.Sleep(time.Second)
+}
+
 func (w *world) configure(version uint64) {
 	route := func(name string, f tables.Freshness) tables.Route {
 		return tables.Route{Name: name, Database: name, Group: "g", Freshness: f, MaxAge: testMaxAge,
@@ -175,7 +184,8 @@
 		Routes: map[string]tables.Route{
 			newest: route(newest, tables.FreshNewest), bounded: route(bounded, tables.FreshBounded), own: route(own, tables.FreshSession),
 		},
-		Groups: map[tables.GroupID]tables.GroupLimits{"g": {Connections: 22, SyncReplicas: 1}},
+		Groups:          map[tables.GroupID]tables.GroupLimits{"g": {Connections: 22, SyncReplicas: 1}},
+		IdleTransaction: w.transactionRest,
 	})
 	assert.NilError(w.t, err)
 	w.store.Put("op", "config", value)
--- /dev/null
+++ b/internal/rowrelay/rowrelay_test.go
@@ -0,0 +1,267 @@
+package rowrelay
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+)
+
+const shared = "records"
+
+// network carries messages between the relays of a test.
+type network struct {
+	mu   sync.Mutex
+	subs map[string]chan *message.Message
+	// cut holds addresses that hear nothing.
+	cut  map[string]bool
+	sent int
+}
+
+// bus is one relay's end of the network.
+type bus struct {
+	n       *network
+	address string
+}
+
+func (b *bus) Send(address, topic string, msg any) {
+	payload, err := msgpack.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	b.n.mu.Lock()
+	defer b.n.mu.Unlock()
+	b.n.sent++
+	if in, ok := b.n.subs[address+topic]; ok && !b.n.cut[address] && !b.n.cut[b.address] {
+		m := message.NewMessage(uuid.NewString(), payload)
+		go func() { in <- m }()
+	}
+}
+
+func (b *bus) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
+	in, out := make(chan *message.Message), make(chan *message.Message)
+	b.n.mu.Lock()
+	b.n.subs[b.address+topic] = in
+	b.n.mu.Unlock()
+	go func() {
+		defer close(out)
+		for {
+			select {
+			case m := <-in:
+				out <- m
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out, nil
+}
+
+// path is the way from one proxy to the store.
+type path struct {
+	*metadata.Store
+	mu   sync.Mutex
+	down bool
+}
+
+func (p *path) set(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+func (p *path) isDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
+}
+
+func (p *path) ReadTable(ctx context.Context, table string) (platform.Rows, error) {
+	if p.isDown() {
+		time.Sleep(time.Second)
+		return platform.Rows{}, platform.ErrUnavailable
+	}
+	return p.Store.ReadTable(ctx, table)
+}
+
+func (p *path) WatchTable(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Rows, error) {
+	if p.isDown() {
+		time.Sleep(time.Second)
+		return platform.Rows{}, platform.ErrUnavailable
+	}
+	return p.Store.WatchTable(ctx, table, after, wait)
+}
+
+type set struct {
+	store  *metadata.Store
+	net    *network
+	relays []*Relay
+	paths  []*path
+}
+
+// newSet starts relays in the data centres named.
+func newSet(t *testing.T, dataCentres ...tables.DataCentreID) *set {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &set{store: metadata.New(), net: &network{subs: make(map[string]chan *message.Message), cut: make(map[string]bool)}}
+	began := time.Now()
+	for i, dc := range dataCentres {
+		vm := tables.VMID(string(rune('a' + i)))
+		p := &path{Store: s.store}
+		r := New(Options{
+			Self: Peer{VM: vm, DataCentre: dc, Address: string(vm)}, Store: p, Shared: shared, Own: map[string]bool{"own": true},
+			Bus: &bus{s.net, string(vm)}, Now: func() tables.Time { return tables.Time(time.Since(began) + time.Hour) },
+			Log: slog.New(slog.DiscardHandler),
+		})
+		s.relays, s.paths = append(s.relays, r), append(s.paths, p)
+		go func() { _ = r.Run(ctx) }()
+	}
+	time.Sleep(2 * directoryFirst)
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	return s
+}
+
+func TestReadThroughAPeerWhereTheStoreIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, "x", "y", "z")
+		s.store.Put("own", "k", []byte("v"))
+		s.paths[0].set(true)
+		for range 3 {
+			at := time.Now()
+			rows, err := s.relays[0].ReadTable(t.Context(), "own")
+			assert.NilError(t, err)
+			assert.Equal(t, string(rows.Rows[0].Value), "v")
+			assert.Assert(t, time.Since(at) < 500*time.Millisecond, "took %s", time.Since(at))
+			time.Sleep(2 * time.Second)
+		}
+		assert.Assert(t, s.relays[0].Lost())
+		s.paths[0].set(false)
+		_, err := s.relays[0].ReadTable(t.Context(), "own")
+		assert.NilError(t, err)
+		assert.Assert(t, !s.relays[0].Lost())
+	})
+}
+
+func TestNobodyReachesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, "x", "y")
+		s.paths[0].set(true)
+		s.paths[1].set(true)
+		for range 5 {
+			_, err := s.relays[0].ReadTable(t.Context(), "own")
+			assert.Assert(t, errors.Is(err, platform.ErrUnavailable), "%v", err)
+		}
+	})
+}
+
+func TestWatchThroughAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, "x", "y")
+		s.paths[0].set(true)
+		rows, err := s.relays[0].ReadTable(t.Context(), "own")
+		assert.NilError(t, err)
+		time.AfterFunc(time.Second, func() { s.store.Put("own", "k", []byte("new")) })
+		rows, err = s.relays[0].WatchTable(t.Context(), "own", rows.Version, 2*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, string(rows.Rows[0].Value), "new")
+	})
+}
+
+// Proxies of one data centre that look at the same time cost the store few calls.
+func TestLooksAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, "x", "x", "x", "x", "x", "x", "x", "x")
+		before := s.store.Calls()
+		for range 50 {
+			for _, r := range s.relays {
+				_, err := r.ReadTable(t.Context(), shared)
+				assert.NilError(t, err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		calls := s.store.Calls() - before
+		assert.Assert(t, calls <= 70, "%d calls for 400 looks", calls)
+	})
+}
+
+// A look that is handed on says how old it is: a change that was written
+// before now − Age is in it.
+func TestAgeOfASharedLookIsTrue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, "x", "x")
+		written := make(map[string]time.Time)
+		for i := range 200 {
+			key := string(rune('a' + i%26))
+			s.store.Put(shared, key, []byte{byte(i)})
+			written[key] = time.Now()
+			time.Sleep(time.Duration(i%7) * 9 * time.Millisecond)
+			at := time.Now()
+			rows, err := s.relays[1].ReadTable(t.Context(), shared)
+			assert.NilError(t, err)
+			for _, r := range s.store.Rows(shared) {
+				asOf := at.Add(-rows.Age)
+				if written[r.Key].Before(asOf) && !hasVersion(rows, r) {
+					t.Fatalf("row %s, written %s before the look, is missing", r.Key, asOf.Sub(written[r.Key]))
+				}
+			}
+		}
+	})
+}
+
+func hasVersion(rows platform.Rows, want platform.TableRow) bool {
+	for _, r := range rows.Rows {
+		if r.Key == want.Key {
+			return r.Version >= want.Version
+		}
+	}
+	return false
+}
+
+// A peer that hears nothing costs one short wait, then is left alone.
+func TestSilentPeerIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, "x", "x")
+		s.net.cut["a"] = true
+		var longest time.Duration
+		for range 10 {
+			at := time.Now()
+			_, err := s.relays[1].ReadTable(t.Context(), shared)
+			assert.NilError(t, err)
+			longest = max(longest, time.Since(at))
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, longest < 2*nearTimeout, "%s", longest)
+		sent := s.net.sent
+		_, err := s.relays[1].ReadTable(t.Context(), shared)
+		assert.NilError(t, err)
+		assert.Equal(t, s.net.sent, sent, "the silent peer was asked again")
+	})
+}
+
+func TestQuestionsThatCantBeReadAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, "x", "y")
+		b := &bus{s.net, "b"}
+		for _, topic := range []string{topicQuestion, topicAnswer} {
+			b.Send("a", topic, "nonsense")
+			b.Send("a", topic, map[string]int{"i": -1})
+		}
+		s.paths[1].set(true)
+		_, err := s.relays[1].ReadTable(t.Context(), "own")
+		assert.NilError(t, err)
+	})
+}
--- a/internal/standin/metadata/metadata.go
+++ b/internal/standin/metadata/metadata.go
@@ -222,3 +222,10 @@
 }
 
 var _ platform.Metadata = (*Store)(nil)
+
+// Rows returns a table as it is now, without the time of a call.
+func (s *Store) Rows(table string) []platform.TableRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answer(table, func(r row) bool { return !r.dropped }).Rows
+}
