--- a/internal/systems/replace/replace.go
+++ b/internal/systems/replace/replace.go
@@ -31,7 +31,7 @@
 	// refusedSpan is how long a primary must refuse connections.
 	refusedSpan = 120 * time.Millisecond
 	// silentSpan is how long a primary must be silent, new connections included.
-	silentSpan = 700 * time.Millisecond
+	silentSpan = 400 * time.Millisecond
 	// commitSpan is how long no commit may end, while some wait, until the
 	// primary counts as cut from its replicas.
 	commitSpan = 1500 * time.Millisecond
