--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
@@ -339,11 +340,15 @@
 		return false
 	}
 	for _, u := range replicas {
-		at := f.Now()
-		account, opened, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
 		// A connection that is older than the last look proves that the replica
 		// has not forgotten since that it was held.
-		if err != nil || opened > since || account.Leads || account.Held != 0 || account.Term != term {
+		c, ok := u.pool.Oldest(since)
+		if !ok {
+			continue
+		}
+		at := f.Now()
+		account, err := u.askOn(ctx, c, statement.Statement{Kind: statement.Status})
+		if err != nil || account.Leads || account.Held != 0 || account.Term != term {
 			continue
 		}
 		f.mu.Lock()
@@ -354,6 +359,31 @@
 	return false
 }
 
+// askOn puts a question about the server's account on a connection and gives
+// the connection back.
+func (u *Upstream) askOn(ctx context.Context, c *links.Conn, st statement.Statement) (statement.Account, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	r, err := u.Exchange(c, deadline, false, st)
+	if err != nil {
+		u.Discard(c)
+		return statement.Account{}, err
+	}
+	u.Release(c)
+	return accountOf(r, st)
+}
+
+// accountOf returns the account in an answer.
+func accountOf(r statement.Reply, st statement.Statement) (statement.Account, error) {
+	if r.Account == nil {
+		return statement.Account{}, errors.Errorf("fleet: no account in the answer to %s: %s %s", st.Kind, r.Code, r.Detail)
+	}
+	account := *r.Account
+	account.Applied = r.Position
+	return account, nil
+}
+
 // members returns the servers of a group that fit, those of this data centre
 // first. The lock must be held.
 func (f *Fleet) members(id tables.GroupID, fits func(*Upstream) bool) []*Upstream {
@@ -371,47 +401,42 @@
 }
 
 // ask puts a question of the proxy's own about the server's account.
-func (u *Upstream) ask(ctx context.Context, st statement.Statement) (statement.Account, tables.Time, error) {
-	r, opened, err := u.own(ctx, st)
+func (u *Upstream) ask(ctx context.Context, st statement.Statement) (statement.Account, error) {
+	r, err := u.own(ctx, st)
 	if err != nil {
-		return statement.Account{}, 0, err
-	}
-	if r.Account == nil {
-		return statement.Account{}, 0, errors.Errorf("fleet: no account in the answer to %s", st.Kind)
+		return statement.Account{}, err
 	}
-	account := *r.Account
-	account.Applied = r.Position
-	return account, opened, nil
+	return accountOf(r, st)
 }
 
 // own runs a statement of the proxy's own on a connection of the pool.
-func (u *Upstream) own(ctx context.Context, st statement.Statement) (statement.Reply, tables.Time, error) {
+func (u *Upstream) own(ctx context.Context, st statement.Statement) (statement.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	c, err := u.Connect(ctx)
 	if err != nil {
-		return statement.Reply{}, 0, err
+		return statement.Reply{}, err
 	}
 	deadline, _ := ctx.Deadline()
 	r, err := u.Exchange(c, deadline, false, st)
 	if err != nil {
 		u.Discard(c)
-		return r, 0, err
+		return r, err
 	}
 	if st.Kind == statement.Reset {
 		c.State = preparation.Connection{}
 	}
 	u.Release(c)
 	if r.Code != statement.OK {
-		return r, 0, errors.Errorf("fleet: %s refused: %s %s", st.Kind, r.Code, r.Detail)
+		return r, errors.Errorf("fleet: %s refused: %s %s", st.Kind, r.Code, r.Detail)
 	}
-	return r, c.OpenedAt, nil
+	return r, nil
 }
 
 // refreshPoint asks the primary for its position. A reset costs it no slot.
 func (f *Fleet) refreshPoint(ctx context.Context, l Leader) error {
 	at := f.Now()
-	r, _, err := l.Upstream.own(ctx, statement.Statement{Kind: statement.Reset})
+	r, err := l.Upstream.own(ctx, statement.Statement{Kind: statement.Reset})
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -145,7 +145,7 @@
 		return nil
 	}
 	at := f.Now()
-	r, _, err := l.Upstream.own(ctx, statement.Statement{Kind: statement.Reset})
+	r, err := l.Upstream.own(ctx, statement.Statement{Kind: statement.Reset})
 	if err != nil || !f.LedAt(ctx, l, at) {
 		return nil
 	}
@@ -155,7 +155,7 @@
 	})
 	f.mu.Unlock()
 	for _, u := range replicas {
-		account, _, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+		account, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
 		if err == nil && account.Received.AtLeast(r.Position) {
 			f.log.Info("A replica has all that ended servers had.", "group", id, "ended", ended,
 				"replica", u.ID(), "received", account.Received)
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -104,7 +104,7 @@
 				Now: now, Leaving: u.leaving, MissingSince: f.missingWhileStoreAnswers(u),
 				RefusedSince: refused, SilentSince: silent, CommitSince: commit,
 			})
-			w.troubled = refused != 0 || silent != 0 && now.Sub(silent) > probeTimeout/2
+			w.troubled = refused != 0 || u.Unreachable() || silent != 0 && now.Sub(silent) > probeTimeout/2
 			w.askTerm = g.term == 0
 			newest, known := g.NewestPoint()
 			w.askPoint = g.usedAt != 0 && now.Sub(g.usedAt) < usedRecently && (!known || now.Sub(newest) > pointAge)
@@ -180,7 +180,7 @@
 
 // learnTerm asks a primary that was never replaced for its term.
 func (f *Fleet) learnTerm(ctx context.Context, l Leader) {
-	account, _, err := l.Upstream.ask(ctx, statement.Statement{Kind: statement.Status})
+	account, err := l.Upstream.ask(ctx, statement.Statement{Kind: statement.Status})
 	if err != nil || !account.Leads {
 		f.log.Debug("A primary did not tell its term.", "group", l.group.id, "upstream", l.Upstream.ID(), "error", err)
 		return
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -159,7 +159,7 @@
 	}
 	first := make(map[*Upstream]statement.Account)
 	for _, u := range replicas {
-		account, _, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+		account, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
 		if err != nil && (l.Upstream != nil || u.entry.ID != f.primaryOf(id)) {
 			return errors.Wrapf(err, "replica %s does not answer", u.ID())
 		}
@@ -172,7 +172,7 @@
 		return err
 	}
 	for u, before := range first {
-		after, _, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+		after, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
 		if err == nil && replace.Feeds(before, after) {
 			return errors.Errorf("the primary feeds %s", u.ID())
 		}
@@ -446,7 +446,7 @@
 	if a.term == 0 {
 		accounts := make([]statement.Account, 0, len(members))
 		for _, u := range members {
-			if account, _, err := u.ask(ctx, statement.Statement{Kind: statement.Status}); err == nil {
+			if account, err := u.ask(ctx, statement.Statement{Kind: statement.Status}); err == nil {
 				accounts = append(accounts, account)
 			}
 		}
@@ -456,7 +456,7 @@
 		if _, ok := held[u.entry.ID]; ok {
 			continue
 		}
-		account, _, askErr := u.ask(ctx, statement.Statement{Kind: statement.Hold, Term: a.term})
+		account, askErr := u.ask(ctx, statement.Statement{Kind: statement.Hold, Term: a.term})
 		switch {
 		case askErr != nil:
 			missing, err = missing+1, askErr
@@ -479,7 +479,7 @@
 	if account.Term >= a.record.Term {
 		return
 	}
-	if _, _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: a.record.Term}); err != nil {
+	if _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: a.record.Term}); err != nil {
 		a.f.log.Info("A primary that was replaced earlier was not told.", "group", a.id, "upstream", u.ID(), "error", err)
 	}
 }
@@ -539,7 +539,7 @@
 			delete(held, id)
 			continue
 		}
-		account, _, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+		account, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
 		if err != nil || account.Held == 0 {
 			f.log.Info("A hold was lost.", "group", a.id, "upstream", id, "error", err)
 			delete(held, id)
@@ -556,7 +556,7 @@
 	if !ok || u.Unreachable() {
 		return
 	}
-	if _, _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: a.term}); err != nil {
+	if _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: a.term}); err != nil {
 		f.log.Info("The old primary was not stopped.", "group", a.id, "upstream", u.ID(), "error", err)
 	}
 }
@@ -625,7 +625,7 @@
 	if !ok {
 		return 0, false
 	}
-	account, _, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+	account, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
 	return account.Term, err == nil && account.Leads
 }
 
@@ -646,7 +646,7 @@
 	if !ok || old == id {
 		return nil
 	}
-	if _, _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: term}); err != nil {
+	if _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: term}); err != nil {
 		f.log.Info("The old primary was not told of its replacement.", "group", a.id, "upstream", old, "error", err)
 	}
 	return nil
@@ -683,7 +683,7 @@
 			f.log.Warn("The claim ran out before all replicas were let go.", "group", a.id)
 			return
 		}
-		if _, _, err := u.ask(ctx, statement.Statement{Kind: statement.Resume}); err != nil {
+		if _, err := u.ask(ctx, statement.Statement{Kind: statement.Resume}); err != nil {
 			f.log.Warn("A replica was not let go.", "group", a.id, "upstream", u.ID(), "error", err)
 		}
 	}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -115,6 +115,7 @@
 // Connect returns a connection to the server.
 func (u *Upstream) Connect(ctx context.Context) (*links.Conn, error) {
 	token := u.began(false)
+	began := u.fleet.Now()
 	c, err := u.pool.Get(ctx, false)
 	switch {
 	case err == nil:
@@ -125,7 +126,8 @@
 	default:
 		u.failed(token, err)
 		u.mu.Lock()
-		u.dialFailed = true
+		// An attempt from before the last answer says nothing new.
+		u.dialFailed = u.dialFailed || began > u.answeredAt
 		u.mu.Unlock()
 	}
 	return c, err
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -23,6 +23,11 @@
 	OpenTimeout = 800 * time.Millisecond
 	// fullPause is how long no connection is opened after the server had no room.
 	fullPause = 40 * time.Millisecond
+	// scarceFor is how long after the server had no room connections count as
+	// scarce: this pool opens no more than it had, and closes resting ones soon.
+	scarceFor = 2 * time.Second
+	// scarceRest is how long an unused connection is kept while they are scarce.
+	scarceRest = 150 * time.Millisecond
 )
 
 // Link is one session at a server, as a codec offers it.
@@ -74,7 +79,11 @@
 	idle      []*Conn
 	waiters   []chan *Conn
 	fullUntil tables.Time
-	closed    bool
+	// scarceUntil is when connections stop to be scarce, and share how many this
+	// pool may have until then.
+	scarceUntil tables.Time
+	share       int
+	closed      bool
 }
 
 // NewPool returns an empty pool that opens at most limit connections.
@@ -112,6 +121,29 @@
 	}
 }
 
+// Oldest returns the resting connection that was opened first, if it was opened
+// by a time.
+func (p *Pool) Oldest(by tables.Time) (*Conn, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	oldest := -1
+	for i, c := range p.idle {
+		if c.OpenedAt <= by && (oldest < 0 || c.OpenedAt < p.idle[oldest].OpenedAt) {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return nil, false
+	}
+	c := p.idle[oldest]
+	p.idle = append(p.idle[:oldest], p.idle[oldest+1:]...)
+	if !c.Alive() {
+		p.drop(c)
+		return nil, false
+	}
+	return c, true
+}
+
 // take returns a resting connection, or a channel to wait on, or neither if
 // the caller is to open one.
 func (p *Pool) take(fresh bool) (*Conn, chan *Conn, error) {
@@ -128,12 +160,12 @@
 		}
 		p.drop(c)
 	}
-	if fresh && p.total >= p.limit && len(p.idle) > 0 {
+	if fresh && p.total >= p.allowed() && len(p.idle) > 0 {
 		// A new connection is to tell whether the server answers, so an old one makes room.
 		p.drop(p.idle[0])
 		p.idle = p.idle[1:]
 	}
-	if p.total < p.limit && p.now() >= p.fullUntil {
+	if p.total < p.allowed() && p.now() >= p.fullUntil {
 		p.total++
 		return nil, nil, nil
 	}
@@ -145,6 +177,14 @@
 	return nil, wait, nil
 }
 
+// allowed returns how many connections may be open now.
+func (p *Pool) allowed() int {
+	if p.now() < p.scarceUntil {
+		return min(p.limit, max(p.share, 1))
+	}
+	return p.limit
+}
+
 // leave gives up a wait; a connection that came meanwhile goes back.
 func (p *Pool) leave(wait chan *Conn) {
 	p.mu.Lock()
@@ -178,7 +218,8 @@
 	p.mu.Lock()
 	p.total--
 	if reply.Code == statement.TooMany || reply.Code == statement.Busy {
-		p.fullUntil = p.now().Add(fullPause)
+		now := p.now()
+		p.fullUntil, p.scarceUntil, p.share = now.Add(fullPause), now.Add(scarceFor), p.total
 	}
 	p.wakeLocked()
 	p.mu.Unlock()
@@ -246,8 +287,11 @@
 func (p *Pool) Trim() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.now()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].restedAt) > RestTime {
+	now, rest := p.now(), RestTime
+	if now < p.scarceUntil {
+		rest = scarceRest
+	}
+	for len(p.idle) > 0 && now.Sub(p.idle[0].restedAt) > rest {
 		p.drop(p.idle[0])
 		p.idle = p.idle[1:]
 	}
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -158,3 +158,36 @@
 		assert.Equal(t, err, ErrClosed)
 	})
 }
+
+// Where a server has no room for all, a pool keeps to what it had and gives
+// unused connections back soon, so that other proxies find room.
+func TestScarceConnectionsAreGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, full := 0, false
+		p := testPool(5, func(ctx context.Context, e tables.Entry) (Link, statement.Reply, error) {
+			if full {
+				return refuse(statement.TooMany)
+			}
+			return opens(&n)(ctx, e)
+		})
+		a, b := get(t, p, false), get(t, p, false)
+		full = true
+		_, err := p.Get(t.Context(), false)
+		assert.Equal(t, err, ErrFull)
+		full = false
+		time.Sleep(2 * fullPause)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err = p.Get(ctx, false)
+		assert.Equal(t, err, ErrFull, "it opened more than it had")
+		p.Put(a)
+		p.Put(b)
+		time.Sleep(scarceRest + time.Millisecond)
+		p.Trim()
+		assert.Assert(t, a.Link.(*fakeLink).closed && b.Link.(*fakeLink).closed)
+		time.Sleep(scarceFor)
+		for range 5 {
+			get(t, p, false)
+		}
+	})
+}
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -145,6 +145,38 @@
 	})
 }
 
+// cutOffWriter makes a leaving primary that only one proxy still reaches, which
+// is cut off from the store and learns of nothing.
+func cutOffWriter(w *world) {
+	time.Sleep(2 * time.Second)
+	w.proxies[0].store.cut(true)
+	w.sever("vm1", "s1", true)
+	w.sever("vm2", "s1", true)
+	w.mark(w.leaving, "s1")
+	time.Sleep(6 * time.Second)
+}
+
+func TestProxyThatIsCutOffLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		cutOffWriter(w)
+		assert.Equal(t, w.group.Promotions(), 1)
+		l.end()
+	})
+}
+
+// Without holds the same loses commits: the old primary goes on acknowledging.
+func TestIgnoredHoldsLoseCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.group.IgnoreHolds()
+		l := w.startLoad()
+		cutOffWriter(w)
+		assert.Assert(t, len(l.violations()) > 0)
+	})
+}
+
 func TestStoreOutageMakesNoPromotion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 3)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -89,7 +89,7 @@
 		Weight:   1,
 		Priority: -q.route.Priority,
 		Deadline: q.s.fleet.Now().Add(time.Until(q.deadline)),
-		Patience: q.route.Target / 5,
+		Patience: min(q.route.Target/5, max(q.route.Target-q.s.fleet.Now().Sub(q.arrived), 1)),
 	}
 }
 
@@ -181,6 +181,7 @@
 
 // readPrimary serves a read that needs every commit acknowledged before it.
 func (q *request) readPrimary() statement.Reply {
+	unproven := false
 	for {
 		if q.s.fleet.Frozen(q.route.Group) {
 			return q.read()
@@ -206,12 +207,16 @@
 				q.s.fleet.Observe(l, at, out.reply.Position)
 				return out.reply
 			}
+			unproven = true
 		case out.refused:
 			return q.refuse(reasonOf(out.err, codes.NoSlot), "the primary has no room")
 		}
 		if q.ctx.Err() != nil {
 			return q.timeout(out)
 		}
+		if unproven {
+			return q.refuse(codes.NotConfirmed, "nothing shows that the primary still leads")
+		}
 		if !q.pause() {
 			return q.refuse(codes.UpstreamLost, "the primary does not answer")
 		}
@@ -289,7 +294,7 @@
 // pause waits a moment before the next try; false means that trying on takes
 // more of the request's time than the caller can spare: another proxy may serve it.
 func (q *request) pause() bool {
-	if q.s.fleet.Now().Sub(q.arrived) > max(q.route.Target/2, leastPatience) {
+	if q.s.fleet.Now().Sub(q.arrived) > max(q.route.Target*2/5, leastPatience) {
 		return false
 	}
 	return sleep.For(q.ctx, busyPause/2+rand.N(busyPause)) == nil
--- a/internal/systems/admit/admit.go
+++ b/internal/systems/admit/admit.go
@@ -241,7 +241,10 @@
 
 // target returns how long w may wait under overload.
 func (q *Queue) target(w waiting) time.Duration {
-	return max(MinTarget, TargetServiceTimes*q.service, w.Patience)
+	if w.Patience > 0 {
+		return max(MinTarget, w.Patience)
+	}
+	return max(MinTarget, TargetServiceTimes*q.service)
 }
 
 // hopeless returns the code with which w is refused at now, or codes.OK.
