--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -11,6 +11,10 @@
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
+// FreezeTime is how long the replicas of a group take to be held after the
+// announcement of a replacement; reads go on from then.
+const FreezeTime = 60 * time.Millisecond
+
 // Need returns the position that a read of a group must have seen which
 // accepts to miss what was acknowledged after cut. It asks the primary for a
 // point if none is at hand, until ctx ends.
@@ -28,7 +32,7 @@
 			f.seekPoint(ctx, l)
 		case f.Frozen(id):
 			f.seekFrozen(ctx)
-		case !WaitFor(ctx, changed, expected):
+		case !WaitFor(ctx, changed, min(expected, FreezeTime)):
 			return tables.Position{}, false
 		}
 		if ctx.Err() != nil || try >= proofTries {
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -272,3 +272,27 @@
 		l.stop()
 	})
 }
+
+// Reads go on while a primary is replaced: from held replicas that have all
+// that was acknowledged, once they are held.
+func TestReadsGoOnDuringAReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.mark(w.leaving, "s1")
+		time.Sleep(100 * time.Millisecond)
+		refused := make(map[string]int)
+		for range 100 {
+			for _, database := range []string{newest, bounded, own} {
+				if r := w.proxies[1].session(database).run(statement.Read, "item0"); r.Code != statement.OK {
+					refused[database]++
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Equal(t, len(refused), 0, "%v", refused)
+		l.end()
+		assert.Equal(t, w.group.Promotions(), 1)
+	})
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -23,9 +23,6 @@
 	busyPause = 15 * time.Millisecond
 	// leastPatience is how long a request is tried at least.
 	leastPatience = 60 * time.Millisecond
-	// freezeTime is how long the replicas of a group take to be held after the
-	// announcement of a replacement.
-	freezeTime = 60 * time.Millisecond
 )
 
 // request is one statement on its way.
@@ -189,7 +186,7 @@
 		l, changed, expected, ok := q.s.fleet.Leader(q.route.Group)
 		if !ok {
 			// The group is about to be frozen, or stays without a primary.
-			if !fleet.WaitFor(q.ctx, changed, min(expected, freezeTime)) {
+			if !fleet.WaitFor(q.ctx, changed, min(expected, fleet.FreezeTime)) {
 				return q.refuseFor(codes.NoPrimary, "no primary", expected)
 			}
 			continue
