Split the replacement of primaries by its steps; names on connections have no blanks; look at idle groups less often

A shape with a blank gave a prepared name with a blank, which a server would read as another statement. Found by reading; the new test failed before.

--- /dev/null
+++ b/internal/fleet/ask.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
+)
+
+// askOn puts a question about the server's account on a connection and gives
+// the connection back.
+func (u *Upstream) askOn(ctx context.Context, c *links.Conn, st statement.Statement) (statement.Account, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	r, err := u.Exchange(c, deadline, false, st)
+	if err != nil {
+		u.Discard(c)
+		return statement.Account{}, err
+	}
+	u.Release(c)
+	return accountOf(r, st)
+}
+
+// accountOf returns the account in an answer.
+func accountOf(r statement.Reply, st statement.Statement) (statement.Account, error) {
+	if r.Account == nil {
+		return statement.Account{}, errors.Errorf("fleet: no account in the answer to %s: %s %s", st.Kind, r.Code, r.Detail)
+	}
+	account := *r.Account
+	account.Applied = r.Position
+	return account, nil
+}
+
+// members returns the servers of a group that fit, those of this data centre
+// first. The lock must be held.
+func (f *Fleet) members(id tables.GroupID, fits func(*Upstream) bool) []*Upstream {
+	var near, far []*Upstream
+	for _, u := range f.upstreams {
+		switch {
+		case u.entry.Group != id || !fits(u):
+		case u.local:
+			near = append(near, u)
+		default:
+			far = append(far, u)
+		}
+	}
+	return append(near, far...)
+}
+
+// ask puts a question of the proxy's own about the server's account.
+func (u *Upstream) ask(ctx context.Context, st statement.Statement) (statement.Account, error) {
+	r, err := u.own(ctx, st)
+	if err != nil {
+		return statement.Account{}, err
+	}
+	return accountOf(r, st)
+}
+
+// own runs a statement of the proxy's own on a connection of the pool.
+func (u *Upstream) own(ctx context.Context, st statement.Statement) (statement.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	c, err := u.Connect(ctx)
+	if err != nil {
+		return statement.Reply{}, err
+	}
+	deadline, _ := ctx.Deadline()
+	r, err := u.Exchange(c, deadline, false, st)
+	if err != nil {
+		u.Discard(c)
+		return r, err
+	}
+	if st.Kind == statement.Reset {
+		c.State = preparation.Connection{}
+	}
+	u.Release(c)
+	if r.Code != statement.OK {
+		return r, errors.Errorf("fleet: %s refused: %s %s", st.Kind, r.Code, r.Detail)
+	}
+	return r, nil
+}
+
+// refreshPoint asks the primary for its position. A reset costs it no slot.
+func (f *Fleet) refreshPoint(ctx context.Context, l Leader) error {
+	at := f.Now()
+	r, err := l.Upstream.own(ctx, statement.Statement{Kind: statement.Reset})
+	if err != nil {
+		return err
+	}
+	f.Observe(l, at, r.Position)
+	return nil
+}
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// watchInterval is how often primaries are judged.
+	// watchInterval is how often primaries are judged, and restInterval how often
+	// while no statement uses any group.
 	watchInterval = 100 * time.Millisecond
+	restInterval  = 500 * time.Millisecond
 	// probeTimeout bounds a probe of a primary that does not answer.
 	probeTimeout = 350 * time.Millisecond
 	// usedRecently is how long after its last statement a group is kept ready for reads.
@@ -29,7 +31,7 @@
 	probing := make(map[tables.UpstreamID]bool)
 	asked := make(map[tables.GroupID]tables.Time)
 	ended := make(chan tables.UpstreamID, 64)
-	for sleep.For(ctx, watchInterval) == nil {
+	for sleep.For(ctx, f.nextLook()) == nil {
 		for {
 			select {
 			case id := <-ended:
@@ -64,6 +66,19 @@
 	}
 }
 
+// nextLook returns the time until the next look at the primaries.
+func (f *Fleet) nextLook() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	for _, g := range f.groups {
+		if g.record.Replacing || g.usedAt != 0 && now.Sub(g.usedAt) < usedRecently {
+			return watchInterval
+		}
+	}
+	return restInterval
+}
+
 // watched is what one look at a group gave.
 type watched struct {
 	id     tables.GroupID
--- /dev/null
+++ b/internal/fleet/records.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+func (f *Fleet) watchRecords(ctx context.Context) {
+	f.follow(ctx, RecordTable, func(rows platform.Rows, all bool, at tables.Time) {
+		f.takeRecords(rows, all, at.Add(-rows.Age))
+	})
+}
+
+// takeRecords takes the store's word on primaries. A whole table read from at
+// on is evidence for every group.
+func (f *Fleet) takeRecords(rows platform.Rows, all bool, at tables.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := make(map[tables.GroupID]uint64, len(rows.Rows))
+	for _, r := range rows.Rows {
+		if id, ok := strings.CutPrefix(r.Key, membersPrefix); ok && !r.Dropped {
+			f.takeMembers(f.group(tables.GroupID(id)), r)
+			continue
+		}
+		id, ok := strings.CutPrefix(r.Key, groupPrefix)
+		if !ok || r.Dropped {
+			continue
+		}
+		g := f.group(tables.GroupID(id))
+		seen[g.id] = r.Version
+		if r.Version > g.version {
+			f.takeRecord(g, r)
+		}
+	}
+	if !all {
+		return
+	}
+	for id, g := range f.groups {
+		if seen[id] == g.version {
+			g.Prove(g.Primary, g.version, at)
+			g.storeProvenAt = max(g.storeProvenAt, at)
+		}
+	}
+}
+
+// takeRecord takes a newer record of a group. The lock must be held.
+func (f *Fleet) takeRecord(g *group, r platform.TableRow) {
+	var record tables.PrimaryRecord
+	if err := json.Unmarshal(r.Value, &record); err != nil {
+		f.log.Error("Ignored a record of a primary that can't be read.", "group", g.id, "rowVersion", r.Version, "error", err)
+		return
+	}
+	if record.Replacing && !g.record.Replacing {
+		g.announcedAt = f.Now()
+	}
+	g.record, g.version = record, r.Version
+	f.lead(g)
+}
+
+// lead works out who leads a group. The lock must be held.
+func (f *Fleet) lead(g *group) {
+	primary := g.record.Primary
+	if g.record.Replacing {
+		primary = ""
+	}
+	if g.version == 0 {
+		primary = f.firstPrimary(g.id)
+	}
+	if g.record.Replacing && g.record.Ordered != "" {
+		if g.Record != g.version || g.Leadership.Frozen != g.record.Safe {
+			g.Freeze(g.version, g.record.Safe)
+			g.announce()
+		}
+		return
+	}
+	if g.Primary == primary && g.Record == g.version {
+		return
+	}
+	f.log.Info("The primary of a group changed.", "group", g.id, "primary", primary, "before", g.Primary,
+		"record", g.version, "term", g.record.Term, "replacing", g.record.Replacing)
+	if g.Primary != primary || g.record.Term != 0 {
+		g.term = g.record.Term
+	}
+	g.Lead(primary, g.version)
+	g.announce()
+}
+
+// announce wakes all that wait for news of the primary.
+func (g *group) announce() {
+	close(g.leaderChanged)
+	g.leaderChanged = make(chan struct{})
+}
+
+// firstPrimary returns the primary of a group that was never replaced: only
+// this project's proxies order replacements, so the servers' own word holds.
+// The lock must be held.
+func (f *Fleet) firstPrimary(id tables.GroupID) tables.UpstreamID {
+	var best *Upstream
+	for _, u := range f.upstreams {
+		if u.entry.Group != id || !u.claims {
+			continue
+		}
+		if best == nil || u.entry.StartedAt > best.entry.StartedAt ||
+			u.entry.StartedAt == best.entry.StartedAt && u.entry.ID < best.entry.ID {
+			best = u
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.entry.ID
+}
--- a/internal/systems/preparation/preparation.go
+++ b/internal/systems/preparation/preparation.go
@@ -4,6 +4,7 @@
 package preparation
 
 import (
+	"net/url"
 	"sort"
 
 	"github.com/cranberrystage/cranberrystage/internal/statement"
@@ -25,12 +26,12 @@
 }
 
 // held returns the name under which connections hold the shape. Callers' names
-// collide, the shape's does not.
+// collide, the shape's does not. A name has no blanks.
 func (s Shape) held() string {
 	if s.Writes {
-		return "w." + s.Text
+		return "w." + url.QueryEscape(s.Text)
 	}
-	return "r." + s.Text
+	return "r." + url.QueryEscape(s.Text)
 }
 
 // Session is what a caller was told stands in its session. The zero value
--- a/internal/systems/preparation/preparation_test.go
+++ b/internal/systems/preparation/preparation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/cranberrystage/cranberrystage/internal/statement"
@@ -123,3 +124,18 @@
 		assert.Assert(t, len(s.prepared) <= maxHeld)
 	}
 }
+
+// Names on connections have no blanks, whatever the shape, and differ where
+// shapes do.
+func TestNamesOnConnections(t *testing.T) {
+	seen := make(map[string]Shape)
+	for _, text := range []string{"q", "q 1", "q+1", "q%201", "q  1", "", "\t"} {
+		for _, writes := range []bool{false, true} {
+			shape := Shape{Text: text, Writes: writes}
+			name := shape.held()
+			assert.Assert(t, !strings.ContainsAny(name, " \t"), name)
+			assert.Equal(t, seen[name], Shape{}, "%q names %+v too", name, seen[name])
+			seen[name] = shape
+		}
+	}
+}
