--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -98,16 +98,16 @@
 	return g.Primary, g.Record, provenAge
 }
 
-// Observe takes note of a position that the primary reported to a statement
-// sent at at.
+// Observe takes note of a position that the primary reported; at is a moment
+// before its statement was sent.
 func (f *Fleet) Observe(l Leader, at tables.Time, p tables.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l.group.Note(l.Upstream.entry.ID, l.record, freshness.Point{At: at, Position: p})
 }
 
-// Committed takes note of a commit that was sent at at and acknowledged after a
-// replica received it.
+// Committed takes note of a commit that was acknowledged after a replica had
+// received it; at is a moment before it was sent.
 func (f *Fleet) Committed(l Leader, at tables.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -9,7 +9,6 @@
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
-	"github.com/cranberrystage/cranberrystage/internal/systems/place"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
@@ -38,61 +37,9 @@
 	health
 }
 
-// health is what this proxy saw of a server.
-type health struct {
-	ahead       int
-	latency     time.Duration
-	barredUntil tables.Time
-	refused     tables.Time
-	answeredAt  tables.Time
-	// dialFailed says that the last attempt to connect failed.
-	dialFailed bool
-	// applied is the newest position that it showed to have applied, and
-	// behindUntil how long it is not asked for a later one.
-	applied     tables.Position
-	behindUntil tables.Time
-	// failedAt is when an attempt last failed, and commitFailedAt a commit.
-	failedAt       tables.Time
-	commitFailedAt tables.Time
-	// commitLost is when the oldest commit was sent that got no answer, with no
-	// commit answered since; 0 without one.
-	commitLost tables.Time
-	// waiting holds when statements without an answer were sent, by token.
-	waiting map[uint64]sent
-	next    uint64
-}
-
-type sent struct {
-	at     tables.Time
-	commit bool
-}
-
 // ID names the server.
 func (u *Upstream) ID() tables.UpstreamID { return u.entry.ID }
 
-// candidate returns how a read sees the server.
-func (u *Upstream) candidate(now tables.Time, need tables.Position, barred bool) place.Candidate {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return place.Candidate{
-		ID:      u.entry.ID,
-		Local:   u.local,
-		Barred:  barred || now < u.barredUntil || u.behind(now, need),
-		Slots:   u.entry.Slots,
-		Ahead:   u.ahead,
-		Latency: u.latency,
-	}
-}
-
-// behindFor is how long a server that lacked a position is not asked for it
-// again. Replicas apply in steps, and a vain question costs a round trip.
-const behindFor = 60 * time.Millisecond
-
-// behind reports whether the server has just shown that it has not applied need.
-func (h *health) behind(now tables.Time, need tables.Position) bool {
-	return now < h.behindUntil && !h.applied.AtLeast(need)
-}
-
 // Enter waits for the right to run a statement.
 func (u *Upstream) Enter(ctx context.Context, r admit.Request) (gate.Pass, error) {
 	u.mu.Lock()
@@ -136,129 +83,12 @@
 	return c, err
 }
 
-// Unreachable reports whether the server has neither answered nor taken a
-// connection since it was last tried. One connection that broke says nothing
-// yet: new ones may work.
-func (u *Upstream) Unreachable() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.dialFailed || u.silentMark() > u.answeredAt
-}
-
 // Release gives a connection back that has no answer outstanding.
 func (u *Upstream) Release(c *links.Conn) { u.pool.Put(c) }
 
 // Discard closes a connection.
 func (u *Upstream) Discard(c *links.Conn) { u.pool.Discard(c) }
 
-// began records that something was sent.
-func (u *Upstream) began(commit bool) uint64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.waiting == nil {
-		u.waiting = make(map[uint64]sent)
-	}
-	u.next++
-	u.waiting[u.next] = sent{at: u.fleet.Now(), commit: commit}
-	return u.next
-}
-
-func (u *Upstream) forget(token uint64) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.waiting, token)
-}
-
-// answered records an answer.
-func (u *Upstream) answered(token uint64, timed bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := u.fleet.Now()
-	s, ok := u.waiting[token]
-	delete(u.waiting, token)
-	u.answeredAt = now
-	u.refused, u.dialFailed = 0, false
-	if s.commit {
-		u.commitLost = 0
-	}
-	if !ok || !timed {
-		return
-	}
-	took := now.Sub(s.at)
-	if u.latency == 0 {
-		u.latency = took
-	}
-	u.latency += (took - u.latency) / latencyWeight
-}
-
-// failed records that a connection could not be opened or broke.
-func (u *Upstream) failed(token uint64, err error) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := u.fleet.Now()
-	s, ok := u.waiting[token]
-	if isTimeout(err) {
-		// It stays in view as silent until it answers something.
-		if ok && (u.silentMark() == 0 || s.at < u.silentMark()) {
-			u.waiting[0] = sent{at: s.at}
-		}
-	} else if u.refused == 0 {
-		u.refused = now
-	}
-	u.failedAt = now
-	if s.commit {
-		u.commitFailedAt = now
-		if u.commitLost == 0 {
-			u.commitLost = s.at
-		}
-	}
-	delete(u.waiting, token)
-	u.barredUntil = now.Add(failurePause)
-}
-
-func (h *health) silentMark() tables.Time { return h.waiting[0].at }
-
-// bar keeps reads away for d.
-func (u *Upstream) bar(d time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.barredUntil = max(u.barredUntil, u.fleet.Now().Add(d))
-}
-
-// failureFresh is how long a failure speaks against a server. One that is used
-// goes on failing, or answers; of one that is not, nothing is known.
-const failureFresh = 1200 * time.Millisecond
-
-// silence returns when the oldest statement without an answer was sent, if
-// nothing was answered since, and the same of commits, and since when the
-// server refuses.
-func (u *Upstream) silence() (silent, commit, refused tables.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := u.fleet.Now()
-	if u.waiting[0].at != 0 && (u.waiting[0].at < u.answeredAt || now.Sub(u.failedAt) > failureFresh) {
-		delete(u.waiting, 0)
-	}
-	if now.Sub(u.failedAt) > failureFresh {
-		u.refused = 0
-	}
-	if now.Sub(u.commitFailedAt) > failureFresh {
-		u.commitLost = 0
-	}
-	for _, s := range u.waiting {
-		if s.at >= u.answeredAt && (silent == 0 || s.at < silent) {
-			silent = s.at
-		}
-		if s.commit && (commit == 0 || s.at < commit) {
-			commit = s.at
-		}
-	}
-	if u.commitLost != 0 && (commit == 0 || u.commitLost < commit) {
-		commit = u.commitLost
-	}
-	return silent, commit, u.refused
-}
-
 // Exchange runs one statement on a connection and returns the answer. commit
 // says that the answer waits for a replica. After an error the connection must
 // be discarded.
@@ -274,18 +104,6 @@
 	return r, nil
 }
 
-// showed takes note of how far the server has applied its log.
-func (u *Upstream) showed(r statement.Reply) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if r.Position != (tables.Position{}) {
-		u.applied = r.Position
-	}
-	if r.Code == statement.Behind {
-		u.behindUntil = u.fleet.Now().Add(behindFor)
-	}
-}
-
 // Prepare tells a connection what it lacks for a session's next statement.
 func (u *Upstream) Prepare(c *links.Conn, deadline time.Time, list []statement.Statement, inTransaction bool) (statement.Reply, error) {
 	if len(list) == 0 {
@@ -334,18 +152,3 @@
 	}
 	return out, nil
 }
-
-func isTimeout(err error) bool {
-	t, ok := err.(interface{ Timeout() bool })
-	return ok && t.Timeout()
-}
-
-// probeFailed records that a new connection gave no answer. A server without
-// room for one is alive.
-func (u *Upstream) probeFailed(token uint64, err error) {
-	if err == links.ErrFull || err == links.ErrClosed {
-		u.forget(token)
-		return
-	}
-	u.failed(token, err)
-}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
 	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
+	"github.com/cranberrystage/cranberrystage/internal/systems/retry"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
@@ -60,21 +61,9 @@
 	return q
 }
 
-// stage is how far a try came.
-type stage uint8
-
-const (
-	// notSent means that no byte of the statement left.
-	notSent stage = iota
-	// sent means that the statement may have run.
-	sent
-	// answered means that the server answered.
-	answered
-)
-
 // outcome is how one try ended.
 type outcome struct {
-	stage stage
+	stage retry.Stage
 	reply statement.Reply
 	err   error
 	// refused says that the proxy itself had no room.
@@ -127,7 +116,7 @@
 	r, err := u.Exchange(c, q.deadline, q.writes, st)
 	if err != nil {
 		u.Discard(c)
-		return outcome{stage: sent, err: err}
+		return outcome{stage: retry.StageWritten, err: err}
 	}
 	if r.Code == statement.NoStatement {
 		c.State.Lacks()
@@ -137,7 +126,7 @@
 	} else {
 		u.Discard(c)
 	}
-	return outcome{stage: answered, reply: r}
+	return outcome{stage: retry.StageAnswered, reply: r}
 }
 
 // prepare tells the connection what it lacks for the statement, which it
@@ -166,7 +155,7 @@
 			continue
 		}
 		out := q.once(u, need)
-		if out.stage == answered && out.reply.Code == statement.OK {
+		if out.stage == retry.StageAnswered && out.reply.Code == statement.OK {
 			return out.reply
 		}
 		if q.ctx.Err() != nil {
@@ -199,7 +188,7 @@
 		at := q.s.fleet.Now()
 		out := q.once(l.Upstream, tables.Position{})
 		switch {
-		case out.stage == answered && out.reply.Code == statement.OK:
+		case out.stage == retry.StageAnswered && out.reply.Code == statement.OK:
 			if <-proof {
 				q.s.fleet.Observe(l, at, out.reply.Position)
 				return out.reply
@@ -261,11 +250,11 @@
 		at := q.s.fleet.Now()
 		out := q.once(l.Upstream, tables.Position{})
 		switch {
-		case out.stage == sent:
+		case out.stage == retry.StageWritten:
 			return q.unsure(out.err)
-		case out.stage == answered && out.reply.Code == statement.OK:
+		case out.stage == retry.StageAnswered && out.reply.Code == statement.OK:
 			return q.committed(l, at, out.reply)
-		case out.stage == answered && !out.reply.Code.NotRun():
+		case out.stage == retry.StageAnswered && !out.reply.Code.NotRun():
 			return out.reply
 		case out.refused:
 			return q.refuse(reasonOf(out.err, codes.NoSlot), "the primary has no room")
@@ -276,7 +265,7 @@
 	}
 }
 
-// committed takes note of a commit that l acknowledged to a statement sent at at.
+// committed takes note of a commit that l acknowledged; at is when it was sent.
 func (q *request) committed(l fleet.Leader, at tables.Time, r statement.Reply) statement.Reply {
 	f := q.s.fleet
 	if f.Replaced(l) {
@@ -334,7 +323,7 @@
 
 // timeout answers a read whose time is over.
 func (q *request) timeout(out outcome) statement.Reply {
-	if out.stage == notSent {
+	if out.stage == retry.StageWaiting {
 		return q.refuse(reasonOf(out.err, codes.NoSlot), "no room in time")
 	}
 	return statement.Refuse(statement.Timeout, codes.DeadlinePassed, q.s.status, "no answer in time")
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -9,6 +9,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
+	"github.com/cranberrystage/cranberrystage/internal/systems/retry"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
@@ -175,7 +176,7 @@
 			return reply, false
 		}
 		out := q.beginAt(l.Upstream, tx, tables.Position{})
-		if out.stage == answered && out.reply.Code == statement.OK {
+		if out.stage == retry.StageAnswered && out.reply.Code == statement.OK {
 			tx.leader = &l
 			return out.reply, true
 		}
@@ -205,7 +206,7 @@
 			continue
 		}
 		out := q.beginAt(u, tx, need)
-		if out.stage == answered && out.reply.Code == statement.OK {
+		if out.stage == retry.StageAnswered && out.reply.Code == statement.OK {
 			return out.reply, true
 		}
 		if q.ctx.Err() != nil {
@@ -239,7 +240,7 @@
 	r, err := u.Exchange(c, q.deadline, false, statement.Statement{Kind: kind, After: after})
 	if err != nil {
 		u.Discard(c)
-		return outcome{stage: sent, err: err}
+		return outcome{stage: retry.StageWritten, err: err}
 	}
 	if r.Code != statement.OK || r.State != statement.Open {
 		if r.State == statement.Idle {
@@ -247,10 +248,10 @@
 		} else {
 			u.Discard(c)
 		}
-		return outcome{stage: answered, reply: r}
+		return outcome{stage: retry.StageAnswered, reply: r}
 	}
 	tx.upstream, tx.conn = u, c
-	return outcome{stage: answered, reply: r}
+	return outcome{stage: retry.StageAnswered, reply: r}
 }
 
 // commit ends the open transaction.
