--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -135,13 +135,30 @@
 	if err != nil {
 		return err
 	}
+	// Messages between proxies go on while callers are let go.
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
 	go func() {
-		if err := relayed.Run(ctx); err != nil {
+		if err := relayed.Run(work); err != nil {
 			log.Error("entry: The proxies' messages are not served.", "error", err)
 		}
 	}()
 	go reload(ctx, path, hup, p, log)
-	return p.Run(ctx)
+	err = p.Run(ctx)
+	leave(work, relayed, log)
+	return err
+}
+
+// leaveTimeout bounds the last write of a proxy that ends.
+const leaveTimeout = 300 * time.Millisecond
+
+// leave takes this proxy out of the directory of proxies.
+func leave(ctx context.Context, relayed *rowrelay.Relay, log *slog.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := relayed.Leave(ctx); err != nil {
+		log.Info("entry: This proxy stays in the directory.", "error", err)
+	}
 }
 
 // reloadInterval is how often the settings file is looked at: it may change
