Replace a recorded primary that does not lead; do not act on a record that has changed

Now a replacement is given up only while the primary leads, and a primary that answers for 0.3 s that it does not lead is replaced. Besides, a proxy whose view was old could have announced the replacement of a primary that had just been recorded: the record's version is compared now.

--- a/internal/fleet/duty.go
+++ b/internal/fleet/duty.go
@@ -104,6 +104,9 @@
 	if a.version == 0 {
 		a.record.Primary = f.group(a.id).Primary
 	}
+	if a.against.Upstream != nil && a.version != a.against.record {
+		return d, errors.Errorf("the record changed to version %d since the primary of version %d failed", a.version, a.against.record)
+	}
 	if lost, ok := f.lostMember(f.group(a.id)); ok {
 		return d, errLostMember(lost)
 	}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -28,6 +28,10 @@
 	// commitLost is when the oldest commit was sent that got no answer, with no
 	// commit answered since; 0 without one.
 	commitLost tables.Time
+	// deposed is when it first answered a write or a transaction with the word
+	// that it does not lead, and deposedAt when it did so last; 0 if it leads.
+	deposed   tables.Time
+	deposedAt tables.Time
 	// waiting holds when statements without an answer were sent, by token.
 	waiting map[uint64]sent
 	next    uint64
@@ -178,13 +182,23 @@
 	return silent, commit, u.refused
 }
 
-// showed takes note of how far the server has applied its log.
-func (u *Upstream) showed(r statement.Reply) {
+// showed takes note of how far the server has applied its log, and whether the
+// answer shows that it leads.
+func (u *Upstream) showed(r statement.Reply, leads bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if r.Position != (tables.Position{}) {
 		u.applied = r.Position
 	}
+	switch {
+	case r.Code == statement.ReadOnly:
+		u.deposedAt = u.fleet.Now()
+		if u.deposed == 0 {
+			u.deposed = u.deposedAt
+		}
+	case leads:
+		u.deposed = 0
+	}
 	if r.Code == statement.Behind {
 		u.behindUntil = u.fleet.Now().Add(behindFor)
 	}
@@ -204,3 +218,14 @@
 	}
 	u.failed(token, err)
 }
+
+// deposedSince returns since when the server has answered that it does not
+// lead, if it did so lately.
+func (u *Upstream) deposedSince() tables.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.deposed == 0 || u.fleet.Now().Sub(u.deposedAt) > failureFresh {
+		u.deposed = 0
+	}
+	return u.deposed
+}
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -127,7 +127,7 @@
 			silent, commit, refused := u.silence()
 			w.cause = replace.Judge(replace.View{
 				Now: now, Leaving: u.leaving, MissingSince: f.missingWhileStoreAnswers(u),
-				RefusedSince: refused, SilentSince: silent, CommitSince: commit,
+				RefusedSince: refused, SilentSince: silent, CommitSince: commit, DeposedSince: u.deposedSince(),
 			})
 			w.troubled = refused != 0 || u.Unreachable() || silent != 0 && now.Sub(silent) > probeTimeout/2
 			w.askTerm = g.term == 0
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -88,6 +88,9 @@
 	version uint64
 	// claim names the claim of the duty that this attempt makes if it needs one.
 	claim string
+	// against is the primary that failed, as of its record; it names none where
+	// no primary was known.
+	against Leader
 	// clock is the store's clock when the rows were read.
 	clock time.Duration
 	// announced is when the announcement surely stood.
@@ -104,7 +107,7 @@
 	if err := sleep.For(ctx, stagger()); err != nil {
 		return err
 	}
-	a := &attempt{f: f, id: id, claim: string(f.VM) + "/" + uuid.NewString()}
+	a := &attempt{f: f, id: id, claim: string(f.VM) + "/" + uuid.NewString(), against: l}
 	if err := a.announce(ctx); err != nil {
 		return err
 	}
@@ -124,7 +127,10 @@
 		err = errors.New("all replicas are leaving too")
 	}
 	if err != nil {
-		a.abandon(ctx)
+		// A primary that does not lead any more can't be gone back to.
+		if _, leads := f.leads(ctx, a.record.Primary); leads {
+			a.abandon(ctx)
+		}
 		return err
 	}
 	return a.order(ctx, held)
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -100,7 +100,7 @@
 		return r, err
 	}
 	u.answered(token, st.ID != "" && !commit && r.Code == statement.OK)
-	u.showed(r)
+	u.showed(r, r.Code == statement.OK && (commit || st.Kind == statement.Begin))
 	return r, nil
 }
 
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -296,3 +296,19 @@
 		assert.Equal(t, w.group.Promotions(), 1)
 	})
 }
+
+// The recorded primary answers that it does not lead: a replacement stopped it
+// and went no further. Somebody has to lead again (random walk 1076).
+func TestDeposedPrimaryIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.group.Change("s1", (*dbgroup.Server).Depose)
+		time.Sleep(5 * time.Second)
+		r := w.write(w.proxies[0].session(newest), "last", 1)
+		l.end()
+		assert.Equal(t, r.Code, statement.OK, r.Detail)
+		assert.Equal(t, w.group.Promotions(), 1)
+	})
+}
--- a/internal/standin/dbgroup/dbgroup.go
+++ b/internal/standin/dbgroup/dbgroup.go
@@ -133,6 +133,9 @@
 	s.leads = s.leads && s.term == s.g.term
 }
 
+// Depose makes a primary a replica, as DEMOTE does.
+func (s *Server) Depose() { s.leads = false }
+
 // SetSilent makes the server take bytes and answer nothing.
 func (s *Server) SetSilent(on bool) { s.silent = on }
 
--- a/internal/systems/replace/replace.go
+++ b/internal/systems/replace/replace.go
@@ -32,6 +32,8 @@
 	refusedSpan = 120 * time.Millisecond
 	// silentSpan is how long a primary must be silent, new connections included.
 	silentSpan = 400 * time.Millisecond
+	// deposedSpan is how long a primary must answer that it does not lead.
+	deposedSpan = 300 * time.Millisecond
 	// commitSpan is how long no commit may end, while some wait, until the
 	// primary counts as cut from its replicas.
 	commitSpan = 1500 * time.Millisecond
@@ -54,13 +56,15 @@
 	CauseSilent
 	// CauseNoCommits means that the primary answers but ends no commit.
 	CauseNoCommits
+	// CauseDeposed means that the primary answers that it does not lead.
+	CauseDeposed
 	// CauseUnfinished means that another proxy began a replacement and did not end it.
 	CauseUnfinished
 )
 
 // String returns the label used in logs and metrics.
 func (c Cause) String() string {
-	return [...]string{"none", "leaving", "gone", "refused", "silent", "no commits", "unfinished"}[c]
+	return [...]string{"none", "leaving", "gone", "refused", "silent", "no commits", "deposed", "unfinished"}[c]
 }
 
 // NeedsProof reports whether the replicas are asked first whether the primary
@@ -83,6 +87,9 @@
 	// SilentSince is when the oldest attempt without an answer began, new
 	// connections included, with no answer since; 0 if it answers.
 	SilentSince tables.Time
+	// DeposedSince is when it first answered that it does not lead, and did so
+	// ever since; 0 if it leads.
+	DeposedSince tables.Time
 	// CommitSince is when the oldest commit without an answer was sent, with no
 	// commit answered since; 0 without one.
 	CommitSince tables.Time
@@ -99,6 +106,8 @@
 		return CauseRefused
 	case v.SilentSince != 0 && v.Now.Sub(v.SilentSince) >= silentSpan:
 		return CauseSilent
+	case v.DeposedSince != 0 && v.Now.Sub(v.DeposedSince) >= deposedSpan:
+		return CauseDeposed
 	case v.CommitSince != 0 && v.Now.Sub(v.CommitSince) >= commitSpan:
 		return CauseNoCommits
 	default:
--- a/internal/systems/replace/replace_test.go
+++ b/internal/systems/replace/replace_test.go
@@ -27,6 +27,8 @@
 		"refusing":                    {View{Now: now, RefusedSince: ago(refusedSpan)}, CauseRefused},
 		"slow":                        {View{Now: now, SilentSince: ago(silentSpan - 1)}, CauseNone},
 		"silent":                      {View{Now: now, SilentSince: ago(silentSpan)}, CauseSilent},
+		"deposed for a moment":        {View{Now: now, DeposedSince: ago(deposedSpan - 1)}, CauseNone},
+		"deposed":                     {View{Now: now, DeposedSince: ago(deposedSpan)}, CauseDeposed},
 		"a commit waits":              {View{Now: now, CommitSince: ago(commitSpan - 1)}, CauseNone},
 		"no commit ends":              {View{Now: now, CommitSince: ago(commitSpan)}, CauseNoCommits},
 		"leaving comes before silent": {View{Now: now, Leaving: true, SilentSince: ago(silentSpan)}, CauseLeaving},
@@ -39,7 +41,7 @@
 	for _, c := range []Cause{CauseRefused, CauseSilent, CauseNoCommits} {
 		assert.Assert(t, c.NeedsProof(), c.String())
 	}
-	for _, c := range []Cause{CauseLeaving, CauseGone, CauseUnfinished} {
+	for _, c := range []Cause{CauseLeaving, CauseGone, CauseDeposed, CauseUnfinished} {
 		assert.Assert(t, !c.NeedsProof(), c.String())
 	}
 }
