Let one piece serve where the change had written it twice

One test for timeouts of connections (five copies), one exchange with a server, one way to give a connection back, to take a point, to clear an order, to ask the store directly and to set keep-alive probes. A record that was just written is not encoded and decoded again. Removed: a method that nobody called. Two comments said what the code did not do.

--- a/internal/callers/session.go
+++ b/internal/callers/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 )
@@ -171,8 +172,7 @@
 
 // end answers a read that failed.
 func (c *session) end(err error) {
-	var netErr net.Error
-	timeout := errors.As(err, &netErr) && netErr.Timeout()
+	timeout := sockopt.TimedOut(err)
 	switch e, ok := codes.From(err); {
 	case ok:
 		c.fatal(e)
--- a/internal/fleet/duty.go
+++ b/internal/fleet/duty.go
@@ -197,7 +197,7 @@
 }
 
 // update writes the group's row under the condition that it is as this attempt
-// left it, and, for an order, that the duty is still this proxy's.
+// left it. Another holder's announcement changes it, and ends this attempt so.
 func (a *attempt) update(ctx context.Context, next tables.PrimaryRecord) error {
 	row, err := json.Marshal(next)
 	if err != nil {
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/place"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -120,7 +121,7 @@
 	defer u.mu.Unlock()
 	now := u.fleet.Now()
 	s, ok := u.waiting[token]
-	if isTimeout(err) {
+	if sockopt.TimedOut(err) {
 		// It stays in view as silent until it answers something.
 		if ok && (u.silentMark() == 0 || s.at < u.silentMark()) {
 			u.waiting[0] = sent{at: s.at}
@@ -204,11 +205,6 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	t, ok := err.(interface{ Timeout() bool })
-	return ok && t.Timeout()
-}
-
 // probeFailed records that a new connection gave no answer. A server without
 // room for one is alive.
 func (u *Upstream) probeFailed(token uint64, err error) {
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
@@ -71,9 +70,7 @@
 	err := f.Promoter.Promote(orderCtx, d.token, a.id, best.ID)
 	cancel()
 	if errors.Is(err, f.Codec.NotRunning) || errors.Is(err, platform.ErrUnavailable) {
-		next := a.record
-		next.Ordered, next.OrderedAt, next.Safe = "", 0, tables.Position{}
-		if uerr := a.update(ctx, next); uerr != nil {
+		if uerr := a.update(ctx, a.record.WithoutOrder()); uerr != nil {
 			f.log.Warn("An order that was refused stays on record.", "group", a.id, "error", uerr)
 		}
 		return errors.Wrap(err, "order")
@@ -122,9 +119,8 @@
 	}
 	f := a.f
 	f.mu.Lock()
-	value, _ := json.Marshal(a.record) // it was encoded a moment ago
 	if g := f.group(a.id); a.version > g.version {
-		f.takeRecord(g, platform.TableRow{Key: groupPrefix + string(a.id), Value: value, Version: a.version})
+		f.setRecord(g, a.record, a.version)
 	}
 	u, ok := f.upstreams[old]
 	f.mu.Unlock()
@@ -147,9 +143,7 @@
 	if a.clock < a.record.OrderedAt+dutyTime+replace.OrderSettles {
 		return false, errors.Errorf("the order for %s may still take effect", a.record.Ordered)
 	}
-	next := a.record
-	next.Ordered, next.OrderedAt, next.Safe = "", 0, tables.Position{}
-	return false, a.update(ctx, next)
+	return false, a.update(ctx, a.record.WithoutOrder())
 }
 
 // settleFor records the server that another proxy ordered, if it leads by now.
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -77,13 +77,18 @@
 	defer f.mu.Unlock()
 	now := f.Now()
 	for _, g := range f.groups {
-		if g.record.Replacing || g.usedAt != 0 && now.Sub(g.usedAt) < usedRecently {
+		if g.record.Replacing || g.inUse(now) {
 			return watchInterval
 		}
 	}
 	return restInterval
 }
 
+// inUse reports whether a statement needed the group lately.
+func (g *group) inUse(now tables.Time) bool {
+	return g.usedAt != 0 && now.Sub(g.usedAt) < usedRecently
+}
+
 // watched is what one look at a group gave.
 type watched struct {
 	id     tables.GroupID
@@ -132,7 +137,7 @@
 			w.troubled = refused != 0 || u.Unreachable() || silent != 0 && now.Sub(silent) > probeTimeout/2
 			w.askTerm = g.term == 0
 			newest, known := g.NewestPoint()
-			w.askPoint = g.usedAt != 0 && now.Sub(g.usedAt) < usedRecently && (!known || now.Sub(newest) > pointAge)
+			w.askPoint = g.inUse(now) && (!known || now.Sub(newest) > pointAge)
 		}
 		out = append(out, w)
 	}
@@ -195,12 +200,9 @@
 func (f *Fleet) refresh(ctx context.Context, l Leader) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	at := f.Now()
-	if err := f.refreshPoint(ctx, l); err != nil {
+	if err := f.takePoint(ctx, l); err != nil {
 		f.log.Debug("A primary gave no position.", "group", l.group.id, "upstream", l.Upstream.ID(), "error", err)
-		return
 	}
-	f.LedAt(ctx, l, at)
 }
 
 // learnTerm asks a primary that was never replaced for its term.
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -44,12 +44,19 @@
 
 // seekPoint makes one try to get a proven point from a primary.
 func (f *Fleet) seekPoint(ctx context.Context, l Leader) {
+	if err := f.takePoint(ctx, l); err != nil {
+		_ = sleep.For(ctx, proofPause) // the caller looks at ctx
+	}
+}
+
+// takePoint asks a primary for a point and looks for the evidence for it.
+func (f *Fleet) takePoint(ctx context.Context, l Leader) error {
 	at := f.Now()
 	if err := f.refreshPoint(ctx, l); err != nil {
-		_ = sleep.For(ctx, proofPause) // the caller looks at ctx
-		return
+		return err
 	}
 	f.LedAt(ctx, l, at)
+	return nil
 }
 
 // seekFrozen makes one try to get a point from the store.
@@ -109,6 +116,3 @@
 	}
 	return members[i], true
 }
-
-// Group returns the group of the server.
-func (u *Upstream) Group() tables.GroupID { return u.entry.Group }
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -10,9 +10,7 @@
 )
 
 func (f *Fleet) watchRecords(ctx context.Context) {
-	f.follow(ctx, RecordTable, func(rows platform.Rows, all bool, at tables.Time) {
-		f.takeRecords(rows, all, at.Add(-rows.Age))
-	})
+	f.follow(ctx, RecordTable, f.takeRecords)
 }
 
 // takeRecords takes the store's word on primaries. A whole table read from at
@@ -54,10 +52,15 @@
 		f.log.Error("Ignored a record of a primary that can't be read.", "group", g.id, "rowVersion", r.Version, "error", err)
 		return
 	}
+	f.setRecord(g, record, r.Version)
+}
+
+// setRecord puts a newer record of a group in force. The lock must be held.
+func (f *Fleet) setRecord(g *group, record tables.PrimaryRecord, version uint64) {
 	if record.Replacing && !g.record.Replacing {
 		g.announcedAt = f.Now()
 	}
-	g.record, g.version = record, r.Version
+	g.record, g.version = record, version
 	f.lead(g)
 }
 
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -222,8 +222,8 @@
 			f.log.Warn("A replica was not let go.", "group", a.id, "upstream", u.ID(), "error", err)
 		}
 	}
-	next := a.record
-	next.Replacing, next.Ordered, next.OrderedAt, next.Safe = false, "", 0, tables.Position{}
+	next := a.record.WithoutOrder()
+	next.Replacing = false
 	if err := a.update(ctx, next); err != nil {
 		f.log.Warn("A replacement that was given up stays announced.", "group", a.id, "error", err)
 	}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -110,7 +110,7 @@
 		return statement.Reply{}, nil
 	}
 	token := u.began(false)
-	r, err := exchangeAll(c, deadline, list)
+	r, err := exchange(c, deadline, list...)
 	if err != nil {
 		u.failed(token, err)
 		return r, err
@@ -122,18 +122,9 @@
 	return r, nil
 }
 
-func exchange(c *links.Conn, deadline time.Time, st statement.Statement) (statement.Reply, error) {
-	if err := c.SetDeadline(deadline); err != nil {
-		return statement.Reply{}, err
-	}
-	if err := c.Send(st); err != nil {
-		return statement.Reply{}, err
-	}
-	return c.Receive()
-}
-
-// exchangeAll returns the last answer, or the first that is a refusal; all are read.
-func exchangeAll(c *links.Conn, deadline time.Time, list []statement.Statement) (statement.Reply, error) {
+// exchange runs statements and returns the last answer, or the first that is a
+// refusal; all are read.
+func exchange(c *links.Conn, deadline time.Time, list ...statement.Statement) (statement.Reply, error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return statement.Reply{}, err
 	}
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -62,7 +62,7 @@
 			_ = sleep.For(ctx, watchPause) // the loop looks at ctx
 			continue
 		}
-		handle(rows, !whole, at)
+		handle(rows, !whole, at.Add(-rows.Age))
 		after, whole = rows.Version, true
 		if len(rows.Rows) > 0 {
 			_ = sleep.For(ctx, f.gather[table]) // the loop looks at ctx
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/group"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
+	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/internal/upstream"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -204,8 +204,7 @@
 	if errors.As(err, &answered) {
 		return tables.CauseBusy
 	}
-	var netErr net.Error
-	if ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout() {
+	if ctx.Err() != nil || sockopt.TimedOut(err) {
 		return tables.CauseSilent
 	}
 	return tables.CauseReset
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -121,12 +121,17 @@
 	if r.Code == statement.NoStatement {
 		c.State.Lacks()
 	}
+	giveBack(u, c, r)
+	return outcome{stage: retry.StageAnswered, reply: r}
+}
+
+// giveBack returns a connection after an answer, unless a transaction is open on it.
+func giveBack(u *fleet.Upstream, c *links.Conn, r statement.Reply) {
 	if r.State == statement.Idle {
 		u.Release(c)
-	} else {
-		u.Discard(c)
+		return
 	}
-	return outcome{stage: retry.StageAnswered, reply: r}
+	u.Discard(c)
 }
 
 // prepare tells the connection what it lacks for the statement, which it
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,11 +14,13 @@
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/pkg/errors"
 )
 
-// startupTimeout bounds a caller's first message where the configuration names no bound.
+// startupTimeout bounds the arrival of a caller's first message, and of the rest
+// of each message that has begun.
 const startupTimeout = 3 * time.Second
 
 // Caller is the codec's end of a caller's connection.
@@ -185,7 +187,7 @@
 		switch {
 		case err == nil:
 			return true
-		case !isTimeout(err):
+		case !sockopt.TimedOut(err):
 			return false
 		case s.moving.Load() && !open:
 			return false
@@ -253,8 +255,3 @@
 		return len(s.sessions)
 	}
 }
-
-func isTimeout(err error) bool {
-	t, ok := err.(interface{ Timeout() bool })
-	return ok && t.Timeout()
-}
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -243,11 +243,7 @@
 		return outcome{stage: retry.StageWritten, err: err}
 	}
 	if r.Code != statement.OK || r.State != statement.Open {
-		if r.State == statement.Idle {
-			u.Release(c)
-		} else {
-			u.Discard(c)
-		}
+		giveBack(u, c, r)
 		return outcome{stage: retry.StageAnswered, reply: r}
 	}
 	tx.upstream, tx.conn = u, c
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -28,9 +28,7 @@
 			}
 		}
 	}
-	return r.read(ctx, question{Table: table}, 0, func(ctx context.Context) (platform.Rows, error) {
-		return r.Store.ReadTable(ctx, table)
-	})
+	return r.read(ctx, question{Table: table})
 }
 
 // WatchTable implements platform.Metadata.
@@ -44,16 +42,26 @@
 			}
 		}
 	}
-	return r.read(ctx, q, wait, func(ctx context.Context) (platform.Rows, error) {
-		return r.sharedWatch(ctx, q)
-	})
+	return r.read(ctx, q)
+}
+
+// direct asks the store itself.
+func (r *Relay) direct(ctx context.Context, q question) (platform.Rows, error) {
+	if q.Watch {
+		rows, err := r.sharedWatch(ctx, q)
+		r.directEnded(err)
+		return rows, err
+	}
+	rows, err := r.Store.ReadTable(ctx, q.Table)
+	r.directEnded(err)
+	return rows, err
 }
 
 // sharedWatch waits for changes; calls for the same ones share one.
 func (r *Relay) sharedWatch(ctx context.Context, q question) (platform.Rows, error) {
 	key := q.Table + "/" + strconv.FormatUint(q.After, 10)
 	v, err, _ := r.reads.Do(key, func() (any, error) {
-		return r.Store.WatchTable(ctx, q.Table, q.After, time.Duration(q.WaitMillis)*time.Millisecond)
+		return r.Store.WatchTable(ctx, q.Table, q.After, q.wait())
 	})
 	if err != nil {
 		return platform.Rows{}, err
@@ -68,17 +76,17 @@
 }
 
 // read asks the store, and a peer if the store is lost or slow to answer.
-func (r *Relay) read(ctx context.Context, q question, wait time.Duration, direct func(context.Context) (platform.Rows, error)) (platform.Rows, error) {
+func (r *Relay) read(ctx context.Context, q question) (platform.Rows, error) {
+	wait := q.wait()
 	if r.skipDirect() {
 		if rows, err := r.askAny(ctx, q, wait); err == nil || errors.Is(err, platform.ErrHistoryLost) {
 			return rows, err
 		}
 	}
 	// The call may outlive this one's ctx, so that its end tells whether the store answers.
-	done := make(chan result, 2)
+	done := make(chan result, 1)
 	go func() {
-		rows, err := direct(context.WithoutCancel(ctx))
-		r.directEnded(err)
+		rows, err := r.direct(context.WithoutCancel(ctx), q)
 		done <- result{rows, err}
 	}()
 	timer := time.NewTimer(wait + hedgeAfter)
@@ -276,17 +284,10 @@
 }
 
 func (r *Relay) answerRows(ctx context.Context, q question) (platform.Rows, error) {
-	if q.Watch {
-		rows, err := r.sharedWatch(ctx, q)
-		r.directEnded(err)
-		return rows, err
+	if q.Table == r.Shared && !q.Watch {
+		return r.sharedLook(ctx)
 	}
-	if q.Table != r.Shared {
-		rows, err := r.Store.ReadTable(ctx, q.Table)
-		r.directEnded(err)
-		return rows, err
-	}
-	return r.sharedLook(ctx)
+	return r.direct(ctx, q)
 }
 
 // sharedLook returns the newest look at the shared table, taking one if it is old.
@@ -313,8 +314,7 @@
 // takeLook reads the shared table.
 func (r *Relay) takeLook(ctx context.Context) error {
 	began := r.Now()
-	rows, err := r.Store.ReadTable(ctx, r.Shared)
-	r.directEnded(err)
+	rows, err := r.direct(ctx, question{Table: r.Shared})
 	if err != nil {
 		return err
 	}
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -73,6 +73,9 @@
 	WaitMillis int64  `msgpack:"m,omitempty"`
 }
 
+// wait returns how long a watch waits for a change; 0 for a read.
+func (q question) wait() time.Duration { return time.Duration(q.WaitMillis) * time.Millisecond }
+
 // failure says why there are no rows.
 type failure uint8
 
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -23,11 +23,15 @@
 	if !ok {
 		return
 	}
-	_ = tc.SetKeepAliveConfig(net.KeepAliveConfig{
+	bound(tc, net.KeepAliveConfig{
 		Enable:   true,
 		Idle:     keepAliveIdle,
 		Interval: keepAliveInterval,
 		Count:    keepAliveCount,
-	})
-	setUserTimeout(tc, userTimeout)
+	}, userTimeout)
+}
+
+func bound(tc *net.TCPConn, probing net.KeepAliveConfig, silence time.Duration) {
+	_ = tc.SetKeepAliveConfig(probing)
+	setUserTimeout(tc, silence)
 }
--- a/internal/sockopt/within.go
+++ b/internal/sockopt/within.go
@@ -16,6 +16,5 @@
 		return
 	}
 	step := max(d/(probes+1), time.Second)
-	_ = tc.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: step, Interval: step, Count: probes})
-	setUserTimeout(tc, d)
+	bound(tc, net.KeepAliveConfig{Enable: true, Idle: step, Interval: step, Count: probes}, d)
 }
--- a/internal/tables/record.go
+++ b/internal/tables/record.go
@@ -21,6 +21,12 @@
 	OrderedAt time.Duration `json:"orderedAt,omitempty"`
 }
 
+// WithoutOrder returns r as it was before a server was chosen.
+func (r PrimaryRecord) WithoutOrder() PrimaryRecord {
+	r.Ordered, r.OrderedAt, r.Safe = "", 0, Position{}
+	return r
+}
+
 // DutyRecord is what the platform's store holds of the duty to replace
 // primaries. One proxy at a time has it, for all groups.
 type DutyRecord struct {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -259,13 +259,12 @@
 // say nothing about the upstream, such as an answer that it gave.
 func CauseOf(err error) (cause tables.Cause, ok bool) {
 	var answered *ServerError
-	var netErr net.Error
 	switch {
 	case err == nil || errors.As(err, &answered):
 		return tables.CauseNone, false
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return tables.CauseRefused, true
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case sockopt.TimedOut(err):
 		return tables.CauseSilent, true
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return tables.CauseReset, true
