Run the platform's statements through one engine, package exec

The platform's sessions and the PostgreSQL sessions each had an attempt's order of steps (admission, connection, session state, exchange, giving back) and a loop of attempts of their own; the platform's edge even had five loops. Change: package exec holds the steps of an attempt and the loop, spoken in package statement's words; relay's reads, newest reads, writes and begins are plans of it (choose, judge). Reads and read-only transactions share one plan. When to come back is a field of the reply; the codec writes it. Ruled out: one plan for all kinds; their rules on what may be sent again differ.

--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -1,186 +1,123 @@
-// Package exec runs callers' requests: it reads what a request declares, asks
-// package route where it runs, exchanges it with an upstream, waits until a
-// write is safe and keeps the session's token. All waiting ends with the
-// request's deadline.
+// Package exec is the path that a statement takes from a session to an
+// upstream and back, whatever protocol its caller speaks: a place is chosen,
+// admission is awaited, a connection is borrowed and given the session's
+// state, the statement is exchanged, and the outcome is judged. It speaks
+// package statement's vocabulary and knows no protocol and no deployment.
 package exec
 
 import (
 	"context"
-	"strings"
-	"sync"
-	"sync/atomic"
-	"time"
 
-	"github.com/cranberrystage/cranberrystage/internal/callers"
-	"github.com/cranberrystage/cranberrystage/internal/codes"
-	"github.com/cranberrystage/cranberrystage/internal/config"
-	"github.com/cranberrystage/cranberrystage/internal/gate"
-	"github.com/cranberrystage/cranberrystage/internal/metrics"
-	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
-	"github.com/cranberrystage/cranberrystage/internal/systems/event"
-	"github.com/cranberrystage/cranberrystage/internal/systems/route"
-	"github.com/cranberrystage/cranberrystage/internal/systems/session"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/retry"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
-	"github.com/cranberrystage/cranberrystage/internal/tags"
-	"github.com/cranberrystage/cranberrystage/internal/upstream"
 )
 
-// Core is the process's decision core as the statement path sees it.
-type Core interface {
-	// Now returns the process's monotonic time.
-	Now() tables.Time
-	// Snapshot returns the newest routing snapshot.
-	Snapshot() *route.Snapshot
-	// Changed returns a channel that is closed when a newer snapshot is published.
-	Changed() <-chan struct{}
-	// Confirm asks for a new confirmed point of a group; calls at the same moment share one.
-	Confirm(group tables.GroupID)
-	// Acknowledge waits until a commit is decided or ctx ends.
-	Acknowledge(ctx context.Context, group tables.GroupID, c ack.Commit) (ack.Outcome, error)
-	// Report tells the core of an event without blocking.
-	Report(ev event.Event)
-	// Pool returns the connections to an upstream; ok is false if it is not configured.
-	Pool(u tables.UpstreamID) (p *upstream.Pool, ok bool)
-	// Gate returns the admission queue of an upstream; ok is false if it is not configured.
-	Gate(u tables.UpstreamID) (g *gate.Gate, ok bool)
-	// Load returns how many statements run on an upstream now.
-	Load() *Load
+// Attempt is one try of a statement at one upstream.
+type Attempt interface {
+	// Upstream names the upstream.
+	Upstream() tables.UpstreamID
+	// Enter waits for the right to run a statement on the upstream. An error
+	// means that the proxy itself had no room.
+	Enter(ctx context.Context) error
+	// Leave ends what a successful Enter began.
+	Leave()
+	// Connect borrows a connection.
+	Connect(ctx context.Context) error
+	// Adopt gives the connection the session's state. A reply without a result
+	// is the upstream's refusal of that state.
+	Adopt(ctx context.Context) (statement.Reply, error)
+	// Exchange runs the statement on the connection. After an error its fate
+	// is not known, unless the error carries a number that says so.
+	Exchange(ctx context.Context) (statement.Reply, error)
+	// Return gives the connection back after a whole answer, or keeps it for
+	// the transaction that the answer leaves open.
+	Return(r statement.Reply)
+	// Discard closes the connection.
+	Discard()
 }
 
-// Executor opens sessions. It implements callers.Executor.
-type Executor struct {
-	core      Core
-	metrics   *metrics.Metrics
-	directory atomic.Pointer[Directory]
-	tally     *tally
-	budgets   budgets
-	// touched holds, by tables.GroupID, when the core was last told of a group's use.
-	touched sync.Map
+// Outcome is how an attempt ended.
+type Outcome struct {
+	// Stage is how far the attempt came.
+	Stage retry.Stage
+	// Reply is the upstream's answer to the statement, or its refusal of the
+	// session's state if Stage is retry.StageWaiting; not valid with Err.
+	Reply statement.Reply
+	// Err is why there is no answer.
+	Err error
+	// Refused says that the proxy itself had no room.
+	Refused bool
 }
 
-var _ callers.Executor = (*Executor)(nil)
-
-// New returns an executor that knows no services until SetDocument.
-func New(core Core, m *metrics.Metrics) *Executor {
-	e := &Executor{core: core, metrics: m, tally: newTally(m)}
-	e.SetDocument(config.Document{})
-	return e
-}
-
-// SetDocument puts a configuration in force for requests that start now.
-func (e *Executor) SetDocument(doc config.Document) {
-	e.directory.Store(NewDirectory(doc))
-}
-
-// touchInterval is the time between two reports that a group is in use.
-const touchInterval = time.Minute
-
-// touch reports now and then that a group is in use, so that it stays watched.
-func (e *Executor) touch(g tables.GroupID) {
-	now := e.core.Now()
-	if at, ok := e.touched.Load(g); ok && now.Sub(at.(tables.Time)) < touchInterval {
-		return
-	}
-	e.touched.Store(g, now)
-	e.core.Report(event.GroupUsed{Group: g})
+// Served reports whether the upstream gave a result.
+func (o Outcome) Served() bool {
+	return o.Err == nil && o.Stage == retry.StageAnswered && o.Reply.Code == statement.OK
 }
 
-// Configured implements callers.Executor.
-func (e *Executor) Configured() bool { return len(e.directory.Load().places) > 0 }
+// Answered reports whether the upstream's whole answer arrived.
+func (o Outcome) Answered() bool { return o.Stage == retry.StageAnswered }
 
-// User implements callers.Executor.
-func (e *Executor) User(name string) (config.User, bool) {
-	u, ok := e.directory.Load().users[name]
-	return u, ok
+// Plan says where a statement's attempts go and what follows from their outcomes.
+type Plan interface {
+	// Choose returns the next attempt; if it is nil, the reply is the answer.
+	Choose(ctx context.Context) (Attempt, statement.Reply)
+	// Judge returns the answer that follows from an attempt; done is false if
+	// another one is to be made.
+	Judge(ctx context.Context, a Attempt, o Outcome) (r statement.Reply, done bool)
 }
 
-// Open implements callers.Executor.
-func (e *Executor) Open(s callers.Startup) (callers.Session, error) {
-	dir := e.directory.Load()
-	place, ok := dir.find(s.Database)
-	if !ok || !dir.allowed(s.User, place.service.Name) {
-		return nil, codes.New(codes.UnknownService, codes.NotRun, 0, s.Database)
-	}
-	var t tags.Tags
-	for name, value := range s.Parameters {
-		if _, err := t.SetParameter(name, value); err != nil {
-			return nil, err
+// Serve runs a statement by its plan until there is an answer. The plan's
+// waits end with ctx, so that Serve does.
+func Serve(ctx context.Context, p Plan) statement.Reply {
+	for {
+		a, refusal := p.Choose(ctx)
+		if a == nil {
+			return refusal
+		}
+		r, done := p.Judge(ctx, a, Try(ctx, a))
+		if done {
+			return r
 		}
 	}
-	sess, err := session.FromTag(t.Session)
-	if err != nil {
-		return nil, err
-	}
-	first, err := startupSettings(s.Parameters)
-	if err != nil {
-		return nil, err
-	}
-	e.tally.caller(place.service.Name, 1)
-	cs := &callerSession{
-		exec:      e,
-		service:   place.service.Name,
-		database:  s.Database,
-		tags:      t,
-		firstTags: t,
-		session:   sess,
-		prepared:  make(prepared),
-		status:    statusIdle,
-	}
-	cs.settings.startWith(first)
-	return cs, nil
-}
-
-// Directory finds services, databases and users by name.
-type Directory struct {
-	places map[string]place
-	users  map[string]config.User
 }
 
-// place is one database of a service.
-type place struct {
-	service  config.Service
-	database string
-	group    tables.GroupID
-}
-
-// NewDirectory indexes doc.
-func NewDirectory(doc config.Document) *Directory {
-	d := &Directory{places: make(map[string]place), users: make(map[string]config.User)}
-	for _, s := range doc.Services {
-		for name, g := range s.Databases {
-			p := place{service: s, database: name, group: g}
-			d.places[string(s.Name)+"/"+name] = p
-			if len(s.Databases) == 1 {
-				d.places[string(s.Name)] = p
-			}
-		}
+// Try makes one attempt on a connection of its own.
+func Try(ctx context.Context, a Attempt) Outcome {
+	if err := a.Enter(ctx); err != nil {
+		return Outcome{Err: err, Refused: true}
 	}
-	for _, u := range doc.Users {
-		d.users[u.Name] = u
+	defer a.Leave()
+	if err := a.Connect(ctx); err != nil {
+		return Outcome{Err: err}
 	}
-	return d
+	o := send(ctx, a)
+	if o.Err != nil || !o.Answered() {
+		a.Discard()
+		return o
+	}
+	a.Return(o.Reply)
+	return o
 }
 
-func (d *Directory) find(database string) (place, bool) {
-	p, ok := d.places[strings.TrimPrefix(database, "/")]
-	return p, ok
+// Continue makes one attempt on the connection that the session's open
+// transaction holds. The connection stays with the transaction.
+func Continue(ctx context.Context, a Attempt) Outcome {
+	if err := a.Enter(ctx); err != nil {
+		return Outcome{Err: err, Refused: true}
+	}
+	defer a.Leave()
+	return send(ctx, a)
 }
 
-func (d *Directory) allowed(user string, service tables.ServiceID) bool {
-	u, ok := d.users[user]
-	if !ok {
-		return false
-	}
-	if len(u.Services) == 0 {
-		return true
+func send(ctx context.Context, a Attempt) Outcome {
+	r, err := a.Adopt(ctx)
+	if err != nil || r.Code != statement.OK {
+		return Outcome{Reply: r, Err: err}
 	}
-	for _, s := range u.Services {
-		if s == service {
-			return true
-		}
+	r, err = a.Exchange(ctx)
+	if err != nil {
+		return Outcome{Stage: retry.StageWritten, Reply: r, Err: err}
 	}
-	return false
+	return Outcome{Stage: retry.StageAnswered, Reply: r}
 }
-
-// defaultDeadline bounds a request where neither caller nor service does.
-const defaultDeadline = 30 * time.Second
--- a/internal/exec/local.go
+++ b/internal/pgsession/local.go
@@ -1,4 +1,4 @@
-package exec
+package pgsession
 
 import (
 	"strings"
--- a/internal/proxy/path.go
+++ b/internal/proxy/path.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"github.com/cranberrystage/cranberrystage/internal/exec"
 	"github.com/cranberrystage/cranberrystage/internal/gate"
+	"github.com/cranberrystage/cranberrystage/internal/pgsession"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
@@ -13,20 +13,20 @@
 )
 
 // Proxy is the core as the statement path sees it.
-var _ exec.Core = (*Proxy)(nil)
+var _ pgsession.Core = (*Proxy)(nil)
 
-// Now implements exec.Core.
+// Now implements pgsession.Core.
 func (p *Proxy) Now() tables.Time { return p.core.Now() }
 
-// Confirm implements exec.Core.
+// Confirm implements pgsession.Core.
 func (p *Proxy) Confirm(g tables.GroupID) { p.confirmers.get(g).point() }
 
-// Acknowledge implements exec.Core.
+// Acknowledge implements pgsession.Core.
 func (p *Proxy) Acknowledge(ctx context.Context, g tables.GroupID, c ack.Commit) (ack.Outcome, error) {
 	return p.confirmers.get(g).acknowledge(ctx, c)
 }
 
-// Pool implements exec.Core.
+// Pool implements pgsession.Core.
 func (p *Proxy) Pool(u tables.UpstreamID) (*upstream.Pool, bool) {
 	r, ok := p.upstreams.get(u)
 	if !ok {
@@ -35,7 +35,7 @@
 	return r.pool, true
 }
 
-// Gate implements exec.Core.
+// Gate implements pgsession.Core.
 func (p *Proxy) Gate(u tables.UpstreamID) (*gate.Gate, bool) {
 	r, ok := p.upstreams.get(u)
 	if !ok {
@@ -44,14 +44,14 @@
 	return r.gate, true
 }
 
-// Load implements exec.Core.
-func (p *Proxy) Load() *exec.Load { return &p.load }
+// Load implements pgsession.Core.
+func (p *Proxy) Load() *pgsession.Load { return &p.load }
 
-// Report implements exec.Core.
+// Report implements pgsession.Core.
 func (p *Proxy) Report(ev event.Event) { p.core.Report(ev) }
 
-// Snapshot implements exec.Core.
+// Snapshot implements pgsession.Core.
 func (p *Proxy) Snapshot() *route.Snapshot { return p.core.Snapshot() }
 
-// Changed implements exec.Core.
+// Changed implements pgsession.Core.
 func (p *Proxy) Changed() <-chan struct{} { return p.core.Changed() }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,11 +12,11 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/config"
-	"github.com/cranberrystage/cranberrystage/internal/exec"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/peer/peertls"
 	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
+	"github.com/cranberrystage/cranberrystage/internal/pgsession"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/systems/configure"
@@ -53,8 +53,8 @@
 	upstreams  *upstreams
 	confirmers *confirmers
 	performer  *performer
-	exec       *exec.Executor
-	load       exec.Load
+	exec       *pgsession.Executor
+	load       pgsession.Load
 	callers    []*callers.Server
 	admin      net.Listener
 	configured atomic.Bool
@@ -85,7 +85,7 @@
 	p.performer.core = p.core
 	p.upstreams.now = p.core.Now
 	p.confirmers = &confirmers{ctx: ctx, core: p.core, upstreams: p.upstreams}
-	p.exec = exec.New(p, p.metrics)
+	p.exec = pgsession.New(p, p.metrics)
 	if err := p.listen(); err != nil {
 		p.closeListeners()
 		cancel()
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/cranberrystage/cranberrystage/internal/exec"
+	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/gate"
+	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// attempt is one try of a request's statement at one server.
+type attempt struct {
+	q    *request
+	u    *fleet.Upstream
+	pass gate.Pass
+	conn *links.Conn
+	// after is the position that the server must have reached.
+	after tables.Position
+	// st is the statement under the names that the connection knows.
+	st statement.Statement
+}
+
+var _ exec.Attempt = (*attempt)(nil)
+
+func (q *request) at(u *fleet.Upstream, after tables.Position) *attempt {
+	return &attempt{q: q, u: u, after: after}
+}
+
+// Upstream implements exec.Attempt.
+func (a *attempt) Upstream() tables.UpstreamID { return a.u.ID() }
+
+// Enter implements exec.Attempt.
+func (a *attempt) Enter(ctx context.Context) (err error) {
+	a.pass, err = a.u.Enter(ctx, a.q.admission())
+	return err
+}
+
+// Leave implements exec.Attempt.
+func (a *attempt) Leave() { a.u.Leave(&a.pass) }
+
+// Connect implements exec.Attempt.
+func (a *attempt) Connect(ctx context.Context) (err error) {
+	a.conn, err = a.u.Connect(ctx)
+	return err
+}
+
+// Adopt implements exec.Attempt.
+func (a *attempt) Adopt(context.Context) (statement.Reply, error) { return a.prepare(false) }
+
+// prepare tells the connection what it lacks for the statement.
+func (a *attempt) prepare(inTransaction bool) (statement.Reply, error) {
+	list, st := preparation.Plan(&a.conn.State, &a.q.s.state, a.q.st, inTransaction)
+	a.st = st
+	return a.u.Prepare(a.conn, a.q.deadline, list, inTransaction)
+}
+
+// Exchange implements exec.Attempt.
+func (a *attempt) Exchange(context.Context) (statement.Reply, error) {
+	a.st.After = a.after
+	return a.send(a.q.writes)
+}
+
+// send runs the statement; commit says that its answer waits for a replica.
+func (a *attempt) send(commit bool) (statement.Reply, error) {
+	r, err := a.u.Exchange(a.conn, a.q.deadline, commit, a.st)
+	if err == nil && r.Code == statement.NoStatement {
+		a.conn.State.Lacks()
+	}
+	return r, err
+}
+
+// Return implements exec.Attempt.
+func (a *attempt) Return(r statement.Reply) {
+	if r.State != statement.Idle {
+		a.Discard()
+		return
+	}
+	a.u.Release(a.conn)
+}
+
+// Discard implements exec.Attempt.
+func (a *attempt) Discard() { a.u.Discard(a.conn) }
+
+// opening begins a transaction at one server and keeps the connection for it.
+// Admission is awaited with the transaction's first statement.
+type opening struct {
+	attempt
+	tx *transaction
+}
+
+// Enter implements exec.Attempt.
+func (*opening) Enter(context.Context) error { return nil }
+
+// Leave implements exec.Attempt.
+func (*opening) Leave() {}
+
+// Exchange implements exec.Attempt.
+func (o *opening) Exchange(context.Context) (statement.Reply, error) {
+	kind := statement.Begin
+	if o.tx.readOnly {
+		kind = statement.BeginRead
+	}
+	o.st = statement.Statement{Kind: kind, After: o.after}
+	return o.send(false)
+}
+
+// Return implements exec.Attempt.
+func (o *opening) Return(r statement.Reply) {
+	if r.Code != statement.OK || r.State != statement.Open {
+		o.attempt.Return(r)
+		return
+	}
+	o.tx.upstream, o.tx.conn = o.u, o.conn
+}
+
+// inside runs a statement on the connection of an open transaction.
+type inside struct {
+	attempt
+	tx *transaction
+}
+
+func (q *request) inside(tx *transaction) *inside {
+	return &inside{attempt: attempt{q: q, u: tx.upstream, conn: tx.conn}, tx: tx}
+}
+
+// Enter implements exec.Attempt.
+func (i *inside) Enter(ctx context.Context) (err error) {
+	i.pass, err = i.u.Enter(ctx, i.q.admissionInside())
+	return err
+}
+
+// Adopt implements exec.Attempt.
+func (i *inside) Adopt(context.Context) (statement.Reply, error) { return i.prepare(true) }
+
+// Exchange implements exec.Attempt.
+func (i *inside) Exchange(context.Context) (statement.Reply, error) {
+	return i.send(i.st.Kind == statement.Commit && i.tx.wrote)
+}
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -85,7 +85,7 @@
 func (j *journal) story(s *session, st statement.Statement, r statement.Reply, took time.Duration) []any {
 	out := []any{
 		"request", st.ID, "kind", st.Kind.String(), "database", s.database, "code", r.Code.String(),
-		"reason", int(r.Reason), "detail", r.Detail, "took", took,
+		"reason", int(r.Reason), "detail", r.Detail, "retryAfter", r.RetryAfter, "took", took,
 	}
 	if routing := s.fleet.Routing(); routing != nil {
 		out = append(out, "config", routing.Version)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/exec"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
@@ -109,9 +110,9 @@
 	defer q.cancel()
 	switch {
 	case writes:
-		return q.write()
+		return exec.Serve(q.ctx, &writing{q: q})
 	case route.Freshness == tables.FreshNewest:
-		return q.readPrimary()
+		return exec.Serve(q.ctx, &newestReading{q: q})
 	default:
 		return q.read()
 	}
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/exec"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
-	"github.com/cranberrystage/cranberrystage/internal/systems/retry"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
@@ -112,16 +112,16 @@
 	q := newRequest(ctx, s, tx.route, st, writes)
 	defer q.cancel()
 	if tx.conn == nil {
-		if r, ok := q.open(tx); !ok {
+		if r := q.open(tx); r.Code != statement.OK {
 			return s.fail(r, nil)
 		}
 	}
 	out := q.pinned(tx)
-	if out.err != nil {
-		return s.fail(statement.Refuse(statement.Aborted, codes.UpstreamLost, s.status, "the connection was lost: "+out.err.Error()), out.err)
+	if out.Err != nil {
+		return s.fail(statement.Refuse(statement.Aborted, codes.UpstreamLost, s.status, "the connection was lost: "+out.Err.Error()), out.Err)
 	}
-	if out.reply.Code != statement.OK {
-		return s.fail(out.reply, nil)
+	if out.Reply.Code != statement.OK {
+		return s.fail(out.Reply, nil)
 	}
 	tx.wrote = tx.wrote || writes
 	if !writes && tx.leader != nil && !tx.proven {
@@ -130,27 +130,22 @@
 		}
 		tx.proven = true
 	}
-	return out.reply
+	return out.Reply
 }
 
 // pinned runs the request's statement on the transaction's connection. A busy
 // server is asked again: it did not run the statement.
-func (q *request) pinned(tx *transaction) outcome {
-	u, c := tx.upstream, tx.conn
+func (q *request) pinned(tx *transaction) exec.Outcome {
 	for {
-		pass, err := u.Enter(q.ctx, q.admissionInside())
-		if err != nil {
-			return outcome{reply: q.refuse(reasonOf(err, codes.NoSlot), "no room in time")}
-		}
-		st, out := q.prepare(u, c, true)
-		if out.err == nil && out.reply.Code == statement.OK {
-			out.reply, out.err = u.Exchange(c, q.deadline, st.Kind == statement.Commit && tx.wrote, st)
+		a := q.inside(tx)
+		o := exec.Continue(q.ctx, a)
+		if o.Refused {
+			return exec.Outcome{Reply: q.refuse(reasonOf(o.Err, codes.NoSlot), "no room in time")}
 		}
-		u.Leave(&pass)
-		q.note(u, out)
-		again := out.err == nil && out.reply.Code == statement.Busy && out.reply.State == statement.Open
+		q.note(a, o)
+		again := o.Err == nil && o.Reply.Code == statement.Busy && o.Reply.State == statement.Open
 		if !again || !q.pause() {
-			return out
+			return o
 		}
 	}
 }
@@ -165,89 +160,12 @@
 	return r
 }
 
-// open begins the transaction at a server; if ok is false the reply is the answer.
-func (q *request) open(tx *transaction) (r statement.Reply, ok bool) {
+// open begins the transaction at a server; unless the reply is OK it is the answer.
+func (q *request) open(tx *transaction) statement.Reply {
 	if tx.readOnly && tx.route.Freshness != tables.FreshNewest {
-		return q.openRead(tx)
-	}
-	for {
-		l, reply, ok := q.leader()
-		if !ok {
-			return reply, false
-		}
-		out := q.beginAt(l.Upstream, tx, tables.Position{})
-		if out.stage == retry.StageAnswered && out.reply.Code == statement.OK {
-			tx.leader = &l
-			return out.reply, true
-		}
-		if out.refused {
-			return q.refuse(reasonOf(out.err, codes.NoSlot), "the primary has no room"), false
-		}
-		if q.ctx.Err() != nil || !q.pause() {
-			return q.refuse(codes.UpstreamFailed, "the primary does not take the transaction"), false
-		}
-	}
-}
-
-// openRead begins a transaction that only reads at any server that is fresh enough.
-func (q *request) openRead(tx *transaction) (r statement.Reply, ok bool) {
-	need, ok := q.s.need(q.ctx, tx.route, tx.arrived)
-	q.need = need
-	if !ok {
-		return q.refuse(codes.NoFreshReplica, "no primary tells how fresh the replicas are"), false
-	}
-	for {
-		u, ok := q.s.fleet.Reader(tx.route.Group, need, q.tried)
-		if !ok {
-			if !q.pause() {
-				return q.refuse(q.whyNoServer(), "no server takes the transaction"), false
-			}
-			q.tried = q.tried[:0]
-			continue
-		}
-		out := q.beginAt(u, tx, need)
-		if out.stage == retry.StageAnswered && out.reply.Code == statement.OK {
-			return out.reply, true
-		}
-		if q.ctx.Err() != nil {
-			return q.refuse(q.whyNoServer(), "no server takes the transaction"), false
-		}
-		q.tried = append(q.tried, u.ID())
-	}
-}
-
-// beginAt begins the transaction at one server.
-func (q *request) beginAt(u *fleet.Upstream, tx *transaction, after tables.Position) outcome {
-	out := q.tryBegin(u, tx, after)
-	q.note(u, out)
-	return out
-}
-
-func (q *request) tryBegin(u *fleet.Upstream, tx *transaction, after tables.Position) outcome {
-	c, err := u.Connect(q.ctx)
-	if err != nil {
-		return outcome{err: err}
-	}
-	_, out := q.prepare(u, c, false)
-	if out.err != nil || out.reply.Code != statement.OK {
-		u.Discard(c)
-		return out
-	}
-	kind := statement.Begin
-	if tx.readOnly {
-		kind = statement.BeginRead
-	}
-	r, err := u.Exchange(c, q.deadline, false, statement.Statement{Kind: kind, After: after})
-	if err != nil {
-		u.Discard(c)
-		return outcome{stage: retry.StageWritten, err: err}
-	}
-	if r.Code != statement.OK || r.State != statement.Open {
-		giveBack(u, c, r)
-		return outcome{stage: retry.StageAnswered, reply: r}
+		return q.readAny(tx.arrived, tx)
 	}
-	tx.upstream, tx.conn = u, c
-	return outcome{stage: retry.StageAnswered, reply: r}
+	return exec.Serve(q.ctx, &beginning{q: q, tx: tx})
 }
 
 // commit ends the open transaction.
@@ -267,7 +185,7 @@
 	q := newRequest(ctx, s, tx.route, st, tx.wrote)
 	defer q.cancel()
 	if tx.conn == nil {
-		if r, ok := q.open(tx); !ok {
+		if r := q.open(tx); r.Code != statement.OK {
 			s.drop(nil)
 			r.State = statement.Idle
 			return r
@@ -275,12 +193,12 @@
 	}
 	at := s.fleet.Now()
 	out := q.pinned(tx)
-	r := out.reply
+	r := out.Reply
 	switch {
-	case out.err != nil && tx.wrote:
-		r = q.unsure(out.err)
-	case out.err != nil:
-		r = statement.Refuse(statement.Aborted, codes.UpstreamLost, statement.Idle, "the connection was lost: "+out.err.Error())
+	case out.Err != nil && tx.wrote:
+		r = q.unsure(out.Err)
+	case out.Err != nil:
+		r = statement.Refuse(statement.Aborted, codes.UpstreamLost, statement.Idle, "the connection was lost: "+out.Err.Error())
 	case r.Code == statement.OK && tx.wrote && tx.leader != nil:
 		r = q.committed(*tx.leader, at, r)
 	}
@@ -290,11 +208,11 @@
 }
 
 // endCommit gives the connection back after a commit was answered or lost.
-func (s *session) endCommit(tx *transaction, out outcome) {
-	if out.err == nil && out.reply.Code == statement.OK && out.reply.State == statement.Idle {
+func (s *session) endCommit(tx *transaction, out exec.Outcome) {
+	if out.Err == nil && out.Reply.Code == statement.OK && out.Reply.State == statement.Idle {
 		tx.conn.State.Ended(true)
 		tx.upstream.Release(tx.conn)
 		tx.conn = nil
 	}
-	s.drop(out.err)
+	s.drop(out.Err)
 }
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -4,6 +4,8 @@
 package statement
 
 import (
+	"time"
+
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
@@ -143,6 +145,8 @@
 	// Reason is the project's number for a refusal of the proxy's own; 0 if the
 	// answer is an upstream's.
 	Reason codes.Code
+	// RetryAfter is the earliest useful time to ask again; 0 says nothing about it.
+	RetryAfter time.Duration
 	// Detail is free text beside Code.
 	Detail string
 	// Rows are the result's rows, as received.
@@ -162,6 +166,44 @@
 	return Reply{Code: c, Reason: reason, State: s, Detail: detail}
 }
 
+// Refusal returns the answer that err means for a statement. An error without
+// a number means that the outcome was not learnt.
+func Refusal(err error, s State) Reply {
+	e, ok := codes.From(err)
+	if !ok {
+		e = codes.New(codes.UpstreamLost, codes.Unknown, 0, err.Error())
+	}
+	r := Refuse(Busy, e.Code, s, e.Detail)
+	r.RetryAfter = e.RetryAfter
+	switch e.Ran {
+	case codes.Unknown:
+		r.Code = Unsure
+	case codes.Did:
+		r.Code = RunFailed
+	}
+	return r
+}
+
+// Err returns the proxy's own refusal as a numbered error; nil if there is none.
+func (r Reply) Err() error {
+	if r.Reason == codes.OK {
+		return nil
+	}
+	return codes.New(r.Reason, r.ran(), r.RetryAfter, r.Detail)
+}
+
+// ran says what a refusal of the proxy's own means for the statement's effects.
+func (r Reply) ran() codes.Ran {
+	switch r.Code {
+	case Unsure, Timeout:
+		return codes.Unknown
+	case RunFailed:
+		return codes.Did
+	default:
+		return codes.NotRun
+	}
+}
+
 // Account is an upstream's own account of itself.
 type Account struct {
 	// Leads says that it believes itself to be the primary.
