--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -18,6 +18,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/sockopt"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 )
@@ -38,7 +39,7 @@
 	// transaction status that belongs there. After a partial batch a transaction
 	// may be open whatever the status says. On an error a has received no
 	// error response yet; a *codes.Error keeps its number.
-	Run(ctx context.Context, b *Batch, a *Answer) (txStatus byte, err error)
+	Run(ctx context.Context, b *Batch, a *Answer) (state statement.State, err error)
 	// Cancel asks for the cancellation of the request that runs now, if any.
 	Cancel()
 	// Close ends the session and rolls back an open transaction.
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/scramverifier"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/testrun"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -58,22 +59,22 @@
 func (e *fakeExecutor) User(name string) (config.User, bool) { return e.user, name == testUser }
 
 func (e *fakeExecutor) Open(Startup) (Session, error) {
-	return &fakeSession{e: e, status: statusIdle}, nil
+	return &fakeSession{e: e, status: statement.Idle}, nil
 }
 
 type fakeSession struct {
 	e      *fakeExecutor
-	status byte
+	status statement.State
 }
 
-func (s *fakeSession) Run(_ context.Context, b *Batch, a *Answer) (byte, error) {
+func (s *fakeSession) Run(_ context.Context, b *Batch, a *Answer) (statement.State, error) {
 	s.e.started.Add(1)
 	defer s.e.finished.Add(1)
 	switch {
 	case b.Query == "BEGIN":
-		s.status = 'T'
+		s.status = statement.Open
 	case b.Query == "COMMIT":
-		s.status = statusIdle
+		s.status = statement.Idle
 	case b.Query == "fail":
 		return s.status, codes.New(codes.NoSlot, codes.NotRun, time.Second, "")
 	case strings.HasPrefix(b.Query, "wait"):
--- a/internal/callers/session.go
+++ b/internal/callers/session.go
@@ -8,14 +8,27 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/sockopt"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 )
 
-const (
-	statusIdle   = byte('I')
-	connectRetry = time.Second
-)
+const connectRetry = time.Second
+
+// txStatus is the transaction status of a ReadyForQuery, by state.
+var txStatus = [...]byte{statement.Idle: 'I', statement.Open: 'T', statement.Failed: 'E'}
+
+// StateOf returns the state that a ReadyForQuery's transaction status says.
+func StateOf(status byte) statement.State {
+	switch status {
+	case txStatus[statement.Open]:
+		return statement.Open
+	case txStatus[statement.Failed]:
+		return statement.Failed
+	default:
+		return statement.Idle
+	}
+}
 
 // session is one caller's connection.
 type session struct {
@@ -28,7 +41,7 @@
 	pid    uint32
 	secret []byte
 
-	status byte
+	state statement.State
 	// within is set while a transaction or a batch is open.
 	within bool
 	// busy is set while a request runs or a transaction is open.
@@ -36,7 +49,7 @@
 }
 
 func newSession(s *Server, nc net.Conn) *session {
-	c := &session{server: s, status: statusIdle}
+	c := &session{server: s, state: statement.Idle}
 	c.use(nc)
 	return c
 }
@@ -68,7 +81,7 @@
 		if !ok || !c.request(ctx, b) {
 			return
 		}
-		c.within = b.Partial || c.status != statusIdle
+		c.within = b.Partial || c.state != statement.Idle
 		if !b.Partial && c.leave() {
 			return
 		}
@@ -133,7 +146,7 @@
 func (c *session) request(ctx context.Context, b *Batch) bool {
 	a := borrowAnswer(c)
 	defer a.giveBack()
-	status, err := c.exec.Run(ctx, b, a)
+	state, err := c.exec.Run(ctx, b, a)
 	if err != nil {
 		a.Drop()
 		if a.Send(errorResponse(asCode(err), "ERROR")) != nil {
@@ -141,8 +154,8 @@
 		}
 	}
 	a.Release()
-	c.status = status
-	if !b.Partial && a.Send(&pgproto3.ReadyForQuery{TxStatus: status}) != nil {
+	c.state = state
+	if !b.Partial && a.Send(&pgproto3.ReadyForQuery{TxStatus: txStatus[state]}) != nil {
 		return false
 	}
 	return a.Flush() == nil
@@ -159,7 +172,7 @@
 // leave reports whether the session ends because the proxy is shutting down.
 // It marks the session idle first, so that a shutdown that begins now sees it.
 func (c *session) leave() bool {
-	if c.status != statusIdle {
+	if c.state != statement.Idle {
 		return false
 	}
 	c.busy.Store(false)
--- a/internal/callers/startup.go
+++ b/internal/callers/startup.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/config"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 	"github.com/xdg-go/scram"
@@ -148,7 +149,7 @@
 		}
 	}
 	c.be.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
-	c.be.Send(&pgproto3.ReadyForQuery{TxStatus: statusIdle})
+	c.be.Send(&pgproto3.ReadyForQuery{TxStatus: txStatus[statement.Idle]})
 	err := c.be.Flush()
 	c.be = nil
 	return err == nil
--- a/internal/pgsession/exchange.go
+++ b/internal/pgsession/exchange.go
@@ -5,8 +5,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
-	"github.com/cranberrystage/cranberrystage/internal/systems/retry"
-	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/upstream"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
@@ -16,72 +15,58 @@
 // connection's term: it did not run the statement.
 const sqlStateReadOnly = "25006"
 
-// exchangeResult is what one exchange with an upstream gave.
-type exchangeResult struct {
-	// status is the transaction status of the ReadyForQuery.
-	status byte
-	// position is the commit's position; valid when committed.
-	position  tables.Position
-	committed bool
-	// rolledBack says that a command ended a transaction without its effects.
-	rolledBack bool
-	// failure is the SQLSTATE of an error response, or empty.
-	failure string
-	// stage is how far the exchange came; it matters when an error is returned.
-	stage retry.Stage
-}
-
 // exchange sends messages on c and copies the answer into a, without its
 // ReadyForQuery. From the first completed command that may be a commit on, the
 // answer is held. When the first result arrives, onResult is asked whether it
-// may still be used; its error ends the exchange.
-func exchange(c *upstream.Conn, out outgoing, a *callers.Answer, onResult func() error) (exchangeResult, error) {
-	r := exchangeResult{stage: retry.StageWritten}
+// may still be used; its error ends the exchange. The reply's position is set
+// if a command committed; rolledBack says that one ended a transaction without
+// its effects.
+func exchange(c *upstream.Conn, out outgoing, a *callers.Answer, onResult func() error) (r statement.Reply, rolledBack bool, err error) {
 	for _, m := range out.messages {
 		c.Frontend.Send(m)
 	}
 	if err := c.Frontend.Flush(); err != nil {
-		return r, errors.Wrap(err, "send to upstream")
+		return r, false, errors.Wrap(err, "send to upstream")
 	}
 	x := exchanger{conn: c, out: out, answer: a, onResult: onResult, due: len(out.messages) - 1}
+	err = x.receive()
+	return x.reply, x.rolled, err
+}
+
+type exchanger struct {
+	conn     *upstream.Conn
+	out      outgoing
+	answer   *callers.Answer
+	reply    statement.Reply
+	rolled   bool
+	onResult func() error
+	// ran says that a command of the batch completed.
+	ran bool
+	// due counts the messages of a partial batch whose answer is due.
+	due int
+}
+
+// receive takes the messages of the answer until it is whole. A partial batch
+// leaves its transaction open.
+func (x *exchanger) receive() error {
+	x.reply.State = statement.Open
 	for {
-		msg, err := c.Frontend.Receive()
+		msg, err := x.conn.Frontend.Receive()
 		if err != nil {
-			return x.result(r), errors.Wrap(err, "receive from upstream")
-		}
-		if ready, ok := msg.(*pgproto3.ReadyForQuery); ok {
-			r.status = ready.TxStatus
-			r.stage = retry.StageAnswered
-			c.Settle()
-			x.remember()
-			return x.result(r), nil
+			return errors.Wrap(err, "receive from upstream")
 		}
 		if err := x.take(msg); err != nil {
-			return x.result(r), err
+			return err
 		}
-		if out.partial && x.answered(msg) {
-			c.Settle()
+		_, ready := msg.(*pgproto3.ReadyForQuery)
+		if ready || x.out.partial && x.answered(msg) {
+			x.conn.Settle()
 			x.remember()
-			return x.result(r), nil
+			return nil
 		}
 	}
 }
 
-type exchanger struct {
-	conn      *upstream.Conn
-	out       outgoing
-	answer    *callers.Answer
-	position  tables.Position
-	committed bool
-	failure   string
-	rolled    bool
-	onResult  func() error
-	// ran says that a command of the batch completed.
-	ran bool
-	// due counts the messages of a partial batch whose answer is due.
-	due int
-}
-
 // answered reports whether msg ends the answer to a partial batch: each of its
 // messages was answered, or one failed and the rest is skipped.
 func (x *exchanger) answered(msg pgproto3.BackendMessage) bool {
@@ -96,24 +81,16 @@
 	return x.due == 0
 }
 
-func (x *exchanger) result(r exchangeResult) exchangeResult {
-	r.position = x.position
-	r.committed = x.committed
-	r.failure = x.failure
-	r.rolledBack = x.rolled
-	return r
-}
-
 // remember records which statements the connection holds now.
 func (x *exchanger) remember() {
 	for _, n := range x.out.adds {
-		if x.failure == "" {
+		if x.reply.Code == statement.OK {
 			x.conn.Prepared.Add(n)
 		} else {
 			x.conn.Prepared.Remove(n)
 		}
 	}
-	if x.failure != "" {
+	if x.reply.Code != statement.OK {
 		// A statement that was to be closed may still stand.
 		for _, n := range x.out.closes {
 			x.conn.Prepared.Add(n)
@@ -124,6 +101,9 @@
 // take handles one message of the answer.
 func (x *exchanger) take(msg pgproto3.BackendMessage) error {
 	switch m := msg.(type) {
+	case *pgproto3.ReadyForQuery:
+		x.reply.State = callers.StateOf(m.TxStatus)
+		return nil
 	case *pgproto3.ParameterStatus:
 		return x.parameter(m)
 	case *pgproto3.ParseComplete, *pgproto3.CloseComplete:
@@ -144,13 +124,22 @@
 			x.answer.Hold()
 		}
 	case *pgproto3.ErrorResponse:
-		x.failure = m.Code
+		x.fail(m)
 	case *pgproto3.CopyInResponse, *pgproto3.CopyBothResponse:
 		return x.refuseCopy()
 	}
 	return x.answer.Send(msg)
 }
 
+// fail records that the server answered with an error.
+func (x *exchanger) fail(m *pgproto3.ErrorResponse) {
+	x.reply.Code = statement.RunFailed
+	if m.Code == sqlStateReadOnly {
+		x.reply.Code = statement.ReadOnly
+	}
+	x.reply.Detail = m.Message
+}
+
 func (x *exchanger) firstResult() error {
 	check := x.onResult
 	x.onResult = nil
@@ -168,8 +157,7 @@
 	if err != nil {
 		return err
 	}
-	x.position = p
-	x.committed = true
+	x.reply.Position = p
 	x.answer.Hold()
 	return nil
 }
--- a/internal/pgsession/exec.go
+++ b/internal/pgsession/executor.go
@@ -1,7 +1,8 @@
-// Package exec runs callers' requests: it reads what a request declares, asks
-// package route where it runs, exchanges it with an upstream, waits until a
-// write is safe and keeps the session's token. All waiting ends with the
-// request's deadline.
+// Package pgsession holds the sessions of callers that speak PostgreSQL: it
+// reads what a request declares and does to its connection, plans its way
+// through package exec by what package route answers, waits until a write is
+// safe and keeps the session's token. All waiting ends with the request's
+// deadline.
 package pgsession
 
 import (
@@ -16,6 +17,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/config"
 	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
@@ -124,7 +126,7 @@
 		firstTags: t,
 		session:   sess,
 		prepared:  make(prepared),
-		status:    statusIdle,
+		status:    statement.Idle,
 	}
 	cs.settings.startWith(first)
 	return cs, nil
--- a/internal/pgsession/failure.go
+++ b/internal/pgsession/failure.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 )
 
-// notAcquired handles an attempt that got no connection.
-func (r *request) notAcquired(ctx context.Context, d route.Decision, err error) (bool, error) {
+// notSent handles an attempt that ended before the batch was sent.
+func (r *request) notSent(ctx context.Context, d route.Decision, err error) (bool, error) {
 	if ctx.Err() != nil {
 		return false, r.mark(codes.New(codes.NoSlot, codes.NotRun, refusedRetry, string(d.Upstream)))
 	}
@@ -25,29 +25,6 @@
 	return r.failed(retry.StageWaiting, d, err)
 }
 
-// notAdopted handles a connection that did not take the session's settings; the
-// request was not sent.
-func (r *request) notAdopted(ctx context.Context, d route.Decision, err error) (bool, error) {
-	var answered *upstream.ServerError
-	if errors.As(err, &answered) {
-		return false, r.mark(refuseState("the server refuses the session's settings: " + answered.Error()))
-	}
-	return r.notAcquired(ctx, d, err)
-}
-
-// refusedByRole reports whether the answer says that the server does not lead
-// at the term. A server that was confirmed to lead since the request's first
-// rejection refuses for the statement's own sake, such as a read-only setting;
-// its error then goes to the caller.
-func (r *request) refusedByRole(d route.Decision, res exchangeResult) bool {
-	if res.failure != sqlStateReadOnly || d.Kind != route.KindPrimary || res.status != statusIdle || res.committed {
-		return false
-	}
-	point, current := r.newestPoint()
-	confirmed := current == d.Term && point.Term == d.Term && point.SentAt >= r.rejectedAt
-	return r.rejectedAt == 0 || !confirmed
-}
-
 // rejected handles a primary that answered that it does not lead at the term.
 func (r *request) rejected(d route.Decision) (bool, error) {
 	if r.rejectedAt == 0 {
--- a/internal/pgsession/finish.go
+++ b/internal/pgsession/finish.go
@@ -6,6 +6,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -14,16 +15,16 @@
 
 // finish decides whether the answer may go out: a write once it is safe, a
 // read of the primary once its term was confirmed.
-func (r *request) finish(ctx context.Context, d route.Decision, res exchangeResult, started tables.Time) error {
+func (r *request) finish(ctx context.Context, d route.Decision, reply statement.Reply) error {
 	r.served(d)
 	if err := r.s.reportServedBy(r.a, r.servedBy); err != nil {
 		return err
 	}
-	if res.committed {
-		return r.acknowledge(ctx, d, res)
+	if (reply.Position != tables.Position{}) {
+		return r.acknowledge(ctx, d, reply.Position)
 	}
-	if res.failure == "" && r.s.status == statusIdle && d.Kind == route.KindPrimary && r.batch.Executes() {
-		if err := r.confirmSince(ctx, r.confirmFrom(started), d.Term); err != nil {
+	if reply.Code == statement.OK && r.s.status == statement.Idle && d.Kind == route.KindPrimary && r.batch.Executes() {
+		if err := r.confirmSince(ctx, r.confirmFrom(r.started), d.Term); err != nil {
 			return err
 		}
 	}
@@ -40,8 +41,8 @@
 }
 
 // acknowledge waits until the commit is safe.
-func (r *request) acknowledge(ctx context.Context, d route.Decision, res exchangeResult) error {
-	c := ack.Commit{Primary: d.Upstream, Term: d.Term, Position: res.position}
+func (r *request) acknowledge(ctx context.Context, d route.Decision, at tables.Position) error {
+	c := ack.Commit{Primary: d.Upstream, Term: d.Term, Position: at}
 	outcome, err := r.core.Acknowledge(ctx, r.place.group, c)
 	switch {
 	case err != nil:
@@ -51,7 +52,7 @@
 	}
 	r.s.exec.budgets.success(r.place.group)
 	r.s.exec.tally.writeDone(r.place.group, r.core.Now())
-	return r.s.wrote(r.a, r.place.group, res.position)
+	return r.s.wrote(r.a, r.place.group, at)
 }
 
 // confirmFrom returns since when the primary's term must have been confirmed
--- a/internal/pgsession/harness_test.go
+++ b/internal/pgsession/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbserver"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ack"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
@@ -170,7 +171,7 @@
 	kinds    string
 	sqlState string
 	err      error
-	status   byte
+	status   statement.State
 }
 
 // ran returns what the caller was told about the request.
@@ -202,7 +203,7 @@
 		a.Drop()
 	}
 	a.Release()
-	assert.NilError(c.t, a.Send(&pgproto3.ReadyForQuery{TxStatus: status}))
+	assert.NilError(c.t, a.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'}))
 	assert.NilError(c.t, a.Flush())
 	r.read(c.t, &out)
 	return r
--- a/internal/pgsession/local.go
+++ b/internal/pgsession/local.go
@@ -6,6 +6,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/sqltext"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/tags"
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -38,7 +39,7 @@
 }
 
 func (s *callerSession) discardAll() error {
-	if s.status != statusIdle {
+	if s.status != statement.Idle {
 		return codes.New(codes.SessionState, codes.NotRun, 0, "DISCARD ALL in a transaction")
 	}
 	s.applySettings([]change{{kind: changeResetAll}})
@@ -67,7 +68,7 @@
 
 func (s *callerSession) endLost() error {
 	s.lost = false
-	s.status = statusIdle
+	s.status = statement.Idle
 	return nil
 }
 
@@ -123,7 +124,7 @@
 func (s *callerSession) localMessage(st localStatement, m pgproto3.FrontendMessage, a *callers.Answer) error {
 	switch m := m.(type) {
 	case *pgproto3.Parse:
-		s.prepared[m.Name] = newStatement(m)
+		s.prepared[m.Name] = newDeclared(m)
 		return a.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		return a.Send(&pgproto3.BindComplete{})
--- a/internal/pgsession/matrix_test.go
+++ b/internal/pgsession/matrix_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/upstream"
 	"gotest.tools/v3/assert"
 )
@@ -99,7 +100,7 @@
 		assert.Equal(t, r.sqlState, "23505")
 	}
 	if inTransaction && r.err != nil {
-		assert.Equal(t, r.status, statusFailed, "the caller must roll back")
+		assert.Equal(t, r.status, statement.Failed, "the caller must roll back")
 	}
 }
 
@@ -113,7 +114,7 @@
 // checkNextAnswers checks that later requests of this and another caller get
 // their own answers.
 func checkNextAnswers(t *testing.T, rig *rig, c *testCaller) {
-	if c.s.status != statusIdle {
+	if c.s.status != statement.Idle {
 		c.query("ROLLBACK").ok(t)
 	}
 	other := rig.open(nil)
--- a/internal/pgsession/pipeline_test.go
+++ b/internal/pgsession/pipeline_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 )
@@ -50,7 +51,7 @@
 	assert.Equal(t, a.flush(run("INSERT INTO orders (v) VALUES ('x')")...).ok(t).kinds, "")
 	r := a.batch(run("INSERT INTO orders (v) VALUES ('x')")...).ok(t)
 	assert.Equal(t, r.kinds, "")
-	assert.Equal(t, r.status, statusIdle)
+	assert.Equal(t, r.status, statement.Idle)
 	assert.Equal(t, a.count("orders", "x"), "0")
 }
 
@@ -117,7 +118,7 @@
 	for i := range maxNamed {
 		m := &pgproto3.Parse{Name: fmt.Sprint(i)}
 		assert.NilError(t, p.admits([]pgproto3.FrontendMessage{m}))
-		p[m.Name] = newStatement(m)
+		p[m.Name] = newDeclared(m)
 	}
 	assert.ErrorContains(t, p.admits([]pgproto3.FrontendMessage{&pgproto3.Parse{Name: "x"}}), "too many")
 	assert.NilError(t, p.admits([]pgproto3.FrontendMessage{&pgproto3.Parse{}}))
@@ -131,7 +132,7 @@
 		a := rig.open(nil)
 		a.query("BEGIN").ok(t)
 		assert.Equal(t, code(a.query("LISTEN x").err), codes.SessionState)
-		assert.Equal(t, a.s.status, statusFailed)
+		assert.Equal(t, a.s.status, statement.Failed)
 		assert.Equal(t, code(a.query("ROLLBACK; SELECT 1").err), codes.UpstreamLost)
 		r := reply{}
 		if extended {
@@ -141,7 +142,7 @@
 			r = a.query("ROLLBACK")
 		}
 		assert.DeepEqual(t, r.ok(t).tags, []string{"ROLLBACK"})
-		assert.Equal(t, r.status, statusIdle)
+		assert.Equal(t, r.status, statement.Idle)
 		a.query("SELECT 1").ok(t)
 	}
 }
--- a/internal/pgsession/prepared.go
+++ b/internal/pgsession/prepared.go
@@ -9,8 +9,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// statement is a prepared statement as the caller declared it.
-type statement struct {
+// declared is a prepared statement as the caller declared it.
+type declared struct {
 	query string
 	oids  []uint32
 	// shared is the name under which upstreams hold it. Equal statements of
@@ -23,13 +23,13 @@
 	sharedHashBytes = 16
 )
 
-func newStatement(m *pgproto3.Parse) statement {
+func newDeclared(m *pgproto3.Parse) declared {
 	h := sha256.New()
 	h.Write([]byte(m.Query))
 	for _, oid := range m.ParameterOIDs {
 		h.Write(binary.BigEndian.AppendUint32([]byte{0}, oid))
 	}
-	return statement{
+	return declared{
 		query:  m.Query,
 		oids:   m.ParameterOIDs,
 		shared: sharedPrefix + hex.EncodeToString(h.Sum(nil)[:sharedHashBytes]),
@@ -38,7 +38,7 @@
 
 // prepared are a caller's statements by the caller's names; the unnamed one has
 // the empty name.
-type prepared map[string]statement
+type prepared map[string]declared
 
 // Bounds of the named statements of one caller.
 const (
@@ -111,7 +111,7 @@
 func (t *translation) add(m pgproto3.FrontendMessage) {
 	switch m := m.(type) {
 	case *pgproto3.Parse:
-		s := newStatement(m)
+		s := newDeclared(m)
 		t.prepared[m.Name] = s
 		t.parse(m.Name, s, false)
 	case *pgproto3.Bind:
@@ -136,14 +136,14 @@
 }
 
 // name returns the name of s at an upstream; the unnamed statement stays unnamed.
-func name(callerName string, s statement) string {
+func name(callerName string, s declared) string {
 	if callerName == "" {
 		return ""
 	}
 	return s.shared
 }
 
-func (t *translation) parse(callerName string, s statement, injected bool) {
+func (t *translation) parse(callerName string, s declared, injected bool) {
 	n := name(callerName, s)
 	if n != "" {
 		t.makeRoom()
--- a/internal/pgsession/request.go
+++ b/internal/pgsession/request.go
@@ -7,13 +7,17 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/callers"
 	"github.com/cranberrystage/cranberrystage/internal/codes"
-	"github.com/cranberrystage/cranberrystage/internal/gate"
+	"github.com/cranberrystage/cranberrystage/internal/exec"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/event"
+	"github.com/cranberrystage/cranberrystage/internal/systems/retry"
 	"github.com/cranberrystage/cranberrystage/internal/systems/route"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/internal/tags"
+	"github.com/cranberrystage/cranberrystage/internal/upstream"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -46,8 +50,8 @@
 	exposed    bool
 	servedBy   metrics.ServedBy
 	asOf       tables.Time
-	// pass is the right to use the upstream of the present attempt.
-	pass gate.Pass
+	// started is when the last attempt was sent.
+	started tables.Time
 }
 
 func (s *callerSession) newRequest(b *callers.Batch, a *callers.Answer) (*request, error) {
@@ -59,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	seen, err := inspectAll(s.statements(b), s.status != statusIdle, len(s.pending) > 0)
+	seen, err := inspectAll(s.statements(b), s.status != statement.Idle, len(s.pending) > 0)
 	if err != nil {
 		return nil, err
 	}
@@ -108,22 +112,94 @@
 }
 
 // run serves the request: on the transaction's connection if one is open, else
-// on the upstream that route chooses.
+// on the upstreams that route chooses.
 func (r *request) run(ctx context.Context) error {
 	if r.s.pinned != nil {
 		return r.runPinned(ctx)
 	}
-	for {
-		r.attempt++
-		d, err := r.choose(ctx)
-		if err != nil {
-			return r.mark(err)
-		}
-		again, err := r.attemptOn(ctx, d)
-		if !again {
-			return err
-		}
+	return exec.Serve(ctx, r).Err()
+}
+
+// runPinned runs the batch on the open transaction's connection.
+func (r *request) runPinned(ctx context.Context) error {
+	p := r.pinned()
+	o := exec.Continue(ctx, p)
+	if o.Err != nil {
+		r.reportLoss(p.d.Upstream, o.Err)
+		return r.lostAnswer(ctx, o.Stage, o.Err)
+	}
+	r.s.settle(p.conn, r.seen, o.Reply, p.rolledBack)
+	r.s.advance(r.batch, o.Reply)
+	if !r.batch.Partial && o.Reply.State == statement.Idle {
+		r.s.unpin(true)
+	}
+	return r.finish(ctx, p.d, o.Reply)
+}
+
+// Choose implements exec.Plan.
+func (r *request) Choose(ctx context.Context) (exec.Attempt, statement.Reply) {
+	r.attempt++
+	d, err := r.choose(ctx)
+	if err != nil {
+		return nil, r.refusal(r.mark(err))
+	}
+	return &attempt{r: r, d: d}, statement.Reply{}
+}
+
+// Judge implements exec.Plan.
+func (r *request) Judge(ctx context.Context, tried exec.Attempt, o exec.Outcome) (statement.Reply, bool) {
+	a := tried.(*attempt)
+	again, err := r.judge(ctx, a, o)
+	switch {
+	case again:
+		return statement.Reply{}, false
+	case err != nil:
+		return r.refusal(err), true
+	default:
+		return o.Reply, true
+	}
+}
+
+func (r *request) judge(ctx context.Context, a *attempt, o exec.Outcome) (again bool, err error) {
+	switch {
+	case errors.Is(o.Err, errChooseAgain):
+		return true, nil
+	case errors.Is(o.Err, errTooOld):
+		r.readNewest()
+		return true, nil
+	case o.Err != nil && o.Stage == retry.StageWaiting:
+		return r.notSent(ctx, a.d, o.Err)
+	case o.Err != nil:
+		return r.broken(ctx, o.Stage, a.d, o.Err)
+	case !o.Answered():
+		return false, r.mark(o.Reply.Err())
+	case a.rejected:
+		return r.rejected(a.d)
+	default:
+		return false, r.finish(ctx, a.d, o.Reply)
+	}
+}
+
+// refusal returns the reply that says err to the caller.
+func (r *request) refusal(err error) statement.Reply { return statement.Refusal(err, r.s.status) }
+
+// readNewest sends a declared read to the primary, where its answer is
+// confirmed after it ran.
+func (r *request) readNewest() {
+	r.a.Reset()
+	newest := r.tags
+	newest.MaxAge = nil
+	r.route.Tags = &newest
+}
+
+// outgoing returns the batch as it goes to c.
+func (r *request) outgoing(c *upstream.Conn) outgoing {
+	if r.batch.Simple {
+		r.query.String = r.batch.Query
+		r.single[0] = &r.query
+		return outgoing{messages: r.single[:]}
 	}
+	return r.s.prepared.translate(r.batch.Messages, r.batch.Partial, c.Prepared)
 }
 
 // mark says "unknown" about a refusal that follows an attempt which may have run.
--- a/internal/pgsession/session.go
+++ b/internal/pgsession/session.go
@@ -9,6 +9,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/gate"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/session"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/internal/tags"
@@ -16,13 +17,6 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// Transaction statuses of a ReadyForQuery.
-const (
-	statusIdle   = byte('I')
-	statusOpen   = byte('T')
-	statusFailed = byte('E')
-)
-
 // Settings that the proxy reports to callers.
 const (
 	// ParamSession reports the session token after each acknowledged write.
@@ -44,7 +38,7 @@
 	settings  settingsList
 	// pending are the changes of settings in the open transaction.
 	pending  []change
-	status   byte
+	status   statement.State
 	servedBy metrics.ServedBy
 
 	// pinned is the connection of the open transaction.
@@ -68,7 +62,7 @@
 var _ callers.Session = (*callerSession)(nil)
 
 // Run implements callers.Session.
-func (s *callerSession) Run(ctx context.Context, b *callers.Batch, a *callers.Answer) (byte, error) {
+func (s *callerSession) Run(ctx context.Context, b *callers.Batch, a *callers.Answer) (statement.State, error) {
 	if s.skipping {
 		if b.Partial {
 			return s.status, nil
@@ -112,20 +106,20 @@
 func (s *callerSession) fail() {
 	s.unpin(false)
 	s.pending = nil
-	if s.status == statusIdle {
+	if s.status == statement.Idle {
 		return
 	}
 	s.lost = true
-	s.status = statusFailed
+	s.status = statement.Failed
 }
 
 // advance records the status after a batch that was answered.
-func (s *callerSession) advance(b *callers.Batch, res exchangeResult) {
+func (s *callerSession) advance(b *callers.Batch, r statement.Reply) {
 	if !b.Partial {
-		s.status = res.status
+		s.status = r.State
 		return
 	}
-	s.skipping = res.failure != ""
+	s.skipping = r.Code != statement.OK
 }
 
 // declare applies SET cranberrystage.name = value to the connection.
@@ -230,20 +224,20 @@
 }
 
 // settle records what an answered batch did to the settings of c and of the session.
-func (s *callerSession) settle(c *upstream.Conn, seen inspection, res exchangeResult) {
+func (s *callerSession) settle(c *upstream.Conn, seen inspection, r statement.Reply, rolledBack bool) {
 	if seen.touches() {
 		c.SettingsUnknown()
 	}
 	switch {
-	case res.failure == "":
+	case r.Code == statement.OK:
 		s.pending = append(s.pending, seen.changes...)
-	case s.status == statusIdle:
+	case s.status == statement.Idle:
 		s.pending = nil // an implicit transaction failed
 	}
-	if res.status != statusIdle || len(s.pending) == 0 {
+	if r.State != statement.Idle || len(s.pending) == 0 {
 		return
 	}
-	if !res.rolledBack && res.failure == "" {
+	if !rolledBack && r.Code == statement.OK {
 		s.applySettings(s.pending)
 	}
 	s.pending = nil
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -11,5 +11,5 @@
   --proxy "$(at 6432)" --database stock-ledger/stock1 \
   --user shop --password shop-demo --connections "${CONNECTIONS:-3}" --duration "${1:-2s}"
 # Allocations, and memory of idle callers, in one process without latencies.
-go test ./internal/exec -run '^$' -bench Path -benchtime 20000x
-go test ./internal/exec -run '^$' -bench IdleCallers -benchtime 1x
+go test ./internal/pgsession -run '^$' -bench Path -benchtime 20000x
+go test ./internal/pgsession -run '^$' -bench IdleCallers -benchtime 1x
