--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
+	"github.com/cranberrystage/cranberrystage/internal/platform/metered"
 	"github.com/cranberrystage/cranberrystage/internal/relay"
 	"github.com/cranberrystage/cranberrystage/internal/rowrelay"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
@@ -104,7 +105,7 @@
 	defer bus.Close()
 	relayed := rowrelay.New(rowrelay.Options{
 		Self:   rowrelay.Peer{VM: s.VM, DataCentre: s.DataCentre, Address: s.PeerAddress},
-		Store:  store.New(s.MetadataAddress),
+		Store:  metered.New(store.New(s.MetadataAddress), m),
 		Shared: fleet.RecordTable,
 		Own:    map[string]bool{routes.Table: true},
 		Bus:    bus,
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -27,6 +27,11 @@
 	CallerConnections = "cranberrystage_caller_connections"
 	// CallerErrorsTotal counts caller connections that were refused or ended, by code.
 	CallerErrorsTotal = "cranberrystage_caller_errors_total"
+	// StoreCallsTotal counts calls to the metadata store by call, table and result.
+	StoreCallsTotal = "cranberrystage_store_calls_total"
+	// StoreCallSeconds is the time that calls to the metadata store took, by
+	// call; a watch counts with its wait.
+	StoreCallSeconds = "cranberrystage_store_call_seconds"
 )
 
 // Names of the labels.
@@ -38,6 +43,9 @@
 	LabelCode     = "code"
 	LabelWithin   = "within"
 	LabelGroup    = "group"
+	LabelCall     = "call"
+	LabelTable    = "table"
+	LabelResult   = "result"
 )
 
 // Kind says whether a request reads or writes.
@@ -91,6 +99,8 @@
 	configVersion prometheus.Gauge
 	callers       prometheus.Gauge
 	callerErrors  *prometheus.CounterVec
+	storeCalls    *prometheus.CounterVec
+	storeSeconds  *prometheus.HistogramVec
 }
 
 // New registers the collectors with reg.
@@ -110,8 +120,13 @@
 		callerErrors: prometheus.NewCounterVec(
 			prometheus.CounterOpts{Name: CallerErrorsTotal, Help: "Caller connections that were refused or ended, by result code."},
 			[]string{LabelCode}),
+		storeCalls: prometheus.NewCounterVec(
+			prometheus.CounterOpts{Name: StoreCallsTotal, Help: "Calls to the metadata store by result."},
+			[]string{LabelCall, LabelTable, LabelResult}),
+		storeSeconds: histogram(StoreCallSeconds, "Time that calls to the metadata store took.", latencyBuckets, LabelCall),
 	}
-	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.callers, m.callerErrors)
+	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.callers, m.callerErrors,
+		m.storeCalls, m.storeSeconds)
 	return m
 }
 
@@ -127,6 +142,24 @@
 	m.seconds.WithLabelValues(string(r.Service), string(r.Kind)).Observe(r.Took.Seconds())
 }
 
+// StoreCall is a finished call to the metadata store.
+type StoreCall struct {
+	// Call is read, watch or write.
+	Call string
+	// Table is the table that it concerned.
+	Table string
+	// Result is ok, or how it failed.
+	Result string
+	// Took is the time that it took.
+	Took time.Duration
+}
+
+// ObserveStoreCall records a finished call to the metadata store.
+func (m *Metrics) ObserveStoreCall(c StoreCall) {
+	m.storeCalls.WithLabelValues(c.Call, c.Table, c.Result).Inc()
+	m.storeSeconds.WithLabelValues(c.Call).Observe(c.Took.Seconds())
+}
+
 // ObserveReadAge records the age bound of a read's data and whether it kept the declared age.
 func (m *Metrics) ObserveReadAge(service tables.ServiceID, age time.Duration, within bool) {
 	m.readAge.WithLabelValues(string(service), strconv.FormatBool(within)).Observe(age.Seconds())
--- /dev/null
+++ b/internal/platform/metered/metered.go
@@ -0,0 +1,65 @@
+// Package metered counts and times the calls to a metadata store.
+package metered
+
+import (
+	"context"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/pkg/errors"
+)
+
+// Store is a metadata store whose calls are recorded.
+type Store struct {
+	store   platform.Metadata
+	metrics *metrics.Metrics
+}
+
+var _ platform.Metadata = Store{}
+
+// New returns store with its calls recorded in m.
+func New(store platform.Metadata, m *metrics.Metrics) Store { return Store{store: store, metrics: m} }
+
+// ReadTable implements platform.Metadata.
+func (s Store) ReadTable(ctx context.Context, table string) (platform.Rows, error) {
+	began := time.Now()
+	rows, err := s.store.ReadTable(ctx, table)
+	s.record("read", table, began, err)
+	return rows, err
+}
+
+// WatchTable implements platform.Metadata.
+func (s Store) WatchTable(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Rows, error) {
+	began := time.Now()
+	rows, err := s.store.WatchTable(ctx, table, after, wait)
+	s.record("watch", table, began, err)
+	return rows, err
+}
+
+// Apply implements platform.Metadata.
+func (s Store) Apply(ctx context.Context, c platform.Change) (platform.Rows, error) {
+	began := time.Now()
+	rows, err := s.store.Apply(ctx, c)
+	s.record("write", c.Table, began, err)
+	return rows, err
+}
+
+func (s Store) record(call, table string, began time.Time, err error) {
+	s.metrics.ObserveStoreCall(metrics.StoreCall{Call: call, Table: table, Result: result(err), Took: time.Since(began)})
+}
+
+func result(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	case errors.Is(err, platform.ErrHistoryLost):
+		return "history lost"
+	case errors.Is(err, platform.ErrUnavailable):
+		return "unavailable"
+	default:
+		return "unknown"
+	}
+}
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -21,16 +21,27 @@
 // the call the answer may be.
 func (r *Relay) ReadTable(ctx context.Context, table string) (platform.Rows, error) {
 	if table == r.Shared {
-		if p, ok := r.looker(); ok {
-			rows, err := r.ask(ctx, p, question{Table: table}, nearTimeout)
-			if err == nil {
-				return rows, nil
-			}
+		if rows, err := r.lookThroughPeers(ctx); err == nil {
+			return rows, nil
 		}
 	}
 	return r.read(ctx, question{Table: table})
 }
 
+// lookThroughPeers returns the newest look of the data centre's looker.
+func (r *Relay) lookThroughPeers(ctx context.Context) (platform.Rows, error) {
+	p, ok := r.looker()
+	if ok {
+		return r.ask(ctx, p, question{Table: r.Shared}, nearTimeout)
+	}
+	if r.Lost() {
+		return platform.Rows{}, platform.ErrUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, nearTimeout)
+	defer cancel()
+	return r.sharedLook(ctx)
+}
+
 // WatchTable implements platform.Metadata.
 func (r *Relay) WatchTable(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Rows, error) {
 	q := question{Table: table, Watch: true, After: after, WaitMillis: wait.Milliseconds()}
@@ -154,10 +165,24 @@
 func (r *Relay) looker() (Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.first(func(p Peer) bool { return p.DataCentre == r.Self.DataCentre })
+}
+
+// chief returns the peer that looks at the shared table for all data centres;
+// ok is false if it is this proxy.
+func (r *Relay) chief() (Peer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.first(func(Peer) bool { return true })
+}
+
+// first returns the first proxy by name that answers and fits; ok is false if
+// it is this one. The lock must be held.
+func (r *Relay) first(fits func(Peer) bool) (Peer, bool) {
 	now := r.Now()
 	best := r.Self
 	for _, p := range r.peers {
-		if p.DataCentre == r.Self.DataCentre && p.VM < best.VM && now >= r.avoid[p.VM] {
+		if p.VM < best.VM && now >= r.avoid[p.VM] && fits(p) {
 			best = p
 		}
 	}
@@ -199,8 +224,14 @@
 	return all[:min(n, len(all))]
 }
 
-// ask asks one peer.
+// ask asks one peer for rows.
 func (r *Relay) ask(ctx context.Context, p Peer, q question, timeout time.Duration) (platform.Rows, error) {
+	a, err := r.askAnswer(ctx, p, q, timeout)
+	return a.Rows, err
+}
+
+// askAnswer asks one peer.
+func (r *Relay) askAnswer(ctx context.Context, p Peer, q question, timeout time.Duration) (answer, error) {
 	reply := make(chan answer, 1)
 	r.mu.Lock()
 	r.lastID++
@@ -217,28 +248,28 @@
 	defer timer.Stop()
 	select {
 	case a := <-reply:
-		return r.taken(p, a)
+		return a, r.taken(p, a)
 	case <-timer.C:
 		r.leaveAlone(p)
-		return platform.Rows{}, errors.Wrapf(platform.ErrUnavailable, "%s did not answer", p.VM)
+		return answer{}, errors.Wrapf(platform.ErrUnavailable, "%s did not answer", p.VM)
 	case <-ctx.Done():
-		return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+		return answer{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
 	}
 }
 
-// taken turns a peer's answer into rows.
-func (r *Relay) taken(p Peer, a answer) (platform.Rows, error) {
+// taken takes note of a peer's answer and returns why it has no rows, if so.
+func (r *Relay) taken(p Peer, a answer) error {
 	switch a.Failure {
 	case failureNone:
 		r.mu.Lock()
 		delete(r.misses, p.VM)
 		r.mu.Unlock()
-		return a.Rows, nil
+		return nil
 	case failureHistory:
-		return platform.Rows{}, platform.ErrHistoryLost
+		return platform.ErrHistoryLost
 	default:
 		r.leaveAlone(p)
-		return platform.Rows{}, errors.Wrapf(platform.ErrUnavailable, "%s does not reach the store either", p.VM)
+		return errors.Wrapf(platform.ErrUnavailable, "%s does not reach the store either", p.VM)
 	}
 }
 
@@ -276,6 +307,9 @@
 		switch {
 		case err == nil:
 			out.Failure, out.Rows = failureNone, rows
+			if out.Same = q.Seen.Rows > 0 && q.Seen == markOf(rows); out.Same {
+				out.Rows.Rows = nil
+			}
 		case errors.Is(err, platform.ErrHistoryLost):
 			out.Failure = failureHistory
 		}
@@ -300,9 +334,14 @@
 		rows.Age = arrived.Sub(began)
 		return rows, nil
 	}
-	_, err, _ := r.reads.Do(r.Shared, func() (any, error) { return nil, r.takeLook(ctx) })
-	if err != nil {
-		return platform.Rows{}, err
+	done := r.reads.DoChan(r.Shared, func() (any, error) { return nil, r.takeLook(context.WithoutCancel(ctx)) })
+	select {
+	case res := <-done:
+		if res.Err != nil {
+			return platform.Rows{}, res.Err
+		}
+	case <-ctx.Done():
+		return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -311,15 +350,41 @@
 	return rows, nil
 }
 
-// takeLook reads the shared table.
+// takeLook reads the shared table, through the chief if that is another proxy.
 func (r *Relay) takeLook(ctx context.Context) error {
 	began := r.Now()
-	rows, err := r.direct(ctx, question{Table: r.Shared})
+	rows, err := r.chiefLook(ctx)
+	if err != nil {
+		began = r.Now()
+		rows, err = r.direct(ctx, question{Table: r.Shared})
+	}
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.look, r.lookBegan = rows, began
+	r.look, r.lookBegan = rows, began.Add(-rows.Age)
 	return nil
 }
+
+// errChief means that this proxy is the chief itself.
+var errChief = errors.New("rowrelay: this proxy looks for all")
+
+// chiefLook asks the chief for its newest look.
+func (r *Relay) chiefLook(ctx context.Context) (platform.Rows, error) {
+	p, ok := r.chief()
+	if !ok {
+		return platform.Rows{}, errChief
+	}
+	r.mu.Lock()
+	known := r.look.Rows
+	r.mu.Unlock()
+	a, err := r.askAnswer(ctx, p, question{Table: r.Shared, Seen: markOf(platform.Rows{Rows: known})}, farTimeout)
+	if err != nil {
+		return platform.Rows{}, err
+	}
+	if a.Same {
+		a.Rows.Rows = known
+	}
+	return a.Rows, nil
+}
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -35,13 +35,16 @@
 	peerTimeout = 300 * time.Millisecond
 	// nearTimeout bounds the wait for a peer of the same data centre that has a look at hand.
 	nearTimeout = 60 * time.Millisecond
+	// farTimeout is the same for the peer that looks for all data centres; it
+	// leaves time to look oneself before a near peer's patience ends.
+	farTimeout = 30 * time.Millisecond
 	// peerPause is how long a peer that did not answer is left alone; it doubles
 	// with each further time, maxMisses times at most.
 	peerPause = time.Second
 	maxMisses = 5
-	// sharedAge is the greatest age of a look that is handed on: half of what
-	// evidence is good for.
-	sharedAge = 200 * time.Millisecond
+	// sharedAge is the greatest age of a look that is handed on. It stays under
+	// what evidence is good for, freshness.Lease, by the way of the answer.
+	sharedAge = 330 * time.Millisecond
 	// directPause is the pause between two tries of a store that is lost.
 	directPause = 300 * time.Millisecond
 	// serving bounds the questions answered at the same time.
@@ -67,6 +70,8 @@
 	ID    uint64 `msgpack:"i"`
 	From  string `msgpack:"f"`
 	Table string `msgpack:"t"`
+	// Seen is what the asker knows of the table, so that it is not sent again.
+	Seen mark `msgpack:"s,omitempty"`
 	// Watch asks for changes after After, waiting WaitMillis for one.
 	Watch      bool   `msgpack:"w,omitempty"`
 	After      uint64 `msgpack:"a,omitempty"`
@@ -76,6 +81,21 @@
 // wait returns how long a watch waits for a change; 0 for a read.
 func (q question) wait() time.Duration { return time.Duration(q.WaitMillis) * time.Millisecond }
 
+// mark tells two contents of a table apart: every write gives its row a greater
+// version, and a removal lessens the number.
+type mark struct {
+	Version uint64 `msgpack:"v"`
+	Rows    int    `msgpack:"n"`
+}
+
+func markOf(rows platform.Rows) mark {
+	m := mark{Rows: len(rows.Rows)}
+	for _, r := range rows.Rows {
+		m.Version = max(m.Version, r.Version)
+	}
+	return m
+}
+
 // failure says why there are no rows.
 type failure uint8
 
@@ -90,6 +110,8 @@
 	ID      uint64        `msgpack:"i"`
 	Failure failure       `msgpack:"e,omitempty"`
 	Rows    platform.Rows `msgpack:"r"`
+	// Same says that the rows are those that the asker has seen, and are left out.
+	Same bool `msgpack:"u,omitempty"`
 }
 
 // Peer is another proxy.
--- a/internal/rowrelay/rowrelay_test.go
+++ b/internal/rowrelay/rowrelay_test.go
@@ -198,28 +198,78 @@
 	})
 }
 
+// The lookers of all data centres share the looks of one of them.
+func TestLooksAreSharedBetweenDataCentres(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, "x", "y", "z", "x", "y", "z")
+		before := s.store.Calls()
+		for range 50 {
+			for _, r := range s.relays {
+				_, err := r.ReadTable(t.Context(), shared)
+				assert.NilError(t, err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		// One look in 330 ms over a second.
+		calls := s.store.Calls() - before
+		assert.Assert(t, calls <= 6, "%d calls for 300 looks", calls)
+	})
+}
+
+// A chief that hears nothing delays no one for longer than a near peer's patience.
+func TestSilentChiefIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSet(t, "x", "y", "y")
+		s.net.cut["a"] = true
+		for range 10 {
+			at := time.Now()
+			_, err := s.relays[2].ReadTable(t.Context(), shared)
+			assert.NilError(t, err)
+			assert.Assert(t, time.Since(at) < nearTimeout, "took %s", time.Since(at))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
 // A look that is handed on says how old it is: a change that was written
 // before now − Age is in it.
 func TestAgeOfASharedLookIsTrue(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSet(t, "x", "x")
-		written := make(map[string]time.Time)
-		for i := range 200 {
-			key := string(rune('a' + i%26))
+	for _, dataCentres := range [][]tables.DataCentreID{{"x", "x"}, {"x", "y"}, {"x", "y", "y"}} {
+		synctest.Test(t, func(t *testing.T) { checkAges(t, newSet(t, dataCentres...)) })
+	}
+}
+
+// checkAges writes and drops rows and compares them with what the last relay sees.
+func checkAges(t *testing.T, s *set) {
+	last := s.relays[len(s.relays)-1]
+	written, dropped := make(map[string]time.Time), make(map[string]time.Time)
+	for i := range 400 {
+		key := string(rune('a' + i%26))
+		if i%5 == 4 {
+			_, err := s.store.Apply(t.Context(), platform.Change{Table: shared, Remove: []string{key}})
+			assert.NilError(t, err)
+			dropped[key] = time.Now()
+		} else {
 			s.store.Put(shared, key, []byte{byte(i)})
 			written[key] = time.Now()
-			time.Sleep(time.Duration(i%7) * 9 * time.Millisecond)
-			at := time.Now()
-			rows, err := s.relays[1].ReadTable(t.Context(), shared)
-			assert.NilError(t, err)
-			for _, r := range s.store.Rows(shared) {
-				asOf := at.Add(-rows.Age)
-				if written[r.Key].Before(asOf) && !hasVersion(rows, r) {
-					t.Fatalf("row %s, written %s before the look, is missing", r.Key, asOf.Sub(written[r.Key]))
-				}
+			delete(dropped, key)
+		}
+		time.Sleep(time.Duration(i%7) * 9 * time.Millisecond)
+		at := time.Now()
+		rows, err := last.ReadTable(t.Context(), shared)
+		assert.NilError(t, err)
+		asOf := at.Add(-rows.Age)
+		for _, r := range s.store.Rows(shared) {
+			if written[r.Key].Before(asOf) && !hasVersion(rows, r) {
+				t.Fatalf("row %s, written %s before the look, is missing", r.Key, asOf.Sub(written[r.Key]))
 			}
 		}
-	})
+		for _, r := range rows.Rows {
+			if gone, ok := dropped[r.Key]; ok && gone.Before(asOf) {
+				t.Fatalf("row %s, dropped %s before the look, is there", r.Key, asOf.Sub(gone))
+			}
+		}
+	}
 }
 
 func hasVersion(rows platform.Rows, want platform.TableRow) bool {
