Prefer near servers by a factor, so that chance sends few reads far

Times of 8 to 40 ms with a tail, smoothed over eight answers, differ by a third from chance; 8 ms did not stand against that. Change: a far server must be expected to answer in less than half the time, less 8 ms.

--- a/internal/systems/place/place.go
+++ b/internal/systems/place/place.go
@@ -14,6 +14,10 @@
 	// crossDelay is what a server in another data centre costs beside its own
 	// time: the round trip and the bytes, which are dear between data centres.
 	crossDelay = 8 * time.Millisecond
+	// crossFactor is how many times faster a server in another data centre must
+	// be expected to answer. Smoothed times of a server differ by a third from
+	// chance alone, as statements take 8 to 40 ms and some of them five times that.
+	crossFactor = 2
 	// firstLatency is assumed of a server that has answered nothing yet.
 	firstLatency = 10 * time.Millisecond
 )
@@ -61,7 +65,7 @@
 	slots := max(c.Slots, 1)
 	cost := latency + latency*time.Duration(c.Ahead)/time.Duration(slots)
 	if !c.Local {
-		cost += crossDelay
+		cost = cost*crossFactor + crossDelay
 	}
 	return cost
 }
--- a/internal/systems/place/place_test.go
+++ b/internal/systems/place/place_test.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -29,6 +31,40 @@
 	assert.Assert(t, !ok)
 }
 
+// A near and a far server with the same work: the chance in their smoothed
+// times sends few reads between the data centres, a real queue does.
+func TestChanceKeepsReadsNear(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	far := func(busy float64) int {
+		list := []Candidate{{Local: true, Slots: 3, Latency: 24 * time.Millisecond}, {Slots: 3, Latency: 24 * time.Millisecond}}
+		n := 0
+		for range 10_000 {
+			i, ok := Choose(list, random.Uint32())
+			assert.Assert(t, ok)
+			n += i
+			took := work(random)
+			if i == 0 {
+				took = time.Duration(float64(took) * busy)
+			}
+			list[i].Latency += (took - list[i].Latency) / 8
+		}
+		return n
+	}
+	assert.Assert(t, far(1) < 1000, "%d of 10000 reads went far", far(1))
+	assert.Assert(t, far(5) > 4000, "%d of 10000 reads went far from a slow server", far(5))
+}
+
+// work returns the time of a statement of the users' mix: 8, 24 or 40 ms in the
+// mean, spread by 0.7 on a log scale, and five times that once in a hundred.
+func work(random *rand.Rand) time.Duration {
+	mean := []float64{8, 24, 24, 24, 24, 24, 40}[random.IntN(7)]
+	took := mean * math.Exp(0.7*random.NormFloat64())
+	if random.IntN(100) == 0 {
+		took *= 5
+	}
+	return time.Duration(took * float64(time.Millisecond))
+}
+
 // Reads of one data centre are spread over its own server and, once that is
 // full, over the others, in proportion to what they take.
 func TestLoadSpreads(t *testing.T) {
