Let peers tell how fresh replicas are, and give back what a burst opened

Change: a proxy that gets no point from a primary asks four peers for theirs, with the ages of point and evidence; the directory of peers is read at the start too. Unused connections over this proxy's part of half of the server's limit are closed after 1 s.

--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -23,10 +23,12 @@
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
 	"github.com/cranberrystage/cranberrystage/internal/platform/metered"
+	"github.com/cranberrystage/cranberrystage/internal/pointrelay"
 	"github.com/cranberrystage/cranberrystage/internal/relay"
 	"github.com/cranberrystage/cranberrystage/internal/rowrelay"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/platform/duty"
 	"github.com/cranberrystage/cranberrystage/platform/entries"
@@ -112,7 +114,15 @@
 		Now:    boottime.Now,
 		Log:    log,
 	})
-	f := fleet.New(fleet.Options{
+	var f *fleet.Fleet
+	points := pointrelay.New(pointrelay.Options{
+		Address: s.PeerAddress,
+		Bus:     bus,
+		Peers:   relayed.Near,
+		Tell:    func(id tables.GroupID) (freshness.Knowledge, bool) { return f.Tell(id) },
+		Log:     log,
+	})
+	f = fleet.New(fleet.Options{
 		VM:         s.VM,
 		DataCentre: s.DataCentre,
 		Store:      relayed,
@@ -126,6 +136,8 @@
 			NotRunning:  duty.ErrNotRunning,
 		},
 		Open:       opener(s.VM),
+		Peers:      points,
+		Proxies:    relayed.Proxies,
 		Now:        boottime.Now,
 		Log:        log,
 		Metrics:    m,
@@ -144,6 +156,11 @@
 			log.Error("entry: The proxies' messages are not served.", "error", err)
 		}
 	}()
+	go func() {
+		if err := points.Run(work); err != nil {
+			log.Error("entry: Peers are not told how fresh groups are.", "error", err)
+		}
+	}()
 	go reload(ctx, path, hup, p, log)
 	err = p.Run(ctx)
 	leave(work, relayed, log)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -37,6 +37,7 @@
 			},
 			Entry: func(string, []byte) (tables.Entry, error) { return tables.Entry{}, errors.New("none") },
 		},
+		Proxies: func() int { return 1 },
 		Open: func(context.Context, tables.Entry) (links.Link, statement.Reply, error) {
 			return nil, statement.Reply{}, errors.New("no server")
 		},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,12 @@
 	Promote(ctx context.Context, token uint64, group tables.GroupID, u tables.UpstreamID) error
 }
 
+// Peers are the other proxies.
+type Peers interface {
+	// Ask returns what one of them knows of a group; ok is false if none tells in time.
+	Ask(ctx context.Context, id tables.GroupID) (k freshness.Knowledge, ok bool)
+}
+
 // Codec reads the platform's documents.
 type Codec struct {
 	// ConfigTable and ConfigKey say where the operator's configuration lies.
@@ -50,9 +56,12 @@
 	Promoter   Promoter
 	Codec      Codec
 	Open       links.Open
-	Now        func() tables.Time
-	Log        *slog.Logger
-	Metrics    *metrics.Metrics
+	Peers      Peers
+	// Proxies returns how many proxies share the servers.
+	Proxies func() int
+	Now     func() tables.Time
+	Log     *slog.Logger
+	Metrics *metrics.Metrics
 	// DrainLimit is how long after its notice a leaving server may get new work.
 	DrainLimit time.Duration
 }
@@ -190,6 +199,18 @@
 	return max(2, min(limits.Connections/2, 3*slots))
 }
 
+// keptConnections returns how many unused connections to u this proxy keeps:
+// its part of half of what the server takes, so that all proxies may start
+// again while the server still holds their old connections.
+func (f *Fleet) keptConnections(u *Upstream) int {
+	r := f.routing.Load()
+	if r == nil {
+		return 1
+	}
+	limits := r.Groups[u.entry.Group]
+	return max(1, limits.Connections/2/max(f.Proxies(), 1))
+}
+
 // gateLimit is how many statements may wait for one server.
 const gateLimit = 256
 
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -166,7 +166,7 @@
 	defer f.mu.Unlock()
 	now := f.Now()
 	for id, u := range f.upstreams {
-		u.pool.Trim()
+		u.pool.Trim(f.keptConnections(u))
 		since := f.missingWhileStoreAnswers(u)
 		if since == 0 || now.Sub(since) < goneKept {
 			continue
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
+	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
 	"github.com/cranberrystage/cranberrystage/internal/systems/place"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
@@ -42,11 +43,39 @@
 	}
 }
 
-// seekPoint makes one try to get a proven point from a primary.
+// seekPoint makes one try to get a proven point from a primary, and from peers
+// if it gives none.
 func (f *Fleet) seekPoint(ctx context.Context, l Leader) {
-	if err := f.takePoint(ctx, l); err != nil {
-		_ = sleep.For(ctx, proofPause) // the caller looks at ctx
+	if f.takePoint(ctx, l) == nil || f.hear(ctx, l.group.id) {
+		return
+	}
+	_ = sleep.For(ctx, proofPause) // the caller looks at ctx
+}
+
+// hear asks peers how fresh a group is. Calls at the same time share one.
+func (f *Fleet) hear(ctx context.Context, id tables.GroupID) bool {
+	ok, _, _ := f.looks.Do("peers/"+string(id), func() (any, error) {
+		asked := f.Now()
+		k, ok := f.Peers.Ask(ctx, id)
+		if ok {
+			f.mu.Lock()
+			f.group(id).Hear(asked, k)
+			f.mu.Unlock()
+		}
+		return ok, nil
+	})
+	return ok.(bool)
+}
+
+// Tell returns what this proxy can tell others of a group; ok is false if nothing.
+func (f *Fleet) Tell(id tables.GroupID) (k freshness.Knowledge, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, there := f.groups[id]
+	if !there {
+		return freshness.Knowledge{}, false
 	}
+	return g.Leadership.Tell(f.Now())
 }
 
 // takePoint asks a primary for a point and looks for the evidence for it.
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -19,6 +19,11 @@
 	// RestTime is how long an unused connection is kept. Opening one takes a
 	// server a slot for some 12 ms.
 	RestTime = 4 * time.Second
+	// surplusRest is how long unused connections over this proxy's part are kept:
+	// what a burst opened is not missed, and proxies that start again after a
+	// loss of power find room beside their old connections, which the server
+	// holds for 3 s.
+	surplusRest = time.Second
 	// OpenTimeout bounds the opening of a connection.
 	OpenTimeout = 800 * time.Millisecond
 	// waitLimit bounds the wait for a connection that another session gives back.
@@ -290,20 +295,30 @@
 	w <- nil
 }
 
-// Trim closes connections that have rested for long.
-func (p *Pool) Trim() {
+// Trim closes connections that have rested for long; all but keep of them do
+// after a short time.
+func (p *Pool) Trim(keep int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, rest := p.now(), RestTime
-	if now < p.scarceUntil {
-		rest = scarceRest
-	}
-	for len(p.idle) > 0 && now.Sub(p.idle[0].restedAt) > rest {
+	now := p.now()
+	for len(p.idle) > 0 && now.Sub(p.idle[0].restedAt) > p.rest(now, keep) {
 		p.drop(p.idle[0])
 		p.idle = p.idle[1:]
 	}
 }
 
+// rest returns how long the connection that has rested longest is kept.
+func (p *Pool) rest(now tables.Time, keep int) time.Duration {
+	switch {
+	case now < p.scarceUntil:
+		return scarceRest
+	case len(p.idle) > keep:
+		return surplusRest
+	default:
+		return RestTime
+	}
+}
+
 // Close closes resting connections and all that are given back.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -147,11 +147,40 @@
 		c := get(t, p, false)
 		p.Put(c)
 		time.Sleep(RestTime + time.Millisecond)
-		p.Trim()
+		p.Trim(9)
 		assert.Assert(t, c.Link.(*fakeLink).closed)
 	})
 }
 
+// Connections that a burst opened make room for proxies that start again while
+// the server still holds their old ones (batbayar-stock-grown trouble-2: 52 to
+// 58 of a primary's 66 connections were unused when all proxies lost power).
+func TestSurplusOfABurstIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		p := testPool(5, opens(&n))
+		var burst []*Conn
+		for range 4 {
+			burst = append(burst, get(t, p, false))
+		}
+		for _, c := range burst {
+			p.Put(c)
+		}
+		time.Sleep(surplusRest + time.Millisecond)
+		p.Trim(1)
+		open := 0
+		for _, c := range burst {
+			if !c.Link.(*fakeLink).closed {
+				open++
+			}
+		}
+		assert.Equal(t, open, 1)
+		time.Sleep(RestTime)
+		p.Trim(1)
+		assert.Assert(t, burst[3].Link.(*fakeLink).closed)
+	})
+}
+
 func TestClosedPoolClosesWhatIsGivenBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := 0
@@ -189,7 +218,7 @@
 		p.Put(a)
 		p.Put(b)
 		time.Sleep(scarceRest + time.Millisecond)
-		p.Trim()
+		p.Trim(9)
 		assert.Assert(t, a.Link.(*fakeLink).closed && b.Link.(*fakeLink).closed)
 		time.Sleep(scarceFor)
 		for range 5 {
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -312,3 +312,26 @@
 		assert.Equal(t, w.group.Promotions(), 1)
 	})
 }
+
+// A proxy that gets no connection to the primary serves reads that accept an
+// age from replicas, by what its peers tell of the primary (the loss of power
+// of all proxies on batbayar-stock-grown: servers had no room for 3 s).
+func TestPeersTellHowFreshReplicasAre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		l := w.startLoad()
+		time.Sleep(2 * time.Second)
+		w.sever("vm0", "s1", true)
+		time.Sleep(3 * time.Second)
+		served := 0
+		for range 100 {
+			if w.proxies[0].session(bounded).run(statement.Read, "item0").Code == statement.OK {
+				served++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		w.sever("vm0", "s1", false)
+		l.end()
+		assert.Assert(t, served >= 95, "%d of 100 reads were served", served)
+	})
+}
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"sync"
@@ -20,6 +21,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
 	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
@@ -59,6 +61,10 @@
 	// transactionRest is the configured bound of resting transactions.
 	transactionRest time.Duration
 	orders          []givenOrder
+	peersMu         sync.Mutex
+	// fleets are those of the proxies, by number.
+	fleets map[int]*fleet.Fleet
+	chance *rand.Rand
 	// acked holds, by item, the values that writers were told to be kept.
 	acked map[string][]ackedValue
 }
@@ -146,6 +152,7 @@
 		t: t, ctx: ctx, began: time.Now(), store: metadata.New(),
 		cut: make(map[string]bool), gone: make(map[tables.UpstreamID]bool),
 		leaving: make(map[tables.UpstreamID]bool), acked: make(map[string][]ackedValue),
+		fleets: make(map[int]*fleet.Fleet), chance: rand.New(rand.NewPCG(1, 1)),
 	}
 	var entries []tables.Entry
 	for i, id := range servers {
@@ -259,6 +266,29 @@
 	return l.Session.Receive()
 }
 
+// peers are the other proxies of a world, which answer late at times.
+type peers struct {
+	w    *world
+	self int
+}
+
+// Ask implements fleet.Peers.
+func (p peers) Ask(ctx context.Context, id tables.GroupID) (freshness.Knowledge, bool) {
+	p.w.peersMu.Lock()
+	var others []*fleet.Fleet
+	for i, f := range p.w.fleets {
+		if i != p.self {
+			others = append(others, f)
+		}
+	}
+	p.w.peersMu.Unlock()
+	if len(others) == 0 || sleep.For(ctx, rand.N(10*time.Millisecond)) != nil {
+		return freshness.Knowledge{}, false
+	}
+	k, ok := others[rand.IntN(len(others))].Tell(id)
+	return k, ok && sleep.For(ctx, rand.N(30*time.Millisecond)) == nil
+}
+
 func (w *world) startProxy(i int) *proxyUnderTest {
 	ctx, cancel := context.WithCancel(w.ctx)
 	vm := tables.VMID(fmt.Sprintf("vm%d", i))
@@ -271,6 +301,8 @@
 			ConfigTable: "op", ConfigKey: "config", Config: decode[*tables.Routing], EntryTable: "servers",
 			Entry: func(_ string, value []byte) (tables.Entry, error) { return decode[tables.Entry](value) }, NotRunning: dbgroup.ErrNotRunning,
 		},
+		Peers:   peers{w, i},
+		Proxies: func() int { return i + 1 },
 		Open: func(ctx context.Context, e tables.Entry) (links.Link, statement.Reply, error) {
 			if w.severed(vm, e.ID) {
 				<-ctx.Done()
@@ -287,6 +319,9 @@
 		Metrics:    m,
 		DrainLimit: 7 * time.Second,
 	})
+	w.peersMu.Lock()
+	w.fleets[i] = p.fleet
+	w.peersMu.Unlock()
 	p.lines = newJournal(log, m)
 	go p.fleet.Run(ctx)
 	return p
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -224,6 +224,26 @@
 	return all[:min(n, len(all))]
 }
 
+// Near returns the addresses of up to n peers in random order, half of them of
+// this data centre if it has as many.
+func (r *Relay) Near(n int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var near, far []string
+	for _, i := range rand.Perm(len(r.peers)) {
+		p := r.peers[i]
+		switch {
+		case p.VM == r.Self.VM:
+		case p.DataCentre == r.Self.DataCentre && len(near) < n/2:
+			near = append(near, p.Address)
+		default:
+			far = append(far, p.Address)
+		}
+	}
+	all := append(near, far...)
+	return all[:min(n, len(all))]
+}
+
 // ask asks one peer for rows.
 func (r *Relay) ask(ctx context.Context, p Peer, q question, timeout time.Duration) (platform.Rows, error) {
 	a, err := r.askAnswer(ctx, p, q, timeout)
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -26,8 +26,8 @@
 	directoryTable = "cranberrystage-vms"
 	// directoryInterval is how often the directory is read.
 	directoryInterval = 30 * time.Second
-	// directoryFirst is when it is read first: all proxies start within a
-	// fraction of a second of each other.
+	// directoryFirst is when it is read again after the start: all proxies start
+	// within a fraction of a second of each other.
 	directoryFirst = time.Second
 	// hedgeAfter is how long the store may take until a peer is asked too.
 	hedgeAfter = 80 * time.Millisecond
@@ -212,7 +212,16 @@
 	return err
 }
 
+// Proxies returns how many proxies the directory names, this one included.
+func (r *Relay) Proxies() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(len(r.peers), 1)
+}
+
 func (r *Relay) keepDirectory(ctx context.Context) {
+	// After a restart of all, the peers of before are those of now.
+	r.readDirectory(ctx)
 	for wait := directoryFirst; ; wait = directoryInterval {
 		if err := r.register(ctx); err != nil {
 			r.log.Info("This proxy is not in the directory yet.", "error", err)
@@ -220,13 +229,17 @@
 		if sleep.For(ctx, wait) != nil {
 			return
 		}
-		rows, err := r.Store.ReadTable(ctx, directoryTable)
-		if err != nil {
-			r.log.Info("The directory of proxies can't be read.", "error", err)
-			continue
-		}
-		r.takeDirectory(rows)
+		r.readDirectory(ctx)
+	}
+}
+
+func (r *Relay) readDirectory(ctx context.Context) {
+	rows, err := r.Store.ReadTable(ctx, directoryTable)
+	if err != nil {
+		r.log.Info("The directory of proxies can't be read.", "error", err)
+		return
 	}
+	r.takeDirectory(rows)
 }
 
 // register writes this proxy's row unless the directory as read has it.
--- a/internal/systems/freshness/freshness.go
+++ b/internal/systems/freshness/freshness.go
@@ -166,3 +166,42 @@
 	}
 	return l.points[len(l.points)-1].At, true
 }
+
+// Knowledge is what a proxy can tell another of a group: its newest proven
+// point and its evidence, as ages at the moment of telling.
+type Knowledge struct {
+	// Primary and Record say whose point it is.
+	Primary tables.UpstreamID `msgpack:"p"`
+	Record  uint64            `msgpack:"r"`
+	// Position is the point's, and PointAge its age.
+	Position tables.Position `msgpack:"l"`
+	PointAge time.Duration   `msgpack:"a"`
+	// ProvenAge is the age of the evidence.
+	ProvenAge time.Duration `msgpack:"e"`
+}
+
+// Tell returns what l knows at now; ok is false without a proven point.
+func (l *Leadership) Tell(now tables.Time) (k Knowledge, ok bool) {
+	if l.Primary == "" || l.ProvenAt <= l.thawedAt {
+		return Knowledge{}, false
+	}
+	for i := len(l.points) - 1; i >= 0; i-- {
+		if p := l.points[i]; l.LedAt(p.At) {
+			return Knowledge{
+				Primary: l.Primary, Record: l.Record, Position: p.Position,
+				PointAge: now.Sub(p.At), ProvenAge: now.Sub(l.ProvenAt),
+			}, true
+		}
+	}
+	return Knowledge{}, false
+}
+
+// Hear takes another proxy's knowledge, asked for at asked: the ages were true
+// no earlier than that.
+func (l *Leadership) Hear(asked tables.Time, k Knowledge) {
+	if k.PointAge < 0 || k.ProvenAge < 0 {
+		return
+	}
+	l.Note(k.Primary, k.Record, Point{At: asked.Add(-k.PointAge), Position: k.Position})
+	l.Prove(k.Primary, k.Record, asked.Add(-k.ProvenAge))
+}
--- a/internal/systems/freshness/freshness_test.go
+++ b/internal/systems/freshness/freshness_test.go
@@ -111,3 +111,53 @@
 	l.Note("p", 1, Point{At: at(1200)})
 	assert.Equal(t, len(l.points), 1)
 }
+
+// A proxy that hears from another knows no more than that one did: its reads
+// need at least the same position, and its evidence ends no later.
+func TestHearsayIsNeverFresherThanTheTruth(t *testing.T) {
+	teller := lead()
+	teller.Note("p", 1, Point{At: at(1100), Position: pos(7)})
+	k, ok := teller.Tell(at(1250))
+	assert.Assert(t, ok)
+	var l Leadership
+	l.Lead("p", 1)
+	l.Hear(at(1200), k) // asked 50 ms before the word was given
+	need, ok := l.Need(at(1050))
+	assert.Assert(t, ok)
+	assert.Equal(t, need, pos(7))
+	_, ok = l.Need(at(1051))
+	assert.Assert(t, !ok, "the point is as old as its age before the question")
+	assert.Assert(t, !l.LedAt(at(950).Add(Lease)))
+}
+
+func TestHearsayOfAnotherPrimaryOrRecordSaysNothing(t *testing.T) {
+	teller := lead()
+	teller.Note("p", 1, Point{At: at(1100), Position: pos(7)})
+	k, ok := teller.Tell(at(1250))
+	assert.Assert(t, ok)
+	for _, of := range []struct {
+		primary tables.UpstreamID
+		record  uint64
+	}{{"q", 1}, {"p", 2}} {
+		var l Leadership
+		l.Lead(of.primary, of.record)
+		l.Hear(at(1250), k)
+		_, ok := l.Need(at(0))
+		assert.Assert(t, !ok)
+		assert.Assert(t, !l.LedAt(at(1000)))
+	}
+}
+
+func TestNothingIsToldWithoutEvidence(t *testing.T) {
+	var l Leadership
+	l.Lead("p", 1)
+	l.Note("p", 1, Point{At: at(1000), Position: pos(7)})
+	_, ok := l.Tell(at(1100))
+	assert.Assert(t, !ok, "no evidence")
+	l.Prove("p", 1, at(500))
+	_, ok = l.Tell(at(1100))
+	assert.Assert(t, !ok, "the evidence ended before the point")
+	l.Freeze(2, pos(9))
+	_, ok = l.Tell(at(1100))
+	assert.Assert(t, !ok, "no primary")
+}
