A fault soak over real processes before an emulated platform

Change: platform/emulator speaks the platform's side (store, duty, servers, settings) before the in-memory stand-ins; internal/soak runs proxies as processes, links over loopback and faults drawn from a seed, and checks from outside; cranberrystage-soak runs seeds; a short seeded run is a test.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # How long the demonstration loads the proxies.
 DEMO_TIME := 20s
 
-.PHONY: build test lint demo run faults bench experiments slopes clean
+.PHONY: build test lint demo run faults bench experiments slopes soak clean
 
 build:
 	@mkdir -p $(BIN)
@@ -31,6 +31,12 @@
 run: build
 	scripts/run.sh
 
+# The fault soak of the platform's proxy over processes; SEEDS of them, SEED first.
+SEEDS := 5
+SEED := 0
+soak: build
+	$(BIN)/cranberrystage-soak --seed $(SEED) --seeds $(SEEDS)
+
 # What a proxy costs against direct access and a naive proxy.
 bench: build
 	scripts/bench.sh
--- /dev/null
+++ b/cmd/cranberrystage-soak/main.go
@@ -0,0 +1,58 @@
+// Command cranberrystage-soak runs seeds of the fault soak and prints what broke.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cranberrystage/cranberrystage/internal/soak"
+)
+
+func main() {
+	app := kingpin.New("cranberrystage-soak", "Runs the proxy's program as processes under faults and checks its promises.")
+	binary := app.Flag("proxy", "Program of the proxy.").Default("bin/cranberrystage-entry").String()
+	first := app.Flag("seed", "First seed; 0 draws one.").Default("0").Uint64()
+	seeds := app.Flag("seeds", "Number of seeds.").Default("1").Uint64()
+	lasts := app.Flag("time", "Time of faults of each seed.").Default("20s").Duration()
+	proxies := app.Flag("proxies", "Number of proxies.").Default("5").Int()
+	writers := app.Flag("writers", "Number of writing callers.").Default("8").Int()
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "cranberrystage-soak: %v, try --help\n", err)
+		os.Exit(2)
+	}
+	if *first == 0 {
+		*first = uint64(rand.Uint32())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	broken := false
+	for seed := *first; seed < *first+*seeds && ctx.Err() == nil; seed++ {
+		dir, err := soak.TemporaryDirectory()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		s := &soak.Soak{Binary: *binary, Directory: dir, Seed: seed, Proxies: *proxies, Writers: *writers, Lasts: *lasts}
+		if err := s.Run(ctx); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		fmt.Print(s.Report())
+		if len(s.Failures) > 0 {
+			broken = true
+			fmt.Printf("logs: %s\n", dir)
+			continue
+		}
+		if err := os.RemoveAll(dir); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+	if broken {
+		os.Exit(1)
+	}
+}
--- a/internal/standin/dbgroup/dbgroup.go
+++ b/internal/standin/dbgroup/dbgroup.go
@@ -23,6 +23,8 @@
 	travel = 500 * time.Microsecond
 	// receivePause is how often a commit looks whether a replica has received it.
 	receivePause = time.Millisecond
+	// Lag is how much later a replica applies what it received, unless it is changed.
+	Lag = 10 * time.Millisecond
 )
 
 // record is one commit in a log.
@@ -110,7 +112,7 @@
 }
 
 func (g *Group) add(e tables.Entry) *Server {
-	s := &Server{g: g, entry: e, work: 4 * time.Millisecond, lag: 10 * time.Millisecond, up: true, term: g.term}
+	s := &Server{g: g, entry: e, work: 4 * time.Millisecond, lag: Lag, up: true, term: g.term}
 	g.servers[e.ID] = s
 	return s
 }
@@ -195,6 +197,24 @@
 	return len(g.acknowledged)
 }
 
+// Written returns how often each "item value" was committed in the primary's log.
+func (g *Group) Written() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	times := make(map[string]int)
+	for _, s := range g.servers {
+		if !s.leads || s.term != g.term {
+			continue
+		}
+		for _, r := range s.log {
+			for item, value := range r.items {
+				times[item+" "+value]++
+			}
+		}
+	}
+	return times
+}
+
 // Promote orders that a server leads the next term; it takes effect later.
 func (g *Group) Promote(ctx context.Context, id tables.UpstreamID) error {
 	time.Sleep(2 * travel)
