Sites of our own, derived, and a test of all proxies that start again at once

scripts/derive-site.sh makes three kinds from a site of the users: one slot a server, replicas a second behind, four times as many databases.

--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -383,3 +383,31 @@
 	}
 	return record
 }
+
+// All proxies lose power at once, at one moment of a replacement or another:
+// what was acknowledged is there, and each serves again soon.
+func TestAllProxiesStartAgainAtOnce(t *testing.T) {
+	for _, after := range []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 3)
+			l := w.startLoad()
+			time.Sleep(2 * time.Second)
+			w.group.Change("s1", (*dbgroup.Server).Crash)
+			time.Sleep(after)
+			l.end()
+			for _, p := range w.proxies {
+				p.restart()
+			}
+			// A claim of the duty runs out and a turn passes before another proxy goes on.
+			time.Sleep(10 * time.Second)
+			for i, p := range w.proxies {
+				r := w.write(p.session(newest), "last", i+1)
+				assert.Equal(t, r.Code, statement.OK, "vm%d after %s: %s", i, after, r.Detail)
+				r, stale := w.read(p.session(newest), "item1")
+				assert.Equal(t, r.Code, statement.OK, "vm%d after %s: %s", i, after, r.Detail)
+				assert.Assert(t, !stale)
+			}
+			assert.Equal(t, len(w.group.Lost()), 0)
+		})
+	}
+}
--- /dev/null
+++ b/scripts/derive-site.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Writes a site of our own, derived from a site file of the users' bench, to
+# standard output: derive-site.sh KIND SITE. Play it from a directory that also
+# holds the bench's wire.json.
+set -eu
+kind=$1 site=$2
+# scale FACTOR multiplies the load.
+scale() { awk -v f="$1" '{ while (match($0, /per_s = [0-9.]+/)) { v = substr($0, RSTART + 8, RLENGTH - 8);
+  printf "%sper_s = %.1f", substr($0, 1, RSTART - 1), v * f; $0 = substr($0, RSTART + RLENGTH) } print }'; }
+case $kind in
+# One slot a server, a quarter of the load.
+one-slot) sed 's/slots = [0-9]*, queue/slots = 1, queue/' "$site" | scale 0.25 ;;
+# Replicas a second behind, up to three; half of the load.
+far-behind) sed 's/lag_ms = { mean = [0-9.]*, \(.*\)max = [0-9.]* }/lag_ms = { mean = 900.0, \1max = 3000.0 }/' "$site" | scale 0.5 ;;
+# Four times as many databases under the same load.
+many-services) sed 's/copies = 3, idle/copies = 12, idle/' "$site" ;;
+*) echo "derive-site.sh: one-slot, far-behind or many-services" >&2; exit 2 ;;
+esac
