--- a/internal/rowrelay/rowrelay_test.go
+++ b/internal/rowrelay/rowrelay_test.go
@@ -322,11 +322,8 @@
 			time.Sleep(2 * time.Second)
 			assert.Assert(t, s.relays[0].Lost())
 			s.net.cut["b"] = true
-			var put time.Time
-			time.AfterFunc(10*time.Millisecond, func() {
-				s.store.Put("own", "k", []byte("new"))
-				put = time.Now()
-			})
+			put := time.Now().Add(10 * time.Millisecond)
+			time.AfterFunc(time.Until(put), func() { s.store.Put("own", "k", []byte("new")) })
 			for len(rows.Rows) == 0 {
 				// Another table's reader tries the store at this moment.
 				go func() { _, _ = s.relays[0].ReadTable(t.Context(), "other") }()
