Let one piece serve where the change had written it twice: questions between proxies, the platform's forms

peer/inquiry matches questions and answers between proxies; rowrelay and pointrelay each had their own bus, ids, waits and decoding, and their tests the same network (peer/peertest now). The messages' form changes; one of the other version is ignored like any that can't be read. The directory is read beside the subscription to messages instead of after it. platform/emulator had the store's rows, the servers' entries and the operator's document a second time: it uses platform/store's types, entries.Encode and routes.Encode now, and routes has one table of the words for freshness. No bound or check changed.

--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -6,10 +6,9 @@
 	"strconv"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cranberrystage/cranberrystage/internal/peer/inquiry"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Apply implements platform.Metadata.
@@ -252,28 +251,15 @@
 
 // askAnswer asks one peer.
 func (r *Relay) askAnswer(ctx context.Context, p Peer, q question, timeout time.Duration) (answer, error) {
-	reply := make(chan answer, 1)
-	r.mu.Lock()
-	r.lastID++
-	q.ID, q.From = r.lastID, r.Self.Address
-	r.waiting[q.ID] = reply
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.waiting, q.ID)
-	}()
-	r.Bus.Send(p.Address, topicQuestion, q)
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case a := <-reply:
+	a, err := r.desk.Ask(ctx, timeout, q, p.Address)
+	switch {
+	case err == nil:
 		return a, r.taken(p, a)
-	case <-timer.C:
+	case errors.Is(err, inquiry.ErrSilent):
 		r.leaveAlone(p)
-		return answer{}, errors.Wrapf(platform.ErrUnavailable, "%s did not answer", p.VM)
-	case <-ctx.Done():
-		return answer{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+		return a, errors.Wrapf(platform.ErrUnavailable, "%s did not answer", p.VM)
+	default:
+		return a, errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
 }
 
@@ -300,41 +286,23 @@
 	r.avoid[p.VM] = r.Now().Add(peerPause << r.misses[p.VM])
 }
 
-func (r *Relay) takeAnswers(in <-chan *message.Message) {
-	for m := range in {
-		var a answer
-		err := msgpack.Unmarshal(m.Payload, &a)
-		m.Ack()
-		if err != nil {
-			r.log.Warn("Ignored an answer that can't be read.", "error", err)
-			continue
-		}
-		r.mu.Lock()
-		reply, ok := r.waiting[a.ID]
-		delete(r.waiting, a.ID)
-		r.mu.Unlock()
-		if ok {
-			reply <- a
-		}
+// answer answers a peer's question from the store itself.
+func (r *Relay) answer(ctx context.Context, q question) answer {
+	out := answer{Failure: failureUnavailable}
+	if r.Lost() {
+		return out
 	}
-}
-
-// serve answers a peer's question from the store itself.
-func (r *Relay) serve(ctx context.Context, q question) {
-	out := answer{ID: q.ID, Failure: failureUnavailable}
-	if !r.Lost() {
-		rows, err := r.answerRows(ctx, q)
-		switch {
-		case err == nil:
-			out.Failure, out.Rows = failureNone, rows
-			if out.Same = q.Seen.Rows > 0 && q.Seen == markOf(rows); out.Same {
-				out.Rows.Rows = nil
-			}
-		case errors.Is(err, platform.ErrHistoryLost):
-			out.Failure = failureHistory
+	rows, err := r.answerRows(ctx, q)
+	switch {
+	case err == nil:
+		out.Failure, out.Rows = failureNone, rows
+		if out.Same = q.Seen.Rows > 0 && q.Seen == markOf(rows); out.Same {
+			out.Rows.Rows = nil
 		}
+	case errors.Is(err, platform.ErrHistoryLost):
+		out.Failure = failureHistory
 	}
-	r.Bus.Send(q.From, topicAnswer, out)
+	return out
 }
 
 func (r *Relay) answerRows(ctx context.Context, q question) (platform.Rows, error) {
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -8,17 +8,15 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
+	"github.com/cranberrystage/cranberrystage/internal/peer/inquiry"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -58,18 +56,8 @@
 	topicAnswer   = "rows-answer"
 )
 
-// Bus carries messages between proxies; they may be lost, late or repeated.
-type Bus interface {
-	// Send sends a message to the proxy at an address, without blocking.
-	Send(address, topic string, msg any)
-	// Subscribe returns the messages of a topic that arrive.
-	Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error)
-}
-
 // question asks a peer for rows.
 type question struct {
-	ID    uint64 `msgpack:"i"`
-	From  string `msgpack:"f"`
 	Table string `msgpack:"t"`
 	// Seen is what the asker knows of the table, so that it is not sent again.
 	Seen mark `msgpack:"s,omitempty"`
@@ -108,7 +96,6 @@
 
 // answer returns the rows.
 type answer struct {
-	ID      uint64        `msgpack:"i"`
 	Failure failure       `msgpack:"e,omitempty"`
 	Rows    platform.Rows `msgpack:"r"`
 	// Same says that the rows are those that the asker has seen, and are left out.
@@ -134,7 +121,7 @@
 	// Own are the tables whose changes every proxy watches itself, so that no
 	// peer's failure delays them.
 	Own map[string]bool
-	Bus Bus
+	Bus inquiry.Bus
 	// Now is a clock that counts suspensions.
 	Now func() tables.Time
 	Log *slog.Logger
@@ -145,16 +132,13 @@
 type Relay struct {
 	Options
 	log   *slog.Logger
+	desk  *inquiry.Desk[question, answer]
 	reads singleflight.Group
 
-	mu      sync.Mutex
-	peers   []Peer
-	avoid   map[tables.VMID]tables.Time
-	misses  map[tables.VMID]int
-	waiting map[uint64]chan answer
-	// lastID begins at random: answers to an earlier life of this proxy must not
-	// be taken for those to this one's questions.
-	lastID uint64
+	mu     sync.Mutex
+	peers  []Peer
+	avoid  map[tables.VMID]tables.Time
+	misses map[tables.VMID]int
 	// lostAt is when the store stopped answering; 0 while it answers.
 	lostAt    tables.Time
 	triedAt   tables.Time
@@ -166,48 +150,33 @@
 
 // New returns a relay without peers.
 func New(o Options) *Relay {
+	log := logging.For(o.Log, "rowrelay")
 	return &Relay{
 		Options: o,
-		log:     logging.For(o.Log, "rowrelay"),
-		avoid:   make(map[tables.VMID]tables.Time),
-		misses:  make(map[tables.VMID]int),
-		waiting: make(map[uint64]chan answer),
-		lastID:  rand.Uint64(),
+		log:     log,
+		desk: inquiry.New[question, answer](inquiry.Options{
+			Address: o.Self.Address, Question: topicQuestion, Answer: topicAnswer, Bus: o.Bus, Log: log,
+		}),
+		avoid:  make(map[tables.VMID]tables.Time),
+		misses: make(map[tables.VMID]int),
 	}
 }
 
 // Run answers peers and keeps the directory until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
-	questions, err := r.Bus.Subscribe(ctx, topicQuestion)
-	if err != nil {
-		return errors.Wrap(err, "subscribe to questions")
-	}
-	answers, err := r.Bus.Subscribe(ctx, topicAnswer)
-	if err != nil {
-		return errors.Wrap(err, "subscribe to answers")
-	}
 	go r.keepDirectory(ctx)
-	go r.takeAnswers(answers)
 	slots := make(chan struct{}, serving)
-	for m := range questions {
-		var q question
-		err := msgpack.Unmarshal(m.Payload, &q)
-		m.Ack()
-		if err != nil || q.From == "" {
-			r.log.Warn("Ignored a question that can't be read.", "error", err)
-			continue
-		}
+	return r.desk.Run(ctx, func(q question, reply func(answer)) {
 		select {
 		case slots <- struct{}{}:
 			go func() {
-				r.serve(ctx, q)
+				reply(r.answer(ctx, q))
 				<-slots
 			}()
 		default:
-			r.Bus.Send(q.From, topicAnswer, answer{ID: q.ID, Failure: failureUnavailable})
+			reply(answer{Failure: failureUnavailable})
 		}
-	}
-	return nil
+	})
 }
 
 // Leave takes this proxy out of the directory.
--- a/internal/rowrelay/rowrelay_test.go
+++ b/internal/rowrelay/rowrelay_test.go
@@ -8,72 +8,17 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/peer/peertest"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 )
 
 const shared = "records"
 
-// network carries messages between the relays of a test.
-type network struct {
-	mu   sync.Mutex
-	subs map[string]chan *message.Message
-	// cut holds addresses that hear nothing.
-	cut  map[string]bool
-	sent int
-}
-
-// bus is one relay's end of the network.
-type bus struct {
-	n       *network
-	address string
-}
-
-func (b *bus) Send(address, topic string, msg any) {
-	payload, err := msgpack.Marshal(msg)
-	if err != nil {
-		panic(err)
-	}
-	b.n.mu.Lock()
-	defer b.n.mu.Unlock()
-	b.n.sent++
-	if in, ok := b.n.subs[address+topic]; ok && !b.n.cut[address] && !b.n.cut[b.address] {
-		m := message.NewMessage(uuid.NewString(), payload)
-		go func() {
-			select {
-			case in <- m:
-			case <-time.After(time.Second): // the relay has ended
-			}
-		}()
-	}
-}
-
-func (b *bus) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
-	in, out := make(chan *message.Message), make(chan *message.Message)
-	b.n.mu.Lock()
-	b.n.subs[b.address+topic] = in
-	b.n.mu.Unlock()
-	go func() {
-		defer close(out)
-		for {
-			select {
-			case m := <-in:
-				out <- m
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return out, nil
-}
-
 // path is the way from one proxy to the store.
 type path struct {
 	*metadata.Store
@@ -111,7 +56,7 @@
 
 type set struct {
 	store  *metadata.Store
-	net    *network
+	net    *peertest.Network
 	relays []*Relay
 	paths  []*path
 }
@@ -120,14 +65,14 @@
 func newSet(t *testing.T, dataCentres ...tables.DataCentreID) *set {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	s := &set{store: metadata.New(), net: &network{subs: make(map[string]chan *message.Message), cut: make(map[string]bool)}}
+	s := &set{store: metadata.New(), net: peertest.New()}
 	began := time.Now()
 	for i, dc := range dataCentres {
 		vm := tables.VMID(string(rune('a' + i)))
 		p := &path{Store: s.store}
 		r := New(Options{
 			Self: Peer{VM: vm, DataCentre: dc, Address: string(vm)}, Store: p, Shared: shared, Own: map[string]bool{"own": true},
-			Bus: &bus{s.net, string(vm)}, Now: func() tables.Time { return tables.Time(time.Since(began) + time.Hour) },
+			Bus: s.net.Bus(string(vm)), Now: func() tables.Time { return tables.Time(time.Since(began) + time.Hour) },
 			Log: slog.New(slog.DiscardHandler),
 		})
 		s.relays, s.paths = append(s.relays, r), append(s.paths, p)
@@ -226,7 +171,7 @@
 func TestSilentChiefIsLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSet(t, "x", "y", "y")
-		s.net.cut["a"] = true
+		s.net.Cut("a")
 		for range 10 {
 			at := time.Now()
 			_, err := s.relays[2].ReadTable(t.Context(), shared)
@@ -291,7 +236,7 @@
 func TestSilentPeerIsLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSet(t, "x", "x")
-		s.net.cut["a"] = true
+		s.net.Cut("a")
 		var longest time.Duration
 		for range 10 {
 			at := time.Now()
@@ -301,10 +246,10 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		assert.Assert(t, longest < 2*nearTimeout, "%s", longest)
-		sent := s.net.sent
+		sent := s.net.Sent()
 		_, err := s.relays[1].ReadTable(t.Context(), shared)
 		assert.NilError(t, err)
-		assert.Equal(t, s.net.sent, sent, "the silent peer was asked again")
+		assert.Equal(t, s.net.Sent(), sent, "the silent peer was asked again")
 	})
 }
 
@@ -321,7 +266,7 @@
 			assert.NilError(t, err)
 			time.Sleep(2 * time.Second)
 			assert.Assert(t, s.relays[0].Lost())
-			s.net.cut["b"] = true
+			s.net.Cut("b")
 			put := time.Now().Add(10 * time.Millisecond)
 			time.AfterFunc(time.Until(put), func() { s.store.Put("own", "k", []byte("new")) })
 			for len(rows.Rows) == 0 {
@@ -341,7 +286,7 @@
 func TestQuestionsThatCantBeReadAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSet(t, "x", "y")
-		b := &bus{s.net, "b"}
+		b := s.net.Bus("b")
 		for _, topic := range []string{topicQuestion, topicAnswer} {
 			b.Send("a", topic, "nonsense")
 			b.Send("a", topic, map[string]int{"i": -1})
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -20,6 +20,8 @@
 	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/platform/emulator"
+	"github.com/cranberrystage/cranberrystage/platform/entries"
+	"github.com/cranberrystage/cranberrystage/platform/routes"
 	"github.com/pkg/errors"
 )
 
@@ -124,7 +126,7 @@
 		s.history.items = append(s.history.items, itemName(i))
 	}
 	s.leaving = make(map[tables.UpstreamID]bool)
-	var entries []tables.Entry
+	var list []tables.Entry
 	var listeners []net.Listener
 	for i := range servers {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -137,19 +139,22 @@
 		}
 		listeners, s.links = append(listeners, l), append(s.links, k)
 		s.closers = append(s.closers, func() { _ = l.Close() }, k.close)
-		entries = append(entries, tables.Entry{
+		list = append(list, tables.Entry{
 			ID: serverName(i), Group: group, Address: k.address(), DataCentre: dataCentre(i), Slots: slots, StartedAt: 1,
 		})
 	}
-	s.group = dbgroup.New(group, entries...)
+	s.group = dbgroup.New(group, list...)
 	s.group.PromoteTakes = promoteTakes
 	s.group.LimitSlots(slots)
 	for i, l := range listeners {
-		go emulator.ServeUpstream(l, s.group, entries[i])
+		go emulator.ServeUpstream(l, s.group, list[i])
 	}
-	s.store.Put("op", "config", emulator.Config(configuration()))
+	config, err := routes.Encode(configuration())
+	if err != nil {
+		return err
+	}
+	s.store.Put(routes.Table, routes.Key, config)
 	go s.report(ctx)
-	var err error
 	if s.storeAddress, err = s.serve(emulator.Store(s.store)); err != nil {
 		return err
 	}
@@ -207,14 +212,16 @@
 			id := serverName(i)
 			e := s.group.Entry(id)
 			e.Leaving = s.leaving[id]
-			value := string(emulator.Entry(e))
+			value, err := entries.Encode(e)
 			switch {
+			case err != nil:
+				s.Failures = append(s.Failures, err.Error())
 			case lapsed && last[id] != "":
-				s.store.Drop("servers", string(id))
+				s.store.Drop(entries.Table, string(id))
 				last[id] = ""
-			case !lapsed && last[id] != value:
-				s.store.Put("servers", string(id), []byte(value))
-				last[id] = value
+			case !lapsed && last[id] != string(value):
+				s.store.Put(entries.Table, string(id), value)
+				last[id] = string(value)
 			}
 		}
 		s.mu.Unlock()
