Share what a server takes by parts, let one proxy a data centre ask primaries

- systems/keep: connections rest by the proxy's part of half of what the server takes; where that is less than one, for a time that leaves as many open.
- The looker of a data centre asks the primaries for its peers (pointrelay).

--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -119,6 +119,7 @@
 		Address: s.PeerAddress,
 		Bus:     bus,
 		Peers:   relayed.Near,
+		Looker:  relayed.Looker,
 		Tell:    func(id tables.GroupID) (freshness.Knowledge, bool) { return f.Tell(id) },
 		Log:     log,
 	})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
+	"github.com/cranberrystage/cranberrystage/internal/systems/keep"
 	"github.com/cranberrystage/cranberrystage/internal/systems/pace"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"golang.org/x/sync/singleflight"
@@ -33,6 +34,9 @@
 type Peers interface {
 	// Ask returns what one of them knows of a group; ok is false if none tells in time.
 	Ask(ctx context.Context, id tables.GroupID) (k freshness.Knowledge, ok bool)
+	// AskLooker returns what the proxy knows of groups that asks primaries for
+	// this one's data centre; nothing if that is this proxy itself.
+	AskLooker(ctx context.Context, groups []tables.GroupID) map[tables.GroupID]freshness.Knowledge
 }
 
 // Codec reads the platform's documents.
@@ -103,8 +107,11 @@
 	term tables.Term
 	// storeProvenAt is when the newest look at the store gave evidence.
 	storeProvenAt tables.Time
-	// usedAt is when a statement last needed the group.
+	// usedAt is when a statement last needed the group, here or at a proxy that
+	// asks this one for points.
 	usedAt tables.Time
+	// askedAt is when the newest point was last sought.
+	askedAt tables.Time
 	// replacing says that this proxy works on a replacement.
 	replacing bool
 	// restUntil is when the next replacement may begin.
@@ -230,16 +237,14 @@
 	return max(2, min(limits.Connections/2, 3*slots))
 }
 
-// keptConnections returns how many unused connections to u this proxy keeps:
-// its part of half of what the server takes, so that all proxies may start
-// again while the server still holds their old connections.
-func (f *Fleet) keptConnections(u *Upstream) int {
+// keptConnections returns how many unused connections to u this proxy may keep,
+// a part of one if there are more proxies than connections.
+func (f *Fleet) keptConnections(u *Upstream) float64 {
 	r := f.routing.Load()
-	if r == nil {
+	if r == nil || r.Groups[u.entry.Group].Connections <= 0 {
 		return 1
 	}
-	limits := r.Groups[u.entry.Group]
-	return max(1, limits.Connections/2/max(f.Proxies(), 1))
+	return keep.Part(r.Groups[u.entry.Group].Connections, f.Proxies())
 }
 
 // gateLimit is how many statements may wait for one server.
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
@@ -52,6 +53,7 @@
 		for _, w := range f.membersToKeep() {
 			go f.keepMembers(ctx, w)
 		}
+		var stale []Leader
 		for _, w := range f.judge() {
 			if w.troubled && !probing[w.leader.Upstream.ID()] {
 				probing[w.leader.Upstream.ID()] = true
@@ -71,9 +73,12 @@
 			case w.askReplica:
 				go f.askReplica(ctx, w.leader)
 			case w.askPoint:
-				go f.refresh(ctx, w.leader)
+				stale = append(stale, w.leader)
 			}
 		}
+		if len(stale) > 0 {
+			go f.refresh(ctx, stale)
+		}
 	}
 }
 
@@ -146,7 +151,10 @@
 			w.askTerm = g.term == 0
 			newest, known := g.NewestPoint()
 			w.askReplica = f.storeLostAt != 0 && g.inUse(now) && g.LedAt(now) && now.Sub(g.ProvenAt) > evidenceAge
-			w.askPoint = g.inUse(now) && (!known || now.Sub(newest) > pointAge)
+			w.askPoint = g.inUse(now) && (!known || now.Sub(newest) > pointAge) && now.Sub(g.askedAt) > pointAge/2
+			if w.askPoint {
+				g.askedAt = now
+			}
 		}
 		out = append(out, w)
 	}
@@ -205,13 +213,43 @@
 	u.pool.Put(c)
 }
 
-// refresh brings a point and the evidence for it up to date.
-func (f *Fleet) refresh(ctx context.Context, l Leader) {
+// refresh brings the points of groups and the evidence for them up to date,
+// from the data centre's looker or, where that has none, from the primaries.
+func (f *Fleet) refresh(ctx context.Context, list []Leader) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if err := f.takePoint(ctx, l); err != nil {
-		f.log.Debug("A primary gave no position.", "group", l.group.id, "upstream", l.Upstream.ID(), "error", err)
+	var wg sync.WaitGroup
+	for _, l := range f.hearLooker(ctx, list) {
+		wg.Go(func() {
+			if err := f.takePoint(ctx, l); err != nil {
+				f.log.Debug("A primary gave no position.", "group", l.group.id, "upstream", l.Upstream.ID(), "error", err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// hearLooker takes the looker's points and returns the groups that it has no
+// point of which is new enough to do without the primary.
+func (f *Fleet) hearLooker(ctx context.Context, list []Leader) (left []Leader) {
+	ids := make([]tables.GroupID, len(list))
+	for i, l := range list {
+		ids[i] = l.group.id
+	}
+	asked := f.Now()
+	known := f.Peers.AskLooker(ctx, ids)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range list {
+		k, ok := known[l.group.id]
+		if ok {
+			l.group.Hear(asked, k)
+		}
+		if newest, there := l.group.NewestPoint(); !ok || !there || asked.Sub(newest) > 2*pointAge {
+			left = append(left, l)
+		}
 	}
+	return left
 }
 
 // learnTerm asks a primary that was never replaced for its term.
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -75,7 +75,8 @@
 	if !there {
 		return freshness.Knowledge{}, false
 	}
-	return g.Leadership.Tell(f.Now())
+	g.usedAt = f.Now()
+	return g.Leadership.Tell(g.usedAt)
 }
 
 // takePoint asks a primary for a point and looks for the evidence for it.
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -41,7 +41,7 @@
 		var rows platform.Rows
 		var err error
 		if whole {
-			rows, err = f.Store.WatchTable(ctx, table, after, WatchWait)
+			rows, err = f.Store.WatchTable(ctx, table, after, f.watchWait())
 		} else {
 			rows, err = f.Store.ReadTable(ctx, table)
 		}
@@ -72,6 +72,18 @@
 	}
 }
 
+// watchWait returns how long the next call for changes waits: not at all while
+// the store is lost, for its answer shows that the store is back, which
+// replacements wait for.
+func (f *Fleet) watchWait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.storeLostAt != 0 {
+		return 0
+	}
+	return WatchWait
+}
+
 func (f *Fleet) storeFailed(table string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -10,15 +10,13 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/keep"
 	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
 
 const (
-	// RestTime is how long an unused connection is kept. Opening one takes a
-	// server a slot for some 12 ms.
-	RestTime = 4 * time.Second
 	// surplusRest is how long unused connections over this proxy's part are kept:
 	// what a burst opened is not missed, and proxies that start again after a
 	// loss of power find room beside their old connections, which the server
@@ -88,6 +86,9 @@
 	idle      []*Conn
 	waiters   []chan *Conn
 	fullUntil tables.Time
+	// gap is the time between two uses, the last of them at usedAt; 0 before.
+	gap    keep.Gap
+	usedAt tables.Time
 	// scarceUntil is when connections stop to be scarce, and share how many this
 	// pool may have until then.
 	scarceUntil tables.Time
@@ -111,6 +112,7 @@
 // for one it waits a short while for one that is given back. fresh asks for a
 // new connection.
 func (p *Pool) Get(ctx context.Context, fresh bool) (*Conn, error) {
+	p.used()
 	patience, cancel := context.WithTimeout(ctx, waitLimit)
 	defer cancel()
 	for {
@@ -133,6 +135,16 @@
 	}
 }
 
+func (p *Pool) used() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	if p.usedAt != 0 {
+		p.gap.Used(now.Sub(p.usedAt))
+	}
+	p.usedAt = now
+}
+
 // Oldest returns the resting connection that was opened first, if it was opened
 // by a time.
 func (p *Pool) Oldest(by tables.Time) (*Conn, bool) {
@@ -295,27 +307,27 @@
 	w <- nil
 }
 
-// Trim closes connections that have rested for long; all but keep of them do
-// after a short time.
-func (p *Pool) Trim(keep int) {
+// Trim closes connections that have rested for long. part is how many of the
+// server's connections may rest at this proxy.
+func (p *Pool) Trim(part float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].restedAt) > p.rest(now, keep) {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].restedAt) > p.rest(now, part) {
 		p.drop(p.idle[0])
 		p.idle = p.idle[1:]
 	}
 }
 
 // rest returns how long the connection that has rested longest is kept.
-func (p *Pool) rest(now tables.Time, keep int) time.Duration {
+func (p *Pool) rest(now tables.Time, part float64) time.Duration {
 	switch {
 	case now < p.scarceUntil:
 		return scarceRest
-	case len(p.idle) > keep:
+	case len(p.idle) > keep.Count(part):
 		return surplusRest
 	default:
-		return RestTime
+		return keep.Rest(part, p.gap)
 	}
 }
 
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/keep"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"gotest.tools/v3/assert"
 )
@@ -146,7 +147,7 @@
 		p := testPool(2, opens(&n))
 		c := get(t, p, false)
 		p.Put(c)
-		time.Sleep(RestTime + time.Millisecond)
+		time.Sleep(keep.Longest + time.Millisecond)
 		p.Trim(9)
 		assert.Assert(t, c.Link.(*fakeLink).closed)
 	})
@@ -175,7 +176,7 @@
 			}
 		}
 		assert.Equal(t, open, 1)
-		time.Sleep(RestTime)
+		time.Sleep(keep.Longest)
 		p.Trim(1)
 		assert.Assert(t, burst[3].Link.(*fakeLink).closed)
 	})
--- a/internal/pointrelay/pointrelay.go
+++ b/internal/pointrelay/pointrelay.go
@@ -1,5 +1,7 @@
-// Package pointrelay lets proxies tell each other how fresh a group's data is.
-// It serves proxies that get no connection to a primary, such as many that
+// Package pointrelay lets proxies tell each other how fresh groups' data is. It
+// serves two loads: many proxies, of which one a data centre asks the primaries
+// for all, so that a primary's load and connections don't grow with their
+// number; and proxies that get no connection to a primary, such as many that
 // start again at once while the server still holds their old connections.
 package pointrelay
 
@@ -35,29 +37,44 @@
 	Bus     inquiry.Bus
 	// Peers returns the addresses of up to n other proxies, near ones first.
 	Peers func(n int) []string
+	// Looker returns the address of the proxy that asks primaries for this one's
+	// data centre; ok is false if it is this one.
+	Looker func() (address string, ok bool)
 	// Tell returns what this proxy knows of a group; ok is false if nothing.
 	Tell func(tables.GroupID) (k freshness.Knowledge, ok bool)
 	Log  *slog.Logger
 }
 
+// question names groups, and answer what a proxy knows of them.
+type (
+	question []tables.GroupID
+	answer   map[tables.GroupID]freshness.Knowledge
+)
+
 // Relay asks peers and answers them. It is safe for concurrent use.
 type Relay struct {
 	Options
-	desk *inquiry.Desk[tables.GroupID, freshness.Knowledge]
+	desk *inquiry.Desk[question, answer]
 }
 
 // New returns a relay; Run serves it.
 func New(o Options) *Relay {
-	return &Relay{Options: o, desk: inquiry.New[tables.GroupID, freshness.Knowledge](inquiry.Options{
+	return &Relay{Options: o, desk: inquiry.New[question, answer](inquiry.Options{
 		Address: o.Address, Question: topicQuestion, Answer: topicAnswer, Bus: o.Bus, Log: logging.For(o.Log, "pointrelay"),
 	})}
 }
 
 // Run answers peers until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
-	return r.desk.Run(ctx, func(g tables.GroupID, reply func(freshness.Knowledge)) {
-		if k, ok := r.Tell(g); ok {
-			reply(k)
+	return r.desk.Run(ctx, func(q question, reply func(answer)) {
+		a := make(answer, len(q))
+		for _, g := range q {
+			if k, ok := r.Tell(g); ok {
+				a[g] = k
+			}
+		}
+		if len(a) > 0 {
+			reply(a)
 		}
 	})
 }
@@ -65,6 +82,24 @@
 // Ask returns what the first of a few peers to answer knows of a group; ok is
 // false if none answers in time. Peers that know nothing stay silent.
 func (r *Relay) Ask(ctx context.Context, g tables.GroupID) (k freshness.Knowledge, ok bool) {
-	k, err := r.desk.Ask(ctx, answerTimeout, g, r.Peers(asked)...)
-	return k, err == nil
+	a, err := r.desk.Ask(ctx, answerTimeout, question{g}, r.Peers(asked)...)
+	if err != nil {
+		return freshness.Knowledge{}, false
+	}
+	k, ok = a[g]
+	return k, ok
+}
+
+// AskLooker returns what the data centre's looker knows of groups; nil if that
+// is this proxy, or if it doesn't answer in time.
+func (r *Relay) AskLooker(ctx context.Context, groups []tables.GroupID) map[tables.GroupID]freshness.Knowledge {
+	address, ok := r.Looker()
+	if !ok {
+		return nil
+	}
+	a, err := r.desk.Ask(ctx, answerTimeout, groups, address)
+	if err != nil {
+		return nil
+	}
+	return a
 }
--- a/internal/pointrelay/pointrelay_test.go
+++ b/internal/pointrelay/pointrelay_test.go
@@ -20,6 +20,12 @@
 	r := New(Options{
 		Address: address, Bus: n.Bus(address), Log: slog.New(slog.DiscardHandler),
 		Peers: func(int) []string { return peers },
+		Looker: func() (string, bool) {
+			if len(peers) == 0 {
+				return "", false
+			}
+			return peers[0], true
+		},
 		Tell: func(g tables.GroupID) (freshness.Knowledge, bool) {
 			k, ok := known[g]
 			return k, ok
@@ -54,6 +60,22 @@
 	})
 }
 
+func TestLookerTellsOfAllGroupsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := peertest.New()
+		known := map[tables.GroupID]freshness.Knowledge{"g": {Primary: "p"}, "h": {Primary: "q"}}
+		r := start(t, n, "a", []string{"b"}, nil)
+		looker := start(t, n, "b", nil, known)
+		alone := start(t, n, "c", []string{"gone"}, nil)
+		synctest.Wait()
+		assert.DeepEqual(t, r.AskLooker(t.Context(), []tables.GroupID{"g", "h", "i"}), known)
+		assert.Equal(t, len(looker.AskLooker(t.Context(), []tables.GroupID{"g"})), 0, "it asks primaries itself")
+		at := time.Now()
+		assert.Equal(t, len(alone.AskLooker(t.Context(), []tables.GroupID{"g"})), 0)
+		assert.Equal(t, time.Since(at), answerTimeout)
+	})
+}
+
 func TestMessagesThatCantBeReadAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := peertest.New()
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -211,6 +211,8 @@
 		time.Sleep(5 * time.Second)
 		l.end()
 		assert.Equal(t, w.group.Promotions(), 1)
+		const away = 3 * time.Second // since the crash
+		assert.Assert(t, l.longestGap <= away+gapLimit, "gap %s", l.longestGap)
 	})
 }
 
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -317,6 +317,23 @@
 	return k, ok && sleep.For(ctx, rand.N(30*time.Millisecond)) == nil
 }
 
+// AskLooker implements fleet.Peers: the first proxy of a data centre asks for it.
+func (p peers) AskLooker(ctx context.Context, groups []tables.GroupID) map[tables.GroupID]freshness.Knowledge {
+	p.w.peersMu.Lock()
+	looker := p.w.fleets[p.self%3]
+	p.w.peersMu.Unlock()
+	if p.self < 3 || looker == nil || sleep.For(ctx, rand.N(30*time.Millisecond)) != nil {
+		return nil
+	}
+	known := make(map[tables.GroupID]freshness.Knowledge)
+	for _, g := range groups {
+		if k, ok := looker.Tell(g); ok {
+			known[g] = k
+		}
+	}
+	return known
+}
+
 func (w *world) startProxy(i int) *proxyUnderTest {
 	ctx, cancel := context.WithCancel(w.ctx)
 	vm := tables.VMID(fmt.Sprintf("vm%d", i))
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -189,6 +189,13 @@
 	return r.first(func(p Peer) bool { return p.DataCentre == r.Self.DataCentre })
 }
 
+// Looker returns the address of the peer that looks for this data centre; ok is
+// false if it is this proxy.
+func (r *Relay) Looker() (address string, ok bool) {
+	p, ok := r.looker()
+	return p.Address, ok
+}
+
 // chief returns the peer that looks at the shared table for all data centres;
 // ok is false if it is this proxy.
 func (r *Relay) chief() (Peer, bool) {
--- a/scripts/derive-site.sh
+++ b/scripts/derive-site.sh
@@ -14,5 +14,8 @@
 far-behind) sed 's/lag_ms = { mean = [0-9.]*, \(.*\)max = [0-9.]* }/lag_ms = { mean = 900.0, \1max = 3000.0 }/' "$site" | scale 0.5 ;;
 # Four times as many databases under the same load.
 many-services) sed 's/copies = 3, idle/copies = 12, idle/' "$site" ;;
-*) echo "derive-site.sh: one-slot, far-behind or many-services" >&2; exit 2 ;;
+# Three times as many machines before the same servers.
+hundred) awk '/class = "front"/ && /count = / && !/^small/ { match($0, /count = [0-9]+/); n = substr($0, RSTART + 8, RLENGTH - 8)
+  $0 = substr($0, 1, RSTART - 1) "count = " n * 3 substr($0, RSTART + RLENGTH) } { print }' "$site" ;;
+*) echo "derive-site.sh: one-slot, far-behind, many-services or hundred" >&2; exit 2 ;;
 esac
