Let replacements get through where callers press a group; read configurations through the looker

Ruled out: the store, the duty, the holds themselves. Questions of a replacement now insist on a connection and a slot until their time is over.

With the store lost, a proxy that reaches fewer than half of the primaries now counts as cut off.

Configurations are watched through the data centre's looker, who answers after 1 s at the latest. What such an answer says is as old as the looker's call to the store, so it is no sign that the store answers; and an overdue call is refused.

--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -109,7 +109,7 @@
 		Self:   rowrelay.Peer{VM: s.VM, DataCentre: s.DataCentre, Address: s.PeerAddress},
 		Store:  metered.New(store.New(s.MetadataAddress), m),
 		Shared: fleet.RecordTable,
-		Own:    map[string]bool{routes.Table: true},
+		Urgent: map[string]bool{routes.Table: true},
 		Bus:    bus,
 		Now:    boottime.Now,
 		Log:    log,
--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cranberrystage/cranberrystage/internal/links"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -51,20 +52,28 @@
 	return append(near, far...)
 }
 
-// ask puts a question of the proxy's own about the server's account.
+// ask puts a question of the proxy's own about the server's account. Most are
+// steps of a replacement, and without a primary callers press the servers that
+// are left: it insists on a connection and on a slot.
 func (u *Upstream) ask(ctx context.Context, st statement.Statement) (statement.Account, error) {
-	r, err := u.own(ctx, st)
-	if err != nil {
-		return statement.Account{}, err
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for {
+		r, err := u.own(ctx, st, u.pool.Insist)
+		if err == nil {
+			return accountOf(r, st)
+		}
+		if r.Code != statement.Busy || sleep.For(ctx, askPause) != nil {
+			return statement.Account{}, err
+		}
 	}
-	return accountOf(r, st)
 }
 
-// own runs a statement of the proxy's own on a connection of the pool.
-func (u *Upstream) own(ctx context.Context, st statement.Statement) (statement.Reply, error) {
+// own runs a statement of the proxy's own on a connection that get returns.
+func (u *Upstream) own(ctx context.Context, st statement.Statement, get getConn) (statement.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	c, err := u.Connect(ctx)
+	c, err := u.connect(ctx, get)
 	if err != nil {
 		return statement.Reply{}, err
 	}
@@ -72,7 +81,7 @@
 	r, err := u.Exchange(c, deadline, false, st)
 	if err != nil {
 		u.Discard(c)
-		return r, err
+		return statement.Reply{}, err
 	}
 	if st.Kind == statement.Reset {
 		c.State = preparation.Connection{}
@@ -84,10 +93,15 @@
 	return r, nil
 }
 
-// refreshPoint asks the primary for its position. A reset costs it no slot.
+// reset asks the server for its position, which costs it no slot.
+func (u *Upstream) reset(ctx context.Context) (statement.Reply, error) {
+	return u.own(ctx, statement.Statement{Kind: statement.Reset}, u.pooled)
+}
+
+// refreshPoint asks the primary for its position.
 func (f *Fleet) refreshPoint(ctx context.Context, l Leader) error {
 	at := f.Now()
-	r, err := l.Upstream.own(ctx, statement.Statement{Kind: statement.Reset})
+	r, err := l.Upstream.reset(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -192,13 +192,33 @@
 const isolatedAfter = 400 * time.Millisecond
 
 // Isolated reports whether this proxy is cut off: it reaches the store neither
-// itself nor through peers, and has since failed to show otherwise who leads.
-// Callers are served better elsewhere.
+// itself nor through peers, and has since failed to show otherwise who leads, or
+// reaches few primaries. Callers are served better elsewhere.
 func (f *Fleet) Isolated() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	lost := f.storeLostAt
-	return lost != 0 && f.Now().Sub(lost) > isolatedAfter && f.unprovenAt > lost
+	if lost == 0 || f.Now().Sub(lost) <= isolatedAfter {
+		return false
+	}
+	return f.unprovenAt > lost || f.reachesFewPrimaries()
+}
+
+// reachesFewPrimaries reports whether more than half of the primaries do not
+// answer this proxy. The lock must be held.
+func (f *Fleet) reachesFewPrimaries() bool {
+	known, silent := 0, 0
+	for _, g := range f.groups {
+		u, ok := f.upstreams[g.Primary]
+		if !ok {
+			continue
+		}
+		known++
+		if u.Unreachable() {
+			silent++
+		}
+	}
+	return 2*silent > known
 }
 
 // Run follows the platform until ctx ends.
--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -24,6 +24,9 @@
 	slowLook = 60 * time.Millisecond
 	// askTimeout bounds one question of the proxy's own to a server.
 	askTimeout = 400 * time.Millisecond
+	// askPause is the pause before a question that found the server's queue full
+	// is put again: about what one statement takes a slot.
+	askPause = 15 * time.Millisecond
 	// proofPause is the pause between two tries to get evidence.
 	proofPause = 15 * time.Millisecond
 	// proofTries bounds the tries to get evidence for one request.
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -145,7 +145,7 @@
 		return nil
 	}
 	at := f.Now()
-	r, err := l.Upstream.own(ctx, statement.Statement{Kind: statement.Reset})
+	r, err := l.Upstream.reset(ctx)
 	if err != nil || !f.LedAt(ctx, l, at) {
 		return nil
 	}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -88,9 +88,18 @@
 
 // Connect returns a connection to the server.
 func (u *Upstream) Connect(ctx context.Context) (*links.Conn, error) {
+	return u.connect(ctx, u.pooled)
+}
+
+// getConn is a way to get a connection.
+type getConn func(ctx context.Context) (*links.Conn, error)
+
+func (u *Upstream) pooled(ctx context.Context) (*links.Conn, error) { return u.pool.Get(ctx, false) }
+
+func (u *Upstream) connect(ctx context.Context, get getConn) (*links.Conn, error) {
 	token := u.began(false)
 	began := u.fleet.Now()
-	c, err := u.pool.Get(ctx, false)
+	c, err := get(ctx)
 	switch {
 	case err == nil:
 		u.forget(token)
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
+	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
@@ -21,6 +22,10 @@
 	watchPause = 150 * time.Millisecond
 )
 
+// answerAge is how old an answer may be, through a peer, to show that the store
+// answers: no older than what evidence holds for.
+const answerAge = freshness.Lease
+
 // Changes of servers come in bursts, and one call brings all that came
 // meanwhile; news of a primary is waited for by callers.
 const (
@@ -58,7 +63,9 @@
 			_ = sleep.For(ctx, watchPause+rand.N(watchPause)) // the loop looks at ctx
 			continue
 		}
-		f.storeAnswered(table)
+		if rows.Age <= answerAge {
+			f.storeAnswered(table)
+		}
 		if rows.Version < after {
 			f.log.Warn("The store answered with an older version.", "table", table, "version", rows.Version, "known", after)
 			_ = sleep.For(ctx, watchPause) // the loop looks at ctx
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/keep"
 	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
@@ -30,6 +31,9 @@
 	waitLimit = 100 * time.Millisecond
 	// fullPause is how long no connection is opened after the server had no room.
 	fullPause = 40 * time.Millisecond
+	// insistPause is the pause between two tries to open a connection for the
+	// proxy's own work; callers' tries pause for fullPause.
+	insistPause = 10 * time.Millisecond
 	// scarceFor is how long after the server had no room connections count as
 	// scarce: this pool opens no more than it had, and closes resting ones soon.
 	scarceFor = 2 * time.Second
@@ -135,6 +139,52 @@
 	}
 }
 
+// Insist returns a connection for the proxy's own work at a server that callers
+// keep full. It asks for one beyond this pool's limits, again and again until
+// ctx ends; ErrFull then.
+func (p *Pool) Insist(ctx context.Context) (*Conn, error) {
+	for {
+		c, err := p.rested()
+		if c == nil && err == nil {
+			c, err = p.dial(ctx)
+		}
+		if !errors.Is(err, ErrFull) {
+			return c, err
+		}
+		if sleep.For(ctx, insistPause) != nil {
+			return nil, ErrFull
+		}
+	}
+}
+
+// rested returns a resting connection, or none after it counted room for one.
+func (p *Pool) rested() (*Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	if c := p.takeIdle(); c != nil {
+		return c, nil
+	}
+	p.total++
+	return nil, nil
+}
+
+// takeIdle takes the connection that rests for the shortest time and is open;
+// nil if there is none. The lock must be held.
+func (p *Pool) takeIdle() *Conn {
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.Alive() {
+			return c
+		}
+		p.drop(c)
+	}
+	return nil
+}
+
 func (p *Pool) used() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -176,13 +226,10 @@
 	if p.closed {
 		return nil, nil, ErrClosed
 	}
-	for !fresh && len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if c.Alive() {
+	if !fresh {
+		if c := p.takeIdle(); c != nil {
 			return c, nil, nil
 		}
-		p.drop(c)
 	}
 	if fresh && p.total >= p.allowed() && len(p.idle) > 0 {
 		// A new connection is to tell whether the server answers, so an old one makes room.
--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -214,3 +214,44 @@
 		assert.Assert(t, o.slowest < target, "refused after %s", o.slowest)
 	})
 }
+
+// A primary crashes in a group whose replicas callers press by more than they
+// can do and hold almost all connections of, also in transactions that rest.
+// Seen on batbayar-stock-grown scale-1: who worked on the replacement got no
+// connection to the replicas, and the group stayed without a primary.
+func TestPrimaryOfAPressedGroupIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond = 600 // the 6 slots that are left do 250
+		w := newWorld(t, 12)
+		w.group.LimitSlots(3)
+		w.group.LimitQueue(12)
+		w.group.LimitConnections(16)
+		for _, id := range servers {
+			w.group.Change(id, func(s *dbgroup.Server) { s.SetWork(24 * time.Millisecond) })
+		}
+		stop := w.keepWriting()
+		defer stop()
+		time.Sleep(2 * time.Second)
+		var wg sync.WaitGroup
+		var brokenOff atomic.Int64
+		var led time.Duration
+		for i := range perSecond * 8 {
+			s := w.proxies[i%len(w.proxies)].session(bounded)
+			if i%5 > 0 {
+				wg.Go(func() { s.run(statement.Read, "item1") })
+			} else {
+				wg.Go(func() { s.transaction(4, &brokenOff) })
+			}
+			if i == perSecond {
+				w.group.Change("s1", (*dbgroup.Server).Crash)
+			}
+			if led == 0 && w.group.Primary() != "s1" && i > perSecond {
+				led = time.Duration(i-perSecond) * time.Second / perSecond
+			}
+			time.Sleep(time.Second / perSecond)
+		}
+		wg.Wait()
+		t.Logf("another primary after %s", led)
+		assert.Assert(t, led > 0 && led <= gapLimit+500*time.Millisecond, "another primary after %s", led)
+	})
+}
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -413,3 +413,31 @@
 		})
 	}
 }
+
+// A proxy that is cut off with its whole data centre sends its callers
+// elsewhere, also where the store was lost before and its groups' freshness was
+// kept up from replicas until then. Seen on batbayar-stock-grown trouble-1: the
+// one proxy of a data centre that did not count as cut off drew all its callers.
+func TestProxyThatIsCutOffSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		p := w.proxies[2]
+		serve := func(lasts time.Duration) {
+			s := p.session(newest)
+			for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				s.run(statement.Read, "item1")
+				w.write(s, "item1", 1)
+			}
+		}
+		serve(time.Second)
+		w.store.SetFaults(metadata.Faults{Down: true})
+		serve(300 * time.Millisecond)
+		assert.Assert(t, !p.fleet.Isolated(), "the servers still show who leads")
+		p.store.cut(true)
+		for _, id := range servers {
+			w.sever(p.vm, id, true)
+		}
+		serve(1500 * time.Millisecond)
+		assert.Assert(t, p.fleet.Isolated())
+	})
+}
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/peer/inquiry"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
 
@@ -43,14 +44,18 @@
 
 // WatchTable implements platform.Metadata.
 func (r *Relay) WatchTable(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Rows, error) {
-	q := question{Table: table, Watch: true, After: after, WaitMillis: wait.Milliseconds()}
-	if !r.Own[table] {
-		if p, ok := r.looker(); ok {
-			rows, err := r.ask(ctx, p, q, wait+peerTimeout)
-			if err == nil || errors.Is(err, platform.ErrHistoryLost) {
-				return rows, err
-			}
+	q := question{Table: table, Watch: true, After: after, WaitMillis: wait.Milliseconds(), PatienceMillis: wait.Milliseconds()}
+	if p, ok := r.looker(); ok && wait > 0 {
+		asked := q
+		if r.Urgent[table] {
+			asked.PatienceMillis = min(q.PatienceMillis, urgentPatience.Milliseconds())
 		}
+		rows, err := r.ask(ctx, p, asked, asked.patience()+peerTimeout)
+		if err == nil || errors.Is(err, platform.ErrHistoryLost) {
+			return rows, err
+		}
+		// Whether the store answers is to be known now.
+		q.WaitMillis, q.PatienceMillis = 0, 0
 	}
 	return r.read(ctx, q)
 }
@@ -58,25 +63,46 @@
 // direct asks the store itself.
 func (r *Relay) direct(ctx context.Context, q question) (platform.Rows, error) {
 	if q.Watch {
-		rows, err := r.sharedWatch(ctx, q)
-		r.directEnded(err)
-		return rows, err
+		w := r.storeWatch(ctx, q)
+		<-w.done
+		return w.rows, w.err
 	}
 	rows, err := r.Store.ReadTable(ctx, q.Table)
 	r.directEnded(err)
 	return rows, err
 }
 
-// sharedWatch waits for changes; calls for the same ones share one.
-func (r *Relay) sharedWatch(ctx context.Context, q question) (platform.Rows, error) {
-	key := q.Table + "/" + strconv.FormatUint(q.After, 10)
-	v, err, _ := r.reads.Do(key, func() (any, error) {
-		return r.Store.WatchTable(ctx, q.Table, q.After, q.wait())
-	})
-	if err != nil {
-		return platform.Rows{}, err
+// watchCall is a call to the store for changes. Its result may be read once
+// done is closed.
+type watchCall struct {
+	// began is when it was made, and overdue when the store should have answered.
+	began, overdue tables.Time
+	done           chan struct{}
+	rows           platform.Rows
+	err            error
+}
+
+// storeWatch returns the call for the same changes that is under way, or
+// begins one.
+func (r *Relay) storeWatch(ctx context.Context, q question) *watchCall {
+	key := fmt.Sprintf("%s/%d/%d", q.Table, q.After, q.WaitMillis)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w, ok := r.watches[key]; ok {
+		return w
 	}
-	return v.(platform.Rows), nil
+	now := r.Now()
+	w := &watchCall{began: now, overdue: now.Add(q.wait() + hedgeAfter), done: make(chan struct{})}
+	r.watches[key] = w
+	go func() {
+		w.rows, w.err = r.Store.WatchTable(context.WithoutCancel(ctx), q.Table, q.After, q.wait())
+		r.directEnded(w.err)
+		r.mu.Lock()
+		delete(r.watches, key)
+		r.mu.Unlock()
+		close(w.done)
+	}()
+	return w
 }
 
 // result is the end of one way to read.
@@ -116,7 +142,7 @@
 
 // patience returns how long the store may take until a peer is asked too.
 func (r *Relay) patience(q question) time.Duration {
-	if r.Own[q.Table] && !q.Watch {
+	if r.Urgent[q.Table] && !q.Watch {
 		return hedgeLarge
 	}
 	return hedgeAfter
@@ -217,8 +243,10 @@
 	return best, best.VM != r.Self.VM
 }
 
-// askAny asks up to two peers, those of this data centre first.
+// askAny asks up to two peers, those of this data centre first, and waits for
+// changes for a time. The store answers at once if there are any.
 func (r *Relay) askAny(ctx context.Context, q question, wait time.Duration) (platform.Rows, error) {
+	q.PatienceMillis = max(wait, peerTimeout/2).Milliseconds()
 	err := errors.Wrap(platform.ErrUnavailable, "no peer to ask")
 	for _, p := range r.candidates(2) {
 		var rows platform.Rows
@@ -338,9 +366,32 @@
 	if q.Table == r.Shared && !q.Watch {
 		return r.sharedLook(ctx)
 	}
+	if q.Watch {
+		return r.answerWatch(ctx, q)
+	}
 	return r.direct(ctx, q)
 }
 
+// answerWatch waits for changes for as long as the asker does. One call to the
+// store serves all askers, longer than each of them waits: that there is no
+// news is as old as that call. While the store owes its answer, this proxy
+// can't tell.
+func (r *Relay) answerWatch(ctx context.Context, q question) (platform.Rows, error) {
+	w := r.storeWatch(ctx, q)
+	patience := time.NewTimer(q.patience())
+	defer patience.Stop()
+	overdue := time.NewTimer(max(w.overdue.Sub(r.Now()), 0))
+	defer overdue.Stop()
+	select {
+	case <-w.done:
+		return w.rows, w.err
+	case <-overdue.C:
+		return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, "the store owes an answer")
+	case <-patience.C:
+		return platform.Rows{Version: q.After, Age: r.Now().Sub(w.began)}, nil
+	}
+}
+
 // sharedLook returns the newest look at the shared table, taking one if it is old.
 func (r *Relay) sharedLook(ctx context.Context) (platform.Rows, error) {
 	arrived := r.Now()
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -30,12 +30,16 @@
 	directoryFirst = time.Second
 	// hedgeAfter is how long the store may take until a peer is asked too.
 	hedgeAfter = 80 * time.Millisecond
-	// hedgeLarge is the same where a table is read whole that every proxy watches
-	// itself: 200 kB of configuration take a link of 10 Mbit/s 0.2 s, and a second
+	// hedgeLarge is the same where an urgent table is read whole: 200 kB of configuration take a link of 10 Mbit/s 0.2 s, and a second
 	// copy beside it twice that.
 	hedgeLarge = 300 * time.Millisecond
 	// peerTimeout bounds the wait for a peer's answer, beside the wait that was asked for.
 	peerTimeout = 300 * time.Millisecond
+	// urgentPatience is how long a peer is asked to wait for changes of an urgent
+	// table: with peerTimeout and the store's own time, a peer that goes silent
+	// delays news by less than half of the 5 s that the users' deployments allow a
+	// configuration.
+	urgentPatience = time.Second
 	// nearTimeout bounds the wait for a peer of the same data centre that has a look at hand.
 	nearTimeout = 60 * time.Millisecond
 	// farTimeout is the same for the peer that looks for all data centres; it
@@ -69,11 +73,15 @@
 	Watch      bool   `msgpack:"w,omitempty"`
 	After      uint64 `msgpack:"a,omitempty"`
 	WaitMillis int64  `msgpack:"m,omitempty"`
+	// PatienceMillis is how long the asker waits for the peer's answer.
+	PatienceMillis int64 `msgpack:"p,omitempty"`
 }
 
-// wait returns how long a watch waits for a change; 0 for a read.
+// wait returns how long a watch lets the store wait for a change; 0 for a read.
 func (q question) wait() time.Duration { return time.Duration(q.WaitMillis) * time.Millisecond }
 
+func (q question) patience() time.Duration { return time.Duration(q.PatienceMillis) * time.Millisecond }
+
 // mark tells two contents of a table apart: every write gives its row a greater
 // version, and a removal lessens the number.
 type mark struct {
@@ -122,10 +130,10 @@
 	Store platform.Metadata
 	// Shared is the table whose reads a data centre's proxies share.
 	Shared string
-	// Own are the tables whose changes every proxy watches itself, so that no
-	// peer's failure delays them.
-	Own map[string]bool
-	Bus inquiry.Bus
+	// Urgent are the tables whose changes must be heard in time also beside a
+	// peer that goes silent, and whose rows are large.
+	Urgent map[string]bool
+	Bus    inquiry.Bus
 	// Now is a clock that counts suspensions.
 	Now func() tables.Time
 	Log *slog.Logger
@@ -139,10 +147,11 @@
 	desk  *inquiry.Desk[question, answer]
 	reads singleflight.Group
 
-	mu     sync.Mutex
-	peers  []Peer
-	avoid  map[tables.VMID]tables.Time
-	misses map[tables.VMID]int
+	mu      sync.Mutex
+	watches map[string]*watchCall
+	peers   []Peer
+	avoid   map[tables.VMID]tables.Time
+	misses  map[tables.VMID]int
 	// lostAt is when the store stopped answering; 0 while it answers.
 	lostAt    tables.Time
 	triedAt   tables.Time
@@ -161,8 +170,9 @@
 		desk: inquiry.New[question, answer](inquiry.Options{
 			Address: o.Self.Address, Question: topicQuestion, Answer: topicAnswer, Bus: o.Bus, Log: log,
 		}),
-		avoid:  make(map[tables.VMID]tables.Time),
-		misses: make(map[tables.VMID]int),
+		watches: make(map[string]*watchCall),
+		avoid:   make(map[tables.VMID]tables.Time),
+		misses:  make(map[tables.VMID]int),
 	}
 }
 
--- a/internal/rowrelay/rowrelay_test.go
+++ b/internal/rowrelay/rowrelay_test.go
@@ -26,6 +26,20 @@
 	down bool
 	// slow is how long reading a table whole takes.
 	slow time.Duration
+	// mute says that calls for changes get no answer.
+	mute bool
+}
+
+func (p *path) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mute = true
+}
+
+func (p *path) isMute() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mute
 }
 
 func (p *path) slowDown(d time.Duration) {
@@ -66,6 +80,10 @@
 		time.Sleep(time.Second)
 		return platform.Rows{}, platform.ErrUnavailable
 	}
+	if p.isMute() {
+		time.Sleep(wait + 1500*time.Millisecond) // the store's client gives up
+		return platform.Rows{}, platform.ErrUnavailable
+	}
 	return p.Store.WatchTable(ctx, table, after, wait)
 }
 
@@ -86,7 +104,7 @@
 		vm := tables.VMID(string(rune('a' + i)))
 		p := &path{Store: s.store}
 		r := New(Options{
-			Self: Peer{VM: vm, DataCentre: dc, Address: string(vm)}, Store: p, Shared: shared, Own: map[string]bool{"own": true},
+			Self: Peer{VM: vm, DataCentre: dc, Address: string(vm)}, Store: p, Shared: shared, Urgent: map[string]bool{"own": true},
 			Bus: s.net.Bus(string(vm)), Now: func() tables.Time { return tables.Time(time.Since(began) + time.Hour) },
 			Log: slog.New(slog.DiscardHandler),
 		})
@@ -316,6 +334,55 @@
 	}
 }
 
+// The proxies of a data centre watch an urgent table through one of them: at
+// rest they cost the store no more than that one, and news comes at once. A
+// looker that falls silent, or whose call the store doesn't answer, delays
+// news by less than the bound.
+func TestUrgentChangesThroughTheLooker(t *testing.T) {
+	const bound = 3 * time.Second
+	for name, fault := range map[string]func(*set){
+		"no fault":      func(*set) {},
+		"silent looker": func(s *set) { s.net.Cut("a") },
+		"unanswered looker": func(s *set) {
+			s.paths[0].silence()
+			time.Sleep(fleet.WatchWait) // its next call has begun
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSet(t, "x", "x", "x", "x", "x", "x", "x", "x")
+				rows, err := s.relays[0].ReadTable(t.Context(), "own")
+				assert.NilError(t, err)
+				before := s.store.Calls()
+				heard := make(chan time.Duration, len(s.relays))
+				var put time.Time
+				for _, r := range s.relays[1:] {
+					go func() {
+						for {
+							next, err := r.WatchTable(t.Context(), "own", rows.Version, fleet.WatchWait)
+							if err == nil && len(next.Rows) > 0 {
+								heard <- time.Since(put)
+								return
+							}
+							time.Sleep(time.Millisecond)
+						}
+					}()
+				}
+				time.Sleep(10 * time.Second)
+				assert.Assert(t, s.store.Calls()-before <= 8, "%d calls in 10 s", s.store.Calls()-before)
+				fault(s)
+				put = time.Now()
+				s.store.Put("own", "k", []byte("new"))
+				for range s.relays[1:] {
+					took := <-heard
+					assert.Assert(t, took < bound, "heard after %s", took)
+					assert.Assert(t, name != "no fault" || took < 100*time.Millisecond, "heard after %s", took)
+				}
+			})
+		})
+	}
+}
+
 func TestQuestionsThatCantBeReadAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSet(t, "x", "y")
--- a/internal/standin/dbgroup/dbgroup.go
+++ b/internal/standin/dbgroup/dbgroup.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// LimitConnections bounds the sessions that each server takes, over all callers.
+func (g *Group) LimitConnections(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		s.connectionLimit = n
+	}
+}
+
 // IgnoreHolds makes the servers say that they are held and receive all the same.
 func (g *Group) IgnoreHolds() {
 	g.mu.Lock()
@@ -100,6 +109,9 @@
 	slots    chan struct{}
 	// queued counts the statements that wait for a slot, at most queueLimit; 0 is no bound.
 	queued, queueLimit int
+	// sessions are those that stand, at most connectionLimit; 0 is no bound.
+	sessions        map[*Session]bool
+	connectionLimit int
 }
 
 // New returns a group whose first server leads term 1.
@@ -112,7 +124,7 @@
 }
 
 func (g *Group) add(e tables.Entry) *Server {
-	s := &Server{g: g, entry: e, work: 4 * time.Millisecond, lag: Lag, up: true, term: g.term}
+	s := &Server{g: g, entry: e, work: 4 * time.Millisecond, lag: Lag, up: true, term: g.term, sessions: make(map[*Session]bool)}
 	g.servers[e.ID] = s
 	return s
 }
--- a/internal/standin/dbgroup/session.go
+++ b/internal/standin/dbgroup/session.go
@@ -44,8 +44,22 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &Session{s: s, life: s.lives, prepared: make(map[string]statement.Statement)},
-		statement.Reply{Position: s.appliedAt()}, nil
+	if s.full() {
+		return nil, statement.Reply{Code: statement.TooMany}, nil
+	}
+	c := &Session{s: s, life: s.lives, prepared: make(map[string]statement.Statement)}
+	s.sessions[c] = true
+	return c, statement.Reply{Position: s.appliedAt()}, nil
+}
+
+// full reports whether the server takes no more sessions.
+func (s *Server) full() bool {
+	for c := range s.sessions {
+		if c.broken() {
+			delete(s.sessions, c)
+		}
+	}
+	return s.connectionLimit > 0 && len(s.sessions) >= s.connectionLimit
 }
 
 // SetDeadline bounds the answers that follow.
