--- a/internal/burn/history.go
+++ b/internal/burn/history.go
@@ -4,6 +4,9 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/codes"
+	"github.com/cranberrystage/cranberrystage/internal/metrics"
 )
 
 // History holds snapshots of several proxies over time.
@@ -62,6 +65,18 @@
 	return inc
 }
 
+// Served returns how many requests succeeded from one time to another, over all
+// proxies.
+func (h *History) Served(from, to time.Time) float64 {
+	var n float64
+	for key, by := range h.between(from, to).counters {
+		if key.metric == metrics.RequestsTotal && key.code == codes.OK {
+			n += by
+		}
+	}
+	return n
+}
+
 // span returns the snapshots to compare for the time from from to to.
 func (s source) span(from, to time.Time) []Snapshot {
 	end := s.after(to)
--- a/internal/reportcmd/reportcmd.go
+++ b/internal/reportcmd/reportcmd.go
@@ -61,12 +61,15 @@
 // Run parses args, writes the report and returns the exit code.
 func Run(ctx context.Context, args []string, env Env) int {
 	c := &command{Env: env}
-	app := kingpin.New("cranberrystage-report", "Reports how fast services use up their error budgets.")
+	app := kingpin.New("cranberrystage-report", "Reports how fast services use up their error budgets, and draws runs.")
 	app.UsageWriter(env.Stderr).ErrorWriter(env.Stderr)
 	terminated := false
 	app.Terminate(func(int) { terminated = true })
-	c.declare(app)
-	_, err := app.Parse(args)
+	c.declare(app.Command("burn", "How fast services use up their error budgets.").Default())
+	p := &drawing{Env: env}
+	draw := app.Command("picture", "Draws a run from logs and metrics as an SVG picture.")
+	p.declare(draw)
+	chosen, err := app.Parse(args)
 	if terminated {
 		return ExitOK
 	}
@@ -74,14 +77,19 @@
 		fmt.Fprintln(env.Stderr, "cranberrystage-report:", err)
 		return ExitUsage
 	}
-	if err := c.run(ctx); err != nil {
+	if chosen == draw.FullCommand() {
+		err = p.run()
+	} else {
+		err = c.run(ctx)
+	}
+	if err != nil {
 		fmt.Fprintln(env.Stderr, err)
 		return ExitFailed
 	}
 	return ExitOK
 }
 
-func (c *command) declare(app *kingpin.Application) {
+func (c *command) declare(app *kingpin.CmdClause) {
 	app.Flag("declarations", "Directory of declarations with the objectives; may be repeated.").Required().StringsVar(&c.declarations)
 	app.Flag("short", "Length of the short window.").Default("5m").DurationVar(&c.options.Short)
 	app.Flag("long", "Length of the long window.").Default("1h").DurationVar(&c.options.Long)
@@ -132,14 +140,19 @@
 }
 
 func (c *command) write(r burn.Report) error {
-	if c.out == "" {
-		return c.encode(c.Stdout, r)
+	return writeTo(c.out, c.Stdout, func(w io.Writer) error { return c.encode(w, r) })
+}
+
+// writeTo lets encode write to the file called out, or to stdout if it is "".
+func writeTo(out string, stdout io.Writer, encode func(io.Writer) error) error {
+	if out == "" {
+		return encode(stdout)
 	}
-	f, err := os.Create(c.out)
+	f, err := os.Create(out)
 	if err != nil {
 		return errors.Wrap(err, "report file")
 	}
-	if err := c.encode(f, r); err != nil {
+	if err := encode(f); err != nil {
 		_ = f.Close()
 		return err
 	}
--- /dev/null
+++ b/internal/runplot/svg.go
@@ -0,0 +1,115 @@
+package runplot
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+//go:embed run.svg.tmpl
+var page string
+
+var picture = template.Must(template.New("run").Parse(page))
+
+// Sizes of the picture in its own units.
+const (
+	left, right = 60.0, 940.0
+	// rowHeight is that of one row of bars, and rowStep the distance of two.
+	rowHeight, rowStep = 80.0, 104.0
+	top                = 150.0
+	// labelStep keeps labels of marks that are close together apart.
+	labelStep, labelRows = 11.0, 10
+)
+
+// row is one kind of count as bars.
+type row struct {
+	Name, Class string
+	Y           float64 // of the base line
+	Most        float64
+	Bars        []bar
+}
+
+type bar struct{ X, Y, Width, Height float64 }
+
+type line struct {
+	X, LabelY float64
+	Label     string
+}
+
+type tick struct {
+	X    float64
+	Text string
+}
+
+type view struct {
+	Height, Top, Bottom float64
+	Rows                []row
+	Lines               []line
+	Ticks               []tick
+}
+
+// rows are the counts drawn, from the top.
+var rows = []struct {
+	name, class string
+	of          func(Bin) float64
+}{
+	{"served (metrics)", "good", func(b Bin) float64 { return b.Served }},
+	{"refused (log)", "bad", func(b Bin) float64 { return float64(b.Refused) }},
+	{"late (log)", "late", func(b Bin) float64 { return float64(b.Late) }},
+	{"proxies stopped", "fault", func(b Bin) float64 { return float64(b.Stopped) }},
+	{"proxies started", "fault", func(b Bin) float64 { return float64(b.Started) }},
+	{"proxies that lost the store", "fault", func(b Bin) float64 { return float64(b.Lost) }},
+	{"proxies cut off", "fault", func(b Bin) float64 { return float64(b.Isolated) }},
+}
+
+// WriteSVG writes the picture.
+func (r *Run) WriteSVG(w io.Writer) error {
+	return errors.Wrap(picture.Execute(w, r.view()), "runplot: write the picture")
+}
+
+func (r *Run) view() view {
+	v := view{Top: top}
+	base := top
+	for _, kind := range rows {
+		if kind.class == "good" && !r.Measured {
+			continue
+		}
+		base += rowStep
+		v.Rows = append(v.Rows, r.row(kind.name, kind.class, base, kind.of))
+	}
+	v.Bottom, v.Height = base, base+40
+	for i, m := range r.Marks {
+		v.Lines = append(v.Lines, line{X: r.x(m.At), Label: m.Label, LabelY: 30 + labelStep*float64(i%labelRows)})
+	}
+	for i := 0; i <= len(r.Bins); i += max(1, len(r.Bins)/12) {
+		at := r.From.Add(time.Duration(i) * r.Width)
+		v.Ticks = append(v.Ticks, tick{X: r.x(at), Text: at.Format("15:04:05")})
+	}
+	return v
+}
+
+func (r *Run) x(at time.Time) float64 {
+	whole := time.Duration(len(r.Bins)) * r.Width
+	return left + (right-left)*float64(at.Sub(r.From))/float64(whole)
+}
+
+func (r *Run) row(name, class string, base float64, of func(Bin) float64) row {
+	out := row{Name: name, Class: class, Y: base}
+	for _, b := range r.Bins {
+		out.Most = max(out.Most, of(b))
+	}
+	if out.Most == 0 {
+		return out
+	}
+	width := (right - left) / float64(len(r.Bins))
+	for i, b := range r.Bins {
+		if n := of(b); n > 0 {
+			h := rowHeight * n / out.Most
+			out.Bars = append(out.Bars, bar{X: left + width*float64(i), Y: base - h, Width: max(width-1, 0.5), Height: h})
+		}
+	}
+	return out
+}
--- a/scripts/derive-site.sh
+++ b/scripts/derive-site.sh
@@ -17,5 +17,9 @@
 # Three times as many machines before the same servers.
 hundred) awk '/class = "front"/ && /count = / && !/^small/ { match($0, /count = [0-9]+/); n = substr($0, RSTART + 8, RLENGTH - 8)
   $0 = substr($0, 1, RSTART - 1) "count = " n * 3 substr($0, RSTART + RLENGTH) } { print }' "$site" ;;
-*) echo "derive-site.sh: one-slot, far-behind, many-services or hundred" >&2; exit 2 ;;
+# All in the first data centre; none can be cut off.
+one-centre) first=$(sed -n 's/^ *{ name = "\([^"]*\)", region.*/\1/p' "$site" | head -1)
+  others=$(sed -n 's/^ *{ name = "\([^"]*\)", region.*/\1/p' "$site" | tail -n +2 | paste -sd '|')
+  sed -E "/^ *\{ name = \"($others)\", region/d; /kind = \"zone_cut\"/d; s/\"($others)\"/\"$first\"/g" "$site" ;;
+*) echo "derive-site.sh: one-slot, far-behind, many-services, hundred or one-centre" >&2; exit 2 ;;
 esac
