--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -52,10 +52,19 @@
 	return append(near, far...)
 }
 
-// ask puts a question of the proxy's own about the server's account. Most are
-// steps of a replacement, and without a primary callers press the servers that
-// are left: it insists on a connection and on a slot.
+// ask puts a question of the proxy's own about the server's account.
 func (u *Upstream) ask(ctx context.Context, st statement.Statement) (statement.Account, error) {
+	r, err := u.own(ctx, st, u.pooled)
+	if err != nil {
+		return statement.Account{}, err
+	}
+	return accountOf(r, st)
+}
+
+// insist is ask for the steps of a replacement. Without a primary callers press
+// the servers that are left, so it asks again until it gets a connection and a
+// slot.
+func (u *Upstream) insist(ctx context.Context, st statement.Statement) (statement.Account, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	for {
--- a/internal/fleet/holds.go
+++ b/internal/fleet/holds.go
@@ -57,7 +57,7 @@
 	if a.term == 0 {
 		accounts := make([]statement.Account, 0, len(members))
 		for _, u := range members {
-			if account, err := u.ask(ctx, statement.Statement{Kind: statement.Status}); err == nil {
+			if account, err := u.insist(ctx, statement.Statement{Kind: statement.Status}); err == nil {
 				accounts = append(accounts, account)
 			}
 		}
@@ -67,7 +67,7 @@
 		if _, ok := held[u.entry.ID]; ok {
 			continue
 		}
-		account, askErr := u.ask(ctx, statement.Statement{Kind: statement.Hold, Term: a.term})
+		account, askErr := u.insist(ctx, statement.Statement{Kind: statement.Hold, Term: a.term})
 		switch {
 		case askErr != nil:
 			missing, err = missing+1, askErr
@@ -90,7 +90,7 @@
 	if account.Term >= a.record.Term {
 		return
 	}
-	if _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: a.record.Term}); err != nil {
+	if _, err := u.insist(ctx, statement.Statement{Kind: statement.Demote, Term: a.record.Term}); err != nil {
 		a.f.log.Info("A primary that was replaced earlier was not told.", "group", a.id, "upstream", u.ID(), "error", err)
 	}
 }
@@ -113,7 +113,7 @@
 			delete(held, id)
 			continue
 		}
-		account, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+		account, err := u.insist(ctx, statement.Statement{Kind: statement.Status})
 		if err != nil || account.Held == 0 {
 			f.log.Info("A hold was lost.", "group", a.id, "upstream", id, "error", err)
 			delete(held, id)
@@ -130,7 +130,7 @@
 	if !ok || u.Unreachable() {
 		return
 	}
-	if _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: a.term}); err != nil {
+	if _, err := u.insist(ctx, statement.Statement{Kind: statement.Demote, Term: a.term}); err != nil {
 		f.log.Info("The old primary was not stopped.", "group", a.id, "upstream", u.ID(), "error", err)
 	}
 }
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -107,7 +107,7 @@
 	if !ok {
 		return 0, false
 	}
-	account, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+	account, err := u.insist(ctx, statement.Statement{Kind: statement.Status})
 	return account.Term, err == nil && account.Leads
 }
 
@@ -127,7 +127,7 @@
 	if !ok || old == id {
 		return nil
 	}
-	if _, err := u.ask(ctx, statement.Statement{Kind: statement.Demote, Term: term}); err != nil {
+	if _, err := u.insist(ctx, statement.Statement{Kind: statement.Demote, Term: term}); err != nil {
 		f.log.Info("The old primary was not told of its replacement.", "group", a.id, "upstream", old, "error", err)
 	}
 	return nil
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -153,7 +153,7 @@
 	}
 	first := make(map[*Upstream]statement.Account)
 	for _, u := range replicas {
-		account, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+		account, err := u.insist(ctx, statement.Statement{Kind: statement.Status})
 		if err != nil && (l.Upstream != nil || u.entry.ID != f.primaryOf(id)) {
 			return errors.Wrapf(err, "replica %s does not answer", u.ID())
 		}
@@ -166,7 +166,7 @@
 		return err
 	}
 	for u, before := range first {
-		after, err := u.ask(ctx, statement.Statement{Kind: statement.Status})
+		after, err := u.insist(ctx, statement.Statement{Kind: statement.Status})
 		if err == nil && replace.Feeds(before, after) {
 			return errors.Errorf("the primary feeds %s", u.ID())
 		}
@@ -218,7 +218,7 @@
 			f.log.Warn("The claim ran out before all replicas were let go.", "group", a.id)
 			return
 		}
-		if _, err := u.ask(ctx, statement.Statement{Kind: statement.Resume}); err != nil {
+		if _, err := u.insist(ctx, statement.Statement{Kind: statement.Resume}); err != nil {
 			f.log.Warn("A replica was not let go.", "group", a.id, "upstream", u.ID(), "error", err)
 		}
 	}
