Go on counting servers whose entries lapsed together until each had its time

The cut ends at 39.5; the primary's entry is back at 39.8, the replica's at 40.0, and in between a proxy takes the replica out of the list of members as ended, since its entry had been missing for 2.5 s and another replica had all. The replica receives commits again by then.

While the primary's own entry is missing no member counts as ended, and with each entry that comes back the other missing ones get their 2.5 s anew. Ruled out: the points told by a looker (their ages make them older, never newer), looks of a watch that ended without an answer (two seconds old, evidence holds for 0.4 s).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -91,6 +91,8 @@
 	storeLostAt tables.Time
 	// storeBackAt is when it answered again.
 	storeBackAt tables.Time
+	// entryBackAt is when a server's entry last came back that had been missing.
+	entryBackAt tables.Time
 	// unprovenAt is when evidence for a primary was last sought in vain.
 	unprovenAt tables.Time
 	duty       duty
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -88,9 +88,8 @@
 		if g.membersBusy || now < g.membersRest {
 			continue
 		}
-		present := f.present(id)
 		_, differs := replace.Members(g.members, f.entered(id), nil)
-		if differs || g.Primary != "" && len(replace.Ended(g.members, present, g.Primary)) > 0 {
+		if differs || len(f.ended(g)) > 0 {
 			g.membersBusy = true
 			out = append(out, id)
 		}
@@ -133,12 +132,21 @@
 	}
 }
 
+// ended returns the members that have ended. While the primary's own entry is
+// missing none has: both were cut off and may still work together. The lock must
+// be held.
+func (f *Fleet) ended(g *group) []tables.UpstreamID {
+	if u, ok := f.upstreams[g.Primary]; !ok || u.missingSince != 0 {
+		return nil
+	}
+	return replace.Ended(g.members, f.present(g.id), g.Primary)
+}
+
 // cover returns the members that ended and whose commits are surely elsewhere:
 // a replica that stays has received all that the primary had applied since.
 func (f *Fleet) cover(ctx context.Context, id tables.GroupID) []tables.UpstreamID {
 	f.mu.Lock()
-	g := f.group(id)
-	ended := replace.Ended(g.members, f.present(id), g.Primary)
+	ended := f.ended(f.group(id))
 	f.mu.Unlock()
 	l, _, _, ok := f.Leader(id)
 	if len(ended) == 0 || !ok {
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -206,6 +206,7 @@
 	}
 	if u.missingSince != 0 {
 		f.log.Info("A server's entry is back.", "upstream", e.ID, "group", e.Group, "missingFor", f.Now().Sub(u.missingSince))
+		f.entryBackAt = f.Now()
 	}
 	if u.slots != e.Slots {
 		u.slots = e.Slots
@@ -229,10 +230,13 @@
 }
 
 // missingWhileStoreAnswers returns since when an entry has been missing with
-// the store answering; 0 if it is there or the store is away. The lock must be held.
+// the store answering; 0 if it is there or the store is away. Entries that lapse
+// together come back one after the other, for instance those of a data centre
+// that was cut off: with each that does, the others get their time anew. The
+// lock must be held.
 func (f *Fleet) missingWhileStoreAnswers(u *Upstream) tables.Time {
 	if u.missingSince == 0 || f.storeLostAt != 0 {
 		return 0
 	}
-	return max(u.missingSince, f.storeBackAt)
+	return max(u.missingSince, f.storeBackAt, f.entryBackAt)
 }
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -441,3 +441,47 @@
 		assert.Assert(t, p.fleet.Isolated())
 	})
 }
+
+// A data centre with the primary and a replica in it is cut off: both entries
+// lapse, and come back one after the other. The replica that is still missing
+// receives commits again, so a replacement must go on counting it. Seen as STALE
+// on batbayar-stock-grown (hunt-0345-7): it was left out for 0.2 s, in which the
+// primary was replaced.
+func TestEntriesThatLapsedTogetherAreNotGoneOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		stop := w.keepWriting()
+		defer stop()
+		time.Sleep(2 * time.Second)
+		cut := func(on bool) {
+			for _, p := range w.proxies {
+				w.sever(p.vm, "s1", on)
+				w.sever(p.vm, "s3", on)
+			}
+		}
+		cut(true)
+		w.mark(w.gone, "s1")
+		w.mark(w.gone, "s3")
+		time.Sleep(3500 * time.Millisecond)
+		cut(false)
+		w.mu.Lock()
+		delete(w.gone, "s1")
+		w.mu.Unlock()
+		for range 50 {
+			time.Sleep(10 * time.Millisecond)
+			assert.Assert(t, strings.Contains(w.members(), "s3"), w.members())
+		}
+	})
+}
+
+// members returns the row of the group's members as the store has it.
+func (w *world) members() string {
+	rows, err := w.store.ReadTable(w.ctx, fleet.RecordTable)
+	assert.NilError(w.t, err)
+	for _, r := range rows.Rows {
+		if strings.HasPrefix(r.Key, "members/") {
+			return string(r.Value)
+		}
+	}
+	return ""
+}
