Let one set-up serve tests that wrote it again, and one choice of peers

No behaviour and no assertion changes: the loaded world, the three slots and the replicas left behind of the tests of package relay, its welcomed client, and the looks of package rowrelay are each written once. Near and candidates take the other proxies from one shuffled list.

--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -25,6 +25,21 @@
 	requests int
 }
 
+// threeSlots gives each server three slots, in which a statement takes work.
+func (w *world) threeSlots(work time.Duration) {
+	w.group.LimitSlots(3)
+	for _, id := range servers {
+		w.group.Change(id, func(s *dbgroup.Server) { s.SetWork(work) })
+	}
+}
+
+// leaveReplicasBehind lets no replica of s1 apply anything for the whole test.
+func (w *world) leaveReplicasBehind() {
+	for _, id := range servers[1:] {
+		w.group.Change(id, func(s *dbgroup.Server) { s.SetLag(time.Hour) })
+	}
+}
+
 // offer sends reads of a database to all proxies in turn for a time.
 func (w *world) offer(database string, perSecond int, lasts, target time.Duration) *offered {
 	o := &offered{}
@@ -68,13 +83,8 @@
 			perSecond = 250 // the primary's 3 slots do 125
 		)
 		w := newWorld(t, 3)
-		w.group.LimitSlots(3)
-		for _, id := range servers {
-			w.group.Change(id, func(s *dbgroup.Server) { s.SetWork(work) })
-		}
-		for _, id := range servers[1:] {
-			w.group.Change(id, func(s *dbgroup.Server) { s.SetLag(time.Hour) })
-		}
+		w.threeSlots(work)
+		w.leaveReplicasBehind()
 		stop := w.keepWriting()
 		defer stop()
 		time.Sleep(4 * time.Second)
@@ -98,14 +108,9 @@
 			lasts  = 8 * time.Second
 		)
 		w := newWorld(t, 12)
-		w.group.LimitSlots(3)
+		w.threeSlots(work)
 		w.group.LimitQueue(12)
-		for _, id := range servers {
-			w.group.Change(id, func(s *dbgroup.Server) { s.SetWork(work) })
-		}
-		for _, id := range servers[1:] {
-			w.group.Change(id, func(s *dbgroup.Server) { s.SetLag(time.Hour) })
-		}
+		w.leaveReplicasBehind()
 		stop := w.keepWriting()
 		defer stop()
 		time.Sleep(4 * time.Second)
@@ -159,10 +164,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const target = 400 * time.Millisecond
 		w := newWorld(t, 3)
-		w.group.LimitSlots(3)
-		for _, id := range servers {
-			w.group.Change(id, func(s *dbgroup.Server) { s.SetWork(24 * time.Millisecond) })
-		}
+		w.threeSlots(24 * time.Millisecond)
 		w.group.Change("s2", func(s *dbgroup.Server) { s.SetWork(120 * time.Millisecond) })
 		stop := w.keepWriting()
 		defer stop()
@@ -200,10 +202,7 @@
 			perSecond = 750 // the 9 slots do 375
 		)
 		w := newWorld(t, 3)
-		w.group.LimitSlots(3)
-		for _, id := range servers {
-			w.group.Change(id, func(s *dbgroup.Server) { s.SetWork(work) })
-		}
+		w.threeSlots(work)
 		stop := w.keepWriting()
 		defer stop()
 		time.Sleep(2 * time.Second)
@@ -223,12 +222,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const perSecond = 600 // the 6 slots that are left do 250
 		w := newWorld(t, 12)
-		w.group.LimitSlots(3)
+		w.threeSlots(24 * time.Millisecond)
 		w.group.LimitQueue(12)
 		w.group.LimitConnections(16)
-		for _, id := range servers {
-			w.group.Change(id, func(s *dbgroup.Server) { s.SetWork(24 * time.Millisecond) })
-		}
 		stop := w.keepWriting()
 		defer stop()
 		time.Sleep(2 * time.Second)
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -17,6 +17,16 @@
 	"gotest.tools/v3/assert"
 )
 
+// loadedWorld returns a world of three proxies that has been under load for
+// 2 s.
+func loadedWorld(t *testing.T) (*world, *load) {
+	t.Helper()
+	w := newWorld(t, 3)
+	l := w.startLoad()
+	time.Sleep(2 * time.Second)
+	return w, l
+}
+
 func TestCalmLoadIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 3)
@@ -34,9 +44,7 @@
 
 func TestCrashedPrimaryIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.group.Change("s1", (*dbgroup.Server).Crash)
 		time.Sleep(5 * time.Second)
 		l.end()
@@ -47,9 +55,7 @@
 
 func TestSilentPrimaryIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.group.Change("s1", func(s *dbgroup.Server) { s.SetSilent(true); s.SetIsolated(true) })
 		time.Sleep(6 * time.Second)
 		l.end()
@@ -59,9 +65,7 @@
 
 func TestLeavingPrimaryIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.mark(w.leaving, "s1")
 		time.Sleep(5 * time.Second)
 		l.end()
@@ -74,9 +78,7 @@
 // and its own log runs ahead.
 func TestPrimaryCutFromItsReplicasIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.group.Change("s1", func(s *dbgroup.Server) { s.SetIsolated(true) })
 		time.Sleep(8 * time.Second)
 		l.end()
@@ -86,9 +88,7 @@
 
 func TestPrimaryThatOneProxyCantReachStays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.sever("vm0", "s1", true)
 		time.Sleep(4 * time.Second)
 		w.sever("vm0", "s1", false)
@@ -182,9 +182,7 @@
 
 func TestStoreOutageMakesNoPromotion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.store.SetFaults(metadata.Faults{Down: true})
 		time.Sleep(8 * time.Second)
 		w.store.SetFaults(metadata.Faults{})
@@ -199,9 +197,7 @@
 // is back, and nothing is lost or read stale before.
 func TestPrimaryThatCrashesInAStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.store.SetFaults(metadata.Faults{Down: true})
 		time.Sleep(time.Second)
 		w.group.Change("s1", (*dbgroup.Server).Crash)
@@ -246,9 +242,7 @@
 // time is over, so that its caller can try another proxy.
 func TestUnreachablePrimaryIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.sever("vm0", "s1", true)
 		time.Sleep(3 * time.Second)
 		at := time.Now()
@@ -264,9 +258,7 @@
 // writes are refused soon after the primary was due, not held to their end.
 func TestWritesAreNotHeldWhileAnOrderHasNoEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.group.PromoteTakes = time.Hour
 		w.group.Change("s1", (*dbgroup.Server).Crash)
 		time.Sleep(4 * time.Second)
@@ -282,9 +274,7 @@
 // that was acknowledged, once they are held.
 func TestReadsGoOnDuringAReplacement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.mark(w.leaving, "s1")
 		time.Sleep(100 * time.Millisecond)
 		refused := make(map[string]int)
@@ -306,9 +296,7 @@
 // and went no further. Somebody has to lead again (random walk 1076).
 func TestDeposedPrimaryIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.group.Change("s1", (*dbgroup.Server).Depose)
 		time.Sleep(5 * time.Second)
 		r := w.write(w.proxies[0].session(newest), "last", 1)
@@ -323,9 +311,7 @@
 // of all proxies on batbayar-stock-grown: servers had no room for 3 s).
 func TestPeersTellHowFreshReplicasAre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		l := w.startLoad()
-		time.Sleep(2 * time.Second)
+		w, l := loadedWorld(t)
 		w.sever("vm0", "s1", true)
 		time.Sleep(3 * time.Second)
 		served := 0
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -78,6 +78,14 @@
 	return c
 }
 
+// welcomed connects a client whose session the proxy takes.
+func (l *pipeListener) welcomed(t *testing.T, database string) *client {
+	t.Helper()
+	c := l.connect(t, database)
+	assert.Equal(t, c.line(), "READY I -")
+	return c
+}
+
 func (c *client) send(line string) {
 	c.t.Helper()
 	_, err := c.nc.Write([]byte(line + "\r\n"))
@@ -122,8 +130,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		_, l := serveWorld(t, w)
-		c := l.connect(t, own)
-		assert.Equal(t, c.line(), "READY I -")
+		c := l.welcomed(t, own)
 		c.expect("WRITE jars 12", "DONE s1", "I")
 		c.expect("BEGIN", "DONE -", "T")
 		c.expect("WRITE jars 13", "DONE s1", "T")
@@ -177,8 +184,7 @@
 		w.startSlow = reading
 		_, l := serveProxy(t, w.startProxy(1))
 		at := time.Now()
-		c := l.connect(t, own)
-		assert.Equal(t, c.line(), "READY I -")
+		c := l.welcomed(t, own)
 		assert.Assert(t, time.Since(at) < reading+50*time.Millisecond, "welcomed after %s", time.Since(at))
 		c.expect("WRITE jars 12", "DONE s1", "I")
 	})
@@ -188,8 +194,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		_, l := serveWorld(t, w)
-		c := l.connect(t, own)
-		assert.Equal(t, c.line(), "READY I -")
+		c := l.welcomed(t, own)
 		c.send("GET / HTTP/1.1")
 		assert.Equal(t, c.line(), "closed")
 	})
@@ -202,8 +207,7 @@
 		w := newWorld(t, 1)
 		w.idleTransaction(2 * time.Second)
 		_, l := serveWorld(t, w)
-		c := l.connect(t, own)
-		assert.Equal(t, c.line(), "READY I -")
+		c := l.welcomed(t, own)
 		c.expect("BEGIN", "DONE -", "T")
 		c.expect("WRITE jars 1", "DONE s1", "T")
 		time.Sleep(3 * time.Second)
@@ -252,8 +256,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		s, l := serveWorld(t, w)
-		c := l.connect(t, own)
-		assert.Equal(t, c.line(), "READY I -")
+		c := l.welcomed(t, own)
 		c.expect("BEGIN", "DONE -", "T")
 		c.expect("WRITE jars 1", "DONE s1", "T")
 		s.CloseResting(false)
@@ -272,8 +275,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		s, l := serveWorld(t, w)
-		c := l.connect(t, own)
-		assert.Equal(t, c.line(), "READY I -")
+		c := l.welcomed(t, own)
 		synctest.Wait()
 		s.MoveResting()
 		assert.Equal(t, c.line(), "closed")
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -125,7 +125,7 @@
 		rows, err := r.direct(context.WithoutCancel(ctx), q)
 		done <- result{rows, err}
 	}()
-	timer := time.NewTimer(wait + r.patience(q))
+	timer := time.NewTimer(wait + r.hedge(q))
 	defer timer.Stop()
 	select {
 	case first := <-done:
@@ -140,8 +140,8 @@
 	}
 }
 
-// patience returns how long the store may take until a peer is asked too.
-func (r *Relay) patience(q question) time.Duration {
+// hedge returns how long the store may take until a peer is asked too.
+func (r *Relay) hedge(q question) time.Duration {
 	if r.Urgent[q.Table] && !q.Watch {
 		return hedgeLarge
 	}
@@ -257,16 +257,26 @@
 	return platform.Rows{}, err
 }
 
+// shuffled returns the other proxies in random order. The lock must be held.
+func (r *Relay) shuffled() []Peer {
+	others := make([]Peer, 0, len(r.peers))
+	for _, i := range rand.Perm(len(r.peers)) {
+		if p := r.peers[i]; p.VM != r.Self.VM {
+			others = append(others, p)
+		}
+	}
+	return others
+}
+
 // candidates returns up to n peers in random order, one of each data centre first.
 func (r *Relay) candidates(n int) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
 	var near, far []Peer
-	for _, i := range rand.Perm(len(r.peers)) {
-		p := r.peers[i]
+	for _, p := range r.shuffled() {
 		switch {
-		case p.VM == r.Self.VM || now < r.avoid[p.VM]:
+		case now < r.avoid[p.VM]:
 		case p.DataCentre == r.Self.DataCentre:
 			near = append(near, p)
 		default:
@@ -286,13 +296,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var near, far []string
-	for _, i := range rand.Perm(len(r.peers)) {
-		p := r.peers[i]
-		switch {
-		case p.VM == r.Self.VM:
-		case p.DataCentre == r.Self.DataCentre && len(near) < n/2:
+	for _, p := range r.shuffled() {
+		if p.DataCentre == r.Self.DataCentre && len(near) < n/2 {
 			near = append(near, p.Address)
-		default:
+		} else {
 			far = append(far, p.Address)
 		}
 	}
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -1,7 +1,8 @@
 // Package rowrelay lets proxies read the platform's metadata store through
 // each other: a proxy that the store turns away reads through one that it
 // serves, and the proxies of one data centre share their looks at the table of
-// records. Writes are never relayed: who can't reach the store decides nothing.
+// records, and their calls for changes, through the first of them by name, the
+// looker. Writes are never relayed: who can't reach the store decides nothing.
 package rowrelay
 
 import (
--- a/internal/rowrelay/rowrelay_test.go
+++ b/internal/rowrelay/rowrelay_test.go
@@ -183,19 +183,26 @@
 	})
 }
 
+// callsOfLooks lets each relay look 50 times in a second and returns what calls
+// that cost the store.
+func (s *set) callsOfLooks(t *testing.T) int {
+	t.Helper()
+	before := s.store.Calls()
+	for range 50 {
+		for _, r := range s.relays {
+			_, err := r.ReadTable(t.Context(), shared)
+			assert.NilError(t, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return s.store.Calls() - before
+}
+
 // Proxies of one data centre that look at the same time cost the store few calls.
 func TestLooksAreShared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSet(t, "x", "x", "x", "x", "x", "x", "x", "x")
-		before := s.store.Calls()
-		for range 50 {
-			for _, r := range s.relays {
-				_, err := r.ReadTable(t.Context(), shared)
-				assert.NilError(t, err)
-			}
-			time.Sleep(20 * time.Millisecond)
-		}
-		calls := s.store.Calls() - before
+		calls := s.callsOfLooks(t)
 		assert.Assert(t, calls <= 70, "%d calls for 400 looks", calls)
 	})
 }
@@ -204,16 +211,8 @@
 func TestLooksAreSharedBetweenDataCentres(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSet(t, "x", "y", "z", "x", "y", "z")
-		before := s.store.Calls()
-		for range 50 {
-			for _, r := range s.relays {
-				_, err := r.ReadTable(t.Context(), shared)
-				assert.NilError(t, err)
-			}
-			time.Sleep(20 * time.Millisecond)
-		}
 		// One look in 330 ms over a second.
-		calls := s.store.Calls() - before
+		calls := s.callsOfLooks(t)
 		assert.Assert(t, calls <= 6, "%d calls for 300 looks", calls)
 	})
 }
