Wait after an outage of the store until servers that joined show

A server that joined during an outage receives commits before its entry shows. The replacement held the two replicas that it knew; the primary acknowledged a commit that only the newcomer had; the order went out 61 ms before the newcomer's entry came.

Ruled out: lapsed entries (held all the same), the list of members, a lost hold.

--- a/internal/fleet/era.go
+++ b/internal/fleet/era.go
@@ -83,7 +83,7 @@
 	f.era = storeEra{number: era, seenAt: now}
 	// Entries of the copy and missing ones say something only after servers have
 	// written theirs again.
-	f.storeRegainedAt = now
+	f.storeRegainedAt, f.outageEndedAt = now, now
 	for _, g := range f.groups {
 		g.confirmation = confirmation{dueAt: confirm.At(now).Add(f.confirmJitter())}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -99,6 +99,8 @@
 	storeLostAt tables.Time
 	// storeRegainedAt is when the store last responded again after a loss.
 	storeRegainedAt tables.Time
+	// outageEndedAt is when the last outage of the store ended.
+	outageEndedAt tables.Time
 	// entryReturnedAt is when a missing entry of a server last reappeared.
 	entryReturnedAt tables.Time
 	// noEvidenceAt is when a search for lease evidence last failed.
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -130,7 +130,7 @@
 	now := f.Now()
 	var out []groupCheck
 	for id, g := range f.groups {
-		check := groupCheck{id: id, mayReplace: !g.attemptRunning && now >= g.nextReplaceAt && f.storeLostAt == 0 && f.confirmed(g)}
+		check := groupCheck{id: id, mayReplace: !g.attemptRunning && now >= g.nextReplaceAt && f.storeLostAt == 0 && f.confirmed(g) && f.serversKnown(now)}
 		u, ok := f.upstreams[g.Primary]
 		switch {
 		case g.record.Replacing && now.Sub(g.announcedAt) < recordOrderedAfter:
@@ -175,6 +175,14 @@
 	return f.entriesReadAt != 0 && now.Sub(max(f.entriesReadAt, f.storeRegainedAt)) >= replace.MissingTimeout
 }
 
+// serversKnown reports whether every server that may count for commits has an
+// entry. A server that joined during an outage of the store receives commits at
+// once, but its entry shows only after the outage: a replacement that doesn't hold
+// it would lose commits that no other replica has. The lock must be held.
+func (f *Fleet) serversKnown(now tables.Time) bool {
+	return f.entriesReadAt != 0 && now.Sub(max(f.entriesReadAt, f.outageEndedAt)) >= replace.MissingTimeout
+}
+
 // hasServers reports whether any server of a group is known. The lock must be
 // held.
 func (f *Fleet) hasServers(id tables.GroupID) bool {
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -21,6 +21,10 @@
 	// storeRetryDelay is the least pause after a failed call; a random part of up
 	// to the same length is added.
 	storeRetryDelay = 150 * time.Millisecond
+	// minOutage is the least time without the store that counts as an outage, in
+	// which servers can't write their entries. It is longer than the time until the
+	// retry of a call whose response was lost.
+	minOutage = 500 * time.Millisecond
 	// historyRetryDelay is the pause before a table is read again whose history is
 	// lost: a peer may still have rows of the store's earlier era.
 	historyRetryDelay = 20 * time.Millisecond
@@ -112,6 +116,9 @@
 	if f.storeLostAt != 0 {
 		now := f.Now()
 		f.log.Info("Regained the metadata store.", "table", table, "lostFor", now.Sub(f.storeLostAt))
+		if now.Sub(f.storeLostAt) >= minOutage {
+			f.outageEndedAt = now
+		}
 		f.storeLostAt, f.storeRegainedAt = 0, now
 	}
 }
