Serve reads without lease evidence, and confirm only what is proved

Covering points. Cause: reads of a group whose lease evidence had expired (idle before a drill or an outage of the store) were refused until the store proved the primary again. A commit is acknowledged once primary and a replica have it, so the newest position that all servers of the group have received covers every acknowledged commit, whoever leads. Reads without evidence ask all servers once, share the answer, and are refused at once for 300 ms if one is silent. Tests: TestIdleGroupServesReadsDuringDrill and ...DuringStoreOutage failed before. Ruled out: all servers but a silent primary. A server that joined while the store was away may have acknowledged commits with it.

--- a/internal/fleet/era.go
+++ b/internal/fleet/era.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/platform"
@@ -15,9 +16,15 @@
 )
 
 const (
-	// confirmSpread is, per proxy of the fleet, the time over which proxies start
-	// to confirm groups: one confirms and the others find its record.
-	confirmSpread = 20 * time.Millisecond
+	// writeSpread is, per proxy of the fleet, the time over which proxies spread a
+	// write that one of them has to make. It is about the time until the others see
+	// that it was made.
+	writeSpread = 20 * time.Millisecond
+	// minWriteSpread is the spread of a small fleet.
+	minWriteSpread = 300 * time.Millisecond
+	// noMemoryDelay is how much later a proxy confirms groups that started in the new
+	// era: another one may know of servers and terms that the copy lacks.
+	noMemoryDelay = time.Second
 	// confirmRetryDelay is the pause before a failed confirmation is tried again; a
 	// random part of the spread is added.
 	confirmRetryDelay = 300 * time.Millisecond
@@ -32,12 +39,16 @@
 	number uint64
 	// seenAt is when this proxy first saw the era; 0 for era 0.
 	seenAt tables.Time
+	// dueAt is the earliest time at which this proxy confirms groups.
+	dueAt tables.Time
 }
 
 // restoredRows are a group's rows of earlier eras. They prove nothing, but name
 // servers and terms to take into account.
 type restoredRows struct {
-	record  tables.PrimaryRecord
+	record tables.PrimaryRecord
+	// members are also the servers that this proxy has known since the era began:
+	// the stored list is not updated before the group is confirmed.
 	members []tables.UpstreamID
 	// keys are the keys of the rows, to remove them.
 	keys map[string]bool
@@ -84,12 +95,27 @@
 	// Entries of the copy and missing ones say something only after servers have
 	// written theirs again.
 	f.storeRegainedAt, f.outageEndedAt = now, now
+	due := confirm.At(now)
+	if f.entriesReadAt == 0 {
+		due = due.Add(noMemoryDelay)
+	}
 	for _, g := range f.groups {
-		g.confirmation = confirmation{dueAt: confirm.At(now).Add(f.confirmJitter())}
+		g.confirmation = confirmation{dueAt: due.Add(f.writeJitter())}
+		f.keepMembers(g, append(f.possiblyRunning(g.id), g.members...)...)
 	}
+	f.era.dueAt = due
 	f.countUnconfirmed()
 }
 
+// anyServer matches every server.
+func anyServer(*Upstream) bool { return true }
+
+// keepMembers adds servers to the members to be written with the group's record. The
+// lock must be held.
+func (f *Fleet) keepMembers(g *group, ids ...tables.UpstreamID) {
+	g.restored.members, _ = replace.Members(g.restored.members, ids, nil)
+}
+
 // entriesRewriteTime is how long after the store's return living servers have
 // written their entries again.
 const entriesRewriteTime = 2500 * time.Millisecond
@@ -100,9 +126,9 @@
 	return f.era.number > 0 && f.Now().Sub(f.era.seenAt) < entriesRewriteTime
 }
 
-// confirmJitter returns a random delay within the spread of all proxies.
-func (f *Fleet) confirmJitter() time.Duration {
-	return rand.N(confirmSpread * time.Duration(max(f.Proxies(), 1)))
+// writeJitter returns a random delay within the spread of all proxies.
+func (f *Fleet) writeJitter() time.Duration {
+	return rand.N(max(minWriteSpread, writeSpread*time.Duration(f.Proxies())))
 }
 
 // confirmed reports whether the group's record belongs to the present era. In era
@@ -145,7 +171,10 @@
 		return
 	}
 	g.restored.record = confirm.Newest(g.restored.record, record)
-	g.restored.members, _ = replace.Members(g.restored.members, members, nil)
+	if key.kind == membersRow && (tables.Version{Era: key.era, Counter: r.Version}).Compare(g.membersVersion) >= 0 {
+		// Otherwise this proxy knows a later list.
+		f.keepMembers(g, members...)
+	}
 }
 
 // applyIn applies a change to rows of an era and returns the version of the rows
@@ -174,8 +203,7 @@
 	}
 	var out []tables.GroupID
 	for id, g := range f.groups {
-		due := max(g.confirmation.dueAt, confirm.At(f.era.seenAt))
-		if f.confirmed(g) || g.confirmation.running || now < due || !f.hasServers(id) {
+		if f.confirmed(g) || g.confirmation.running || now < max(g.confirmation.dueAt, f.era.dueAt) || !f.hasServers(id) {
 			continue
 		}
 		g.confirmation.running = true
@@ -192,7 +220,7 @@
 	defer f.mu.Unlock()
 	g := f.group(id)
 	g.confirmation.running = false
-	g.confirmation.dueAt = f.Now().Add(confirmRetryDelay + f.confirmJitter())
+	g.confirmation.dueAt = f.Now().Add(confirmRetryDelay + f.writeJitter())
 	switch {
 	case err == nil:
 		g.confirmation.reason = ""
@@ -213,25 +241,45 @@
 	f.mu.Lock()
 	g := f.group(id)
 	era, confirmed := f.era.number, f.confirmed(g)
-	current, known := g.record, confirm.Newest(g.record, g.restored.record)
+	current := g.record
 	f.mu.Unlock()
 	if confirmed {
 		return current, nil
 	}
 	servers := f.queryServers(ctx, id)
-	record, err := confirm.Decide(confirm.View{Known: known, Servers: servers})
+	record, err := confirm.Decide(f.viewOf(g, servers))
 	if err != nil {
 		return record, err
 	}
 	return record, f.writeConfirmed(ctx, id, era, record)
 }
 
+// viewOf returns what this proxy knows about a group.
+func (f *Fleet) viewOf(g *group, servers []confirm.Server) confirm.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := confirm.Newest(g.record, g.restored.record)
+	if known.Primary == "" && known.Term == 0 {
+		// A group that was never replaced has no record.
+		known.Primary = g.Primary
+	}
+	return confirm.View{Known: known, Proven: g.Primary == known.Primary && g.LedAt(f.Now()), Servers: servers}
+}
+
+// possibleMembers returns every server whose log may hold commits of a group: those
+// listed, and those that this proxy knows, also without an entry. The lock must be
+// held.
+func (f *Fleet) possibleMembers(g *group) []tables.UpstreamID {
+	known := upstreamIDs(f.serversWhere(g.id, anyServer))
+	ids, _ := replace.Members(g.members, append(known, g.restored.members...), nil)
+	return ids
+}
+
 // queryServers returns the status of each server that may belong to a group.
 func (f *Fleet) queryServers(ctx context.Context, id tables.GroupID) []confirm.Server {
 	f.mu.Lock()
 	g := f.group(id)
-	entered := f.withEntry(id)
-	ids, _ := replace.Members(g.members, append(entered, g.restored.members...), nil)
+	ids := f.possibleMembers(g)
 	upstreams := make([]*Upstream, len(ids))
 	servers := make([]confirm.Server, len(ids))
 	for i, server := range ids {
@@ -242,13 +290,17 @@
 		upstreams[i] = u
 	}
 	f.mu.Unlock()
+	var wg sync.WaitGroup
 	for i, u := range upstreams {
 		if servers[i].Terminated {
 			continue
 		}
-		status, err := u.runControlWithRetry(ctx, statement.Statement{Kind: statement.Status})
-		servers[i].Status, servers[i].Answered = status, err == nil
+		wg.Go(func() {
+			status, err := u.runControlWithRetry(ctx, statement.Statement{Kind: statement.Status})
+			servers[i].Status, servers[i].Answered = status, err == nil
+		})
 	}
+	wg.Wait()
 	return servers
 }
 
@@ -257,7 +309,7 @@
 func (f *Fleet) writeConfirmed(ctx context.Context, id tables.GroupID, era uint64, record tables.PrimaryRecord) error {
 	f.mu.Lock()
 	g := f.group(id)
-	members, _ := replace.Members(g.members, append(f.withEntry(id), g.restored.members...), nil)
+	members := f.possibleMembers(g)
 	var obsolete []string
 	for key := range g.restored.keys {
 		obsolete = append(obsolete, key)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -129,6 +129,8 @@
 	usedAt tables.Time
 	// pointRequestedAt is when the newest freshness point was last requested.
 	pointRequestedAt tables.Time
+	// nextCoveringAt is the earliest time of the next query for a covering point.
+	nextCoveringAt tables.Time
 	// attemptRunning says that this proxy is replacing the primary or recording a
 	// new one.
 	attemptRunning bool
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
+	"github.com/cranberrystage/cranberrystage/internal/systems/confirm"
 	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
 	"github.com/cranberrystage/cranberrystage/internal/systems/place"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -27,6 +28,9 @@
 		if ok {
 			return need, true
 		}
+		if try > 0 && f.fetchCoveringPoint(ctx, id) {
+			continue
+		}
 		l, changed, expected, led := f.Leader(id)
 		switch {
 		case led:
@@ -52,6 +56,38 @@
 	_ = sleep.For(ctx, evidenceRetryDelay) // the caller checks ctx
 }
 
+// coveringRetryDelay is the pause after a server did not answer before all servers of
+// a group are asked again.
+const coveringRetryDelay = 300 * time.Millisecond
+
+// fetchCoveringPoint asks all servers of a group for what they have received and
+// records the answer as a covering point. Concurrent calls for a group share one
+// query. It returns false if a server doesn't answer, or did not shortly before.
+func (f *Fleet) fetchCoveringPoint(ctx context.Context, id tables.GroupID) bool {
+	f.mu.Lock()
+	wait := f.Now() < f.group(id).nextCoveringAt
+	f.mu.Unlock()
+	if wait || ctx.Err() != nil {
+		return false
+	}
+	ok, _, _ := f.lookups.Do("covering/"+string(id), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), queryTimeout)
+		defer cancel()
+		at := f.Now()
+		position, ok := confirm.NewestReceived(f.queryServers(ctx, id))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		g := f.group(id)
+		if !ok {
+			g.nextCoveringAt = f.Now().Add(coveringRetryDelay)
+			return false, nil
+		}
+		g.AddCovering(freshness.Point{At: at, Position: position})
+		return true, nil
+	})
+	return ok.(bool)
+}
+
 // queryPeers queries peers for the freshness of a group. Concurrent calls for a
 // group share one query.
 func (f *Fleet) queryPeers(ctx context.Context, id tables.GroupID) bool {
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -242,6 +242,9 @@
 	}
 	u.leaving, u.claimsToLead, u.missingSince = e.Leaving, e.ClaimsToLead, 0
 	u.newest = e
+	if g := f.group(e.Group); !f.confirmed(g) {
+		f.keepMembers(g, e.ID)
+	}
 }
 
 // takenBack reports whether an entry says less than what is known of its server: the
--- a/internal/relay/drill_test.go
+++ b/internal/relay/drill_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
+	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/confirm"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -127,6 +128,44 @@
 	return rows, err
 }
 
+// Reads of an idle group are served during a drill, though nothing proves who leads:
+// all servers together show what may have been acknowledged.
+func TestIdleGroupServesReadsDuringDrill(t *testing.T) {
+	for _, database := range []string{newest, bounded, own} {
+		t.Run(database, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tc := newTestCluster(t, 3)
+				tc.write(tc.proxies[0].session(newest), "item", 1)
+				time.Sleep(5 * time.Second)
+				tc.store.Drill(rand.New(rand.NewPCG(1, 1)), drillAway, 3*time.Second)
+				for range 20 {
+					time.Sleep(drillAway / 2)
+					r, stale := tc.read(tc.proxies[1].session(database), "item")
+					assert.Equal(t, r.Code, statement.OK, r.Detail)
+					assert.Assert(t, !stale)
+					tc.write(tc.proxies[0].session(newest), "other", 1)
+				}
+			})
+		})
+	}
+}
+
+// The same while the store is down: the lease evidence of an idle group has expired.
+func TestIdleGroupServesReadsDuringStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		tc.write(tc.proxies[0].session(newest), "item", 1)
+		time.Sleep(5 * time.Second)
+		tc.store.SetFaults(metadata.Faults{Down: true})
+		time.Sleep(2 * time.Second)
+		for _, p := range tc.proxies {
+			r, stale := tc.read(p.session(bounded), "item")
+			assert.Equal(t, r.Code, statement.OK, r.Detail)
+			assert.Assert(t, !stale)
+		}
+	})
+}
+
 // takeBackReplacement replaces a primary that is cut off from its replicas and still
 // claims to lead. The store then comes back from a copy without the new primary's
 // record, and all proxies restart.
--- a/internal/relay/read.go
+++ b/internal/relay/read.go
@@ -126,7 +126,7 @@
 	case ctx.Err() != nil:
 		return q.timeout(o), true
 	case unproven:
-		return q.refuse(codes.NotConfirmed, "nothing shows that the primary still leads"), true
+		return q.read(), true
 	case !q.waitToRetry():
 		return q.refuse(codes.UpstreamLost, "the primary does not answer"), true
 	}
--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// keptDrillSeeds are seeds that failed in the past, with the cause.
+var keptDrillSeeds = []uint64{
+	3008, // two servers that had ended counted as proof that no other leads
+	3097, // a server without an entry was missing from the members of a new era
+	3115, // a primary was demoted by a replacement that the drill ended; nobody led
+	4057, // the same
+	6078, // the same
+}
+
+func TestKeptSeedsWithDrills(t *testing.T) {
+	for _, seed := range keptDrillSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomWalk(t, seed, allKinds) })
+		})
+	}
+}
+
 func randomWalk(t *testing.T, seed uint64, kinds int) {
 	tc := newTestCluster(t, 3)
 	l := tc.walk(seed, kinds)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,7 +33,7 @@
 var faults = []fault{
 	killProxy, killProxy, pauseProxy, pauseProxy, terminateProxy, reload,
 	slowLink, resetLink, cutLink, cutLink, silenceLink, refuseLink,
-	storeDown, storeLosesReplies, storeLate, storeSlow, storeDropsHistory, entriesExpire, drill, drill,
+	storeDown, storeLosesReplies, storeLate, storeSlow, storeDropsHistory, entriesExpire, drill,
 	crashServer, crashServer, silentServer, stopReceiving, isolateServer, lagServer, planReplacement,
 }
 
@@ -42,6 +42,7 @@
 func (s *Soak) inject(ctx context.Context) {
 	r := rand.New(rand.NewPCG(s.Seed, 0))
 	var open sync.WaitGroup
+	open.Go(func() { s.drillOnce(ctx) })
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		name, undo := faults[r.IntN(len(faults))](s, r)
 		duration := time.Duration(r.Int64N(int64(maxFaultDuration)))
@@ -55,6 +56,17 @@
 	open.Wait()
 }
 
+// drillOnce makes the store come back from an older copy at a random time, so that
+// every run has a drill.
+func (s *Soak) drillOnce(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.Seed, 1))
+	if sleep.For(ctx, time.Duration(r.Int64N(int64(s.FaultDuration)))) != nil {
+		return
+	}
+	name, _ := drill(s, r)
+	s.recordStep("%s", name)
+}
+
 func (s *Soak) randomProxy(r *rand.Rand) *proxy { return s.proxies[r.IntN(len(s.proxies))] }
 
 func noop() {}
--- a/internal/systems/freshness/freshness.go
+++ b/internal/systems/freshness/freshness.go
@@ -19,6 +19,14 @@
 // So does a commit that was sent at t and that the primary acknowledged after a
 // replica had received it.
 //
+// # Covering points
+//
+// A commit is acknowledged once it is in the log of the primary and of a replica. So
+// if every server of a group reports what it has received, the newest of these
+// positions covers every commit acknowledged before, whoever leads. Such a point needs
+// no lease evidence. It serves reads when evidence is missing, for instance of a group
+// that was idle when the store was lost.
+//
 // # Frozen groups
 //
 // While all replicas are held and the new primary is not recorded yet, no server
@@ -74,6 +82,23 @@
 	frozenProvenAt tables.Time
 	// points are in ascending order of At.
 	points []Point
+	// covering are the newest covering points, in ascending order of At.
+	covering []Point
+}
+
+// maxCoveringPoints is the maximum number of covering points kept for one group.
+const maxCoveringPoints = 20
+
+// AddCovering adds a covering point: p.Position is the newest one that any server of
+// the group had received, and every server was asked after p.At.
+func (l *Leadership) AddCovering(p Point) {
+	if n := len(l.covering); n > 0 && p.At <= l.covering[n-1].At {
+		return
+	}
+	l.covering = append(l.covering, p)
+	if drop := len(l.covering) - maxCoveringPoints; drop > 0 {
+		l.covering = append(l.covering[:0], l.covering[drop:]...)
+	}
 }
 
 // SetPrimary sets the primary that a record names. It drops points of another
@@ -84,7 +109,7 @@
 	}
 	points := l.points
 	wasFrozen := l.Frozen != (tables.Position{})
-	*l = Leadership{Primary: primary, Record: record}
+	*l = Leadership{Primary: primary, Record: record, covering: l.covering}
 	if wasFrozen {
 		// The new primary has received the frozen position, so the points remain valid.
 		l.points = points
@@ -101,7 +126,7 @@
 	if l.Record == record && l.Frozen == position {
 		return
 	}
-	*l = Leadership{Record: record, Frozen: position}
+	*l = Leadership{Record: record, Frozen: position, covering: l.covering}
 }
 
 // AddEvidence adds lease evidence for the primary of a record; at is the start of
@@ -159,7 +184,15 @@
 func (l *Leadership) RequiredPosition(notBefore tables.Time) (required tables.Position, ok bool) {
 	for _, p := range l.points {
 		if p.At >= notBefore {
-			return p.Position, p.At <= l.ProvenAt || l.LedAt(p.At)
+			if p.At <= l.ProvenAt || l.LedAt(p.At) {
+				return p.Position, true
+			}
+			break
+		}
+	}
+	for _, p := range l.covering {
+		if p.At >= notBefore {
+			return p.Position, true
 		}
 	}
 	return tables.Position{}, false
--- a/internal/systems/freshness/freshness_test.go
+++ b/internal/systems/freshness/freshness_test.go
@@ -165,3 +165,18 @@
 	_, ok = l.Report(at(1100))
 	assert.Assert(t, !ok, "no primary")
 }
+
+// A covering point needs no evidence and outlives a change of the primary.
+func TestCoveringPointNeedsNoEvidence(t *testing.T) {
+	l := newLeadership()
+	l.AddCovering(Point{At: at(5000), Position: pos(9)})
+	_, ok := l.RequiredPosition(at(5001))
+	assert.Assert(t, !ok)
+	l.SetPrimary("q", rec(2))
+	l.AddPoint("q", rec(2), Point{At: at(5200), Position: pos(11)})
+	need, ok := l.RequiredPosition(at(5000))
+	assert.Assert(t, ok)
+	assert.Equal(t, need, pos(9))
+	_, ok = l.RequiredPosition(at(5001))
+	assert.Assert(t, !ok, "nothing proves the point of q")
+}
