Keep the count of unconfirmed groups right at every proxy

A proxy that learnt of a confirmation by its watch kept counting the group as unconfirmed, because the metric was set only by its own attempts.

--- a/internal/fleet/entries_test.go
+++ b/internal/fleet/entries_test.go
@@ -18,11 +18,26 @@
 // fleetUnderTest is a fleet without store and servers, on a clock of its own.
 type fleetUnderTest struct {
 	*Fleet
-	now tables.Time
+	registry *prometheus.Registry
+	now      tables.Time
+}
+
+// unconfirmedGroups returns the metric of unconfirmed groups.
+func (f *fleetUnderTest) unconfirmedGroups(t *testing.T) float64 {
+	t.Helper()
+	families, err := f.registry.Gather()
+	assert.NilError(t, err)
+	for _, family := range families {
+		if family.GetName() == metrics.UnconfirmedGroups {
+			return family.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	t.Fatal("the metric is missing")
+	return 0
 }
 
 func newFleetUnderTest() *fleetUnderTest {
-	f := &fleetUnderTest{now: tables.Time(time.Hour)}
+	f := &fleetUnderTest{registry: prometheus.NewRegistry(), now: tables.Time(time.Hour)}
 	f.Fleet = New(Options{
 		VM: "vm0", DataCentre: "dc0",
 		Codec: Codec{EntryTable: "servers", Entry: func(_ string, value []byte) (tables.Entry, error) {
@@ -33,7 +48,7 @@
 		Proxies: func() int { return 1 },
 		Now:     func() tables.Time { return f.now },
 		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Metrics: metrics.New(prometheus.NewRegistry()),
+		Metrics: metrics.New(f.registry),
 	})
 	return f
 }
@@ -122,10 +137,12 @@
 	f.applyRecords(platform.Rows{Era: 1, Version: 9, Rows: []platform.TableRow{row}}, true, f.now)
 	assert.Assert(t, !g.LedAt(f.now), "the row is that of an older copy")
 	assert.Equal(t, g.Primary, tables.UpstreamID("s"), "the primary is still known")
+	assert.Equal(t, f.unconfirmedGroups(t), 1.0)
 	confirmed := platform.TableRow{Key: rowKey{era: 1, kind: recordRow, group: "g"}.String(), Value: record, Version: 4}
 	f.applyRecords(platform.Rows{Era: 1, Version: 9, Rows: []platform.TableRow{row, confirmed}}, true, f.now)
 	assert.Assert(t, g.LedAt(f.now))
 	assert.Equal(t, g.version, tables.Version{Era: 1, Counter: 4})
+	assert.Equal(t, f.unconfirmedGroups(t), 0.0)
 }
 
 func TestRowKeys(t *testing.T) {
--- a/internal/fleet/era.go
+++ b/internal/fleet/era.go
@@ -50,8 +50,8 @@
 	// members are also the servers that this proxy has known since the era began:
 	// the stored list is not updated before the group is confirmed.
 	members []tables.UpstreamID
-	// keys are the keys of the rows, to remove them.
-	keys map[string]bool
+	// versions are the versions of the rows by key.
+	versions map[string]uint64
 }
 
 // confirmation is the state of confirming a group's primary in a new era.
@@ -151,13 +151,13 @@
 // applyRestored takes a row of an earlier era into account. The lock must be held.
 func (f *Fleet) applyRestored(key rowKey, r platform.TableRow) {
 	g := f.group(key.group)
-	if f.confirmed(g) || g.restored.keys[r.Key] {
+	if f.confirmed(g) || g.restored.versions[r.Key] == r.Version {
 		return
 	}
-	if g.restored.keys == nil {
-		g.restored.keys = make(map[string]bool)
+	if g.restored.versions == nil {
+		g.restored.versions = make(map[string]uint64)
 	}
-	g.restored.keys[r.Key] = true
+	g.restored.versions[r.Key] = r.Version
 	var record tables.PrimaryRecord
 	var members []tables.UpstreamID
 	var err error
@@ -230,11 +230,11 @@
 		g.confirmation.reason = err.Error()
 		f.log.Warn("Could not confirm the primary of a group yet.", "group", id, "era", f.era.number, "error", err)
 	}
-	f.countUnconfirmed()
 }
 
 func (f *Fleet) tryConfirmGroup(ctx context.Context, id tables.GroupID) (tables.PrimaryRecord, error) {
-	// The rows of earlier eras are read again: other proxies may have written since.
+	// A coordinator that did not know of the new era may have written to rows of its
+	// own since they were read.
 	if err := f.readRecords(ctx); err != nil {
 		return tables.PrimaryRecord{}, errors.Wrap(err, "read the records")
 	}
@@ -311,7 +311,7 @@
 	g := f.group(id)
 	members := f.possibleMembers(g)
 	var obsolete []string
-	for key := range g.restored.keys {
+	for key := range g.restored.versions {
 		obsolete = append(obsolete, key)
 	}
 	f.mu.Unlock()
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -67,10 +67,12 @@
 	if record.Replacing && !g.record.Replacing {
 		g.announcedAt = f.Now()
 	}
-	if version.Era > g.version.Era {
+	newEra := version.Era > g.version.Era
+	g.record, g.version = record, version
+	if newEra {
 		g.restored = restoredRows{}
+		f.countUnconfirmed()
 	}
-	g.record, g.version = record, version
 	f.updateLeader(g)
 }
 
