--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -102,6 +102,7 @@
 func TestRandomWalk(t *testing.T) {
 	for seed := *walkFirst; seed < *walkFirst+uint64(*walkSeeds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { randomWalk(t, seed, kindsWithoutDrills) })
 		})
 	}
@@ -112,6 +113,7 @@
 func TestRandomWalkWithDrills(t *testing.T) {
 	for seed := *walkFirst; seed < *walkFirst+uint64(*walkSeeds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { randomWalk(t, seed, allKinds) })
 		})
 	}
@@ -129,6 +131,7 @@
 func TestKeptSeedsWithDrills(t *testing.T) {
 	for _, seed := range keptDrillSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { randomWalk(t, seed, allKinds) })
 		})
 	}
