--- a/internal/peer/rpc/rpc.go
+++ b/internal/peer/rpc/rpc.go
@@ -22,6 +22,10 @@
 	Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error)
 }
 
+// largeResponseBytes is the size from which a late response is logged: it took
+// noticeable time on the link and was of no use.
+const largeResponseBytes = 16 << 10
+
 // ErrTimeout means that no response arrived before the timeout.
 var ErrTimeout = errors.New("no response from a peer before the timeout")
 
@@ -123,6 +127,7 @@
 	for m := range in {
 		var resp response[Resp]
 		err := msgpack.Unmarshal(m.Payload, &resp)
+		size := len(m.Payload)
 		m.Ack()
 		if err != nil {
 			e.Log.Warn("Ignored a malformed response from a peer.", "error", err)
@@ -132,8 +137,11 @@
 		reply, ok := e.pending[resp.ID]
 		delete(e.pending, resp.ID)
 		e.mu.Unlock()
-		if ok {
+		switch {
+		case ok:
 			reply <- resp.Body
+		case size >= largeResponseBytes:
+			e.Log.Info("Ignored a late response from a peer.", "topic", e.ResponseTopic, "bytes", size)
 		}
 	}
 }
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -330,7 +330,7 @@
 	case err == nil:
 		return res, r.checkResponse(p, q, res)
 	case errors.Is(err, rpc.ErrTimeout):
-		r.backOffFrom(p)
+		r.backOffFrom(p, q, "no response in "+timeout.String())
 		return res, errors.Wrapf(platform.ErrUnavailable, "%s did not respond", p.VM)
 	default:
 		return res, errors.Wrap(platform.ErrUnavailable, err.Error())
@@ -356,16 +356,20 @@
 	case failureHistoryLost:
 		return platform.ErrHistoryLost
 	default:
-		r.backOffFrom(p)
+		r.backOffFrom(p, q, "it does not reach the store")
 		return errors.Wrapf(platform.ErrUnavailable, "%s does not reach the store either", p.VM)
 	}
 }
 
-func (r *Relay) backOffFrom(p Peer) {
+// backOffFrom sends no requests to p for a time that doubles with each failure in a
+// row.
+func (r *Relay) backOffFrom(p Peer, q request, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failures[p.VM] = min(r.failures[p.VM]+1, maxBackoffDoublings)
-	r.avoidUntil[p.VM] = r.Now().Add(peerBackoff << r.failures[p.VM])
+	backoff := peerBackoff << r.failures[p.VM]
+	r.avoidUntil[p.VM] = r.Now().Add(backoff)
+	r.log.Info("Backing off from a peer.", "peer", p.VM, "table", q.Table, "reason", reason, "for", backoff)
 }
 
 // respond serves a peer's request from the store itself.
