Add a failing test: a large configuration does not reach slow links in time

Proxies whose link needs longer for a copy of the configuration than a call may take throw the copy away and request it again, beside the copies that still arrive. Package slowlink simulates such links in memory; the test plays proxies with it over the real client of the store.

--- a/internal/peer/peertest/peertest.go
+++ b/internal/peer/peertest/peertest.go
@@ -7,10 +7,15 @@
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cranberrystage/cranberrystage/internal/slowlink"
 	"github.com/google/uuid"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// connectionIdle is how long the sender of a connection with links waits for a
+// further message.
+const connectionIdle = 10 * time.Second
+
 // Network carries messages between the proxies of a test.
 type Network struct {
 	mu   sync.Mutex
@@ -18,11 +23,38 @@
 	// isolated holds the addresses whose messages are dropped.
 	isolated map[string]bool
 	sent     int
+	// links holds the links of proxies by address; a proxy without one has
+	// unlimited bandwidth.
+	links map[string]Links
+	// connections holds the queues of messages by sender and receiver. Messages of
+	// one connection pass the links one after the other.
+	connections map[[2]string]chan delivery
+}
+
+// Links are the two directions of a proxy's link.
+type Links struct {
+	Out, In *slowlink.Link
+}
+
+// delivery is a message on its way to a receiver.
+type delivery struct {
+	message *message.Message
+	in      chan<- *message.Message
 }
 
 // New returns a network without proxies.
 func New() *Network {
-	return &Network{subs: make(map[string]chan *message.Message), isolated: make(map[string]bool)}
+	return &Network{
+		subs: make(map[string]chan *message.Message), isolated: make(map[string]bool),
+		links: make(map[string]Links), connections: make(map[[2]string]chan delivery),
+	}
+}
+
+// SetLinks limits the bandwidth of the proxy at an address.
+func (n *Network) SetLinks(address string, l Links) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[address] = l
 }
 
 // Isolate drops all further messages to and from the proxy at an address.
@@ -62,13 +94,77 @@
 	if !ok || n.isolated[address] || n.isolated[b.address] {
 		return
 	}
-	m := message.NewMessage(uuid.NewString(), payload)
-	go func() {
+	d := delivery{message: message.NewMessage(uuid.NewString(), payload), in: in}
+	if len(n.links) == 0 {
+		go d.deliver()
+		return
+	}
+	n.queue(b.address, address, d)
+}
+
+// deliver passes the message to its receiver.
+func (d delivery) deliver() {
+	select {
+	case d.in <- d.message:
+	case <-time.After(time.Second): // the receiver has stopped
+	}
+}
+
+// queue sends a message over the connection between two proxies. The lock must be
+// held.
+func (n *Network) queue(from, to string, d delivery) {
+	key := [2]string{from, to}
+	c, ok := n.connections[key]
+	if !ok {
+		c = make(chan delivery, 256)
+		n.connections[key] = c
+		go n.runConnection(key, c)
+	}
+	select {
+	case c <- d:
+	default: // the queue is full
+	}
+}
+
+// runConnection sends queued messages until none has been queued for
+// connectionIdle.
+func (n *Network) runConnection(key [2]string, c chan delivery) {
+	n.mu.Lock()
+	out, in := n.links[key[0]].Out, n.links[key[1]].In
+	n.mu.Unlock()
+	for {
 		select {
-		case in <- m:
-		case <-time.After(time.Second): // the receiver has stopped
+		case d := <-c:
+			transfer(out, in, len(d.message.Payload))
+			go d.deliver()
+		case <-time.After(connectionIdle):
+			n.mu.Lock()
+			idle := len(c) == 0
+			if idle {
+				delete(n.connections, key)
+			}
+			n.mu.Unlock()
+			if idle {
+				return
+			}
+		}
+	}
+}
+
+// transfer blocks until size bytes have passed both links; nil is unlimited. The
+// links work at the same time.
+func transfer(out, in *slowlink.Link, size int) {
+	done := make(chan struct{})
+	go func() {
+		if out != nil {
+			out.Transfer(size)
 		}
+		close(done)
 	}()
+	if in != nil {
+		in.Transfer(size)
+	}
+	<-done
 }
 
 // Subscribe implements rpc.Bus.
