Never give up a transfer that makes progress

What callers saw: on proxies with slow links a confirmed configuration was not in force for 10 s and more; routes that had been added were refused.

Cause: the time limits of a read did not depend on its size. A peer's response had to arrive 0.3 s after its wait, the store's 1.5 s after the call. A copy of 930 kB takes 0.75 s of a free link of 10 Mbit/s from a peer and 1 s from the store. What did not fit was thrown away and requested again, from up to four places, beside the copies that were still arriving, so that none ever fitted.

Ruled out: a full queue of the reader and refusals of the store, of which the same logs have none.

A peer's large response is its first 32 KiB and an id, by which the requester fetches the other parts one by one, each with a limit of its own; a part that is late is requested again, and what has arrived is kept. Other messages to the same peer wait for one part at most. Proxies of earlier releases get whole rows.

--- a/internal/peer/peertest/peertest.go
+++ b/internal/peer/peertest/peertest.go
@@ -23,6 +23,7 @@
 	// isolated holds the addresses whose messages are dropped.
 	isolated map[string]bool
 	sent     int
+	largest  int
 	// links holds the links of proxies by address; a proxy without one has
 	// unlimited bandwidth.
 	links map[string]Links
@@ -71,6 +72,13 @@
 	return n.sent
 }
 
+// LargestMessage returns the size of the largest message sent, in bytes.
+func (n *Network) LargestMessage() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.largest
+}
+
 // Bus connects one proxy to the network. It implements rpc.Bus.
 type Bus struct {
 	network *Network
@@ -90,6 +98,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sent++
+	n.largest = max(n.largest, len(payload))
 	in, ok := n.subs[address+topic]
 	if !ok || n.isolated[address] || n.isolated[b.address] {
 		return
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -51,16 +51,34 @@
 		if r.UrgentTables[table] {
 			peerReq.TimeoutMillis = min(q.TimeoutMillis, urgentWatchTimeout.Milliseconds())
 		}
-		rows, err := r.readFromPeer(ctx, p, peerReq, peerReq.timeout()+peerTimeout)
-		if err == nil || errors.Is(err, platform.ErrHistoryLost) {
-			return rows, err
-		}
 		// The caller needs to know now whether the store responds.
 		q.WaitMillis, q.TimeoutMillis = 0, 0
+		return r.watchThroughReader(ctx, p, peerReq, q)
 	}
 	return r.read(ctx, q)
 }
 
+// watchThroughReader sends a watch to the designated reader. It also makes the
+// request storeReq if the reader does not respond, or if its response takes long to
+// arrive.
+func (r *Relay) watchThroughReader(ctx context.Context, reader Peer, readerReq, storeReq request) (platform.Rows, error) {
+	timeout := readerReq.timeout() + peerTimeout
+	fromReader := async(func() (platform.Rows, error) { return r.readFromPeer(ctx, reader, readerReq, timeout) })
+	timer := time.NewTimer(timeout + transferHedgeDelay)
+	defer timer.Stop()
+	select {
+	case res := <-fromReader:
+		if res.err == nil || errors.Is(res.err, platform.ErrHistoryLost) {
+			return res.rows, res.err
+		}
+		return r.read(ctx, storeReq)
+	case <-timer.C:
+		r.log.Info("A response takes long to arrive; reading the store too.", "peer", reader.VM, "table", readerReq.Table)
+		fromStore := async(func() (platform.Rows, error) { return r.readStore(ctx, storeReq) })
+		return firstSuccess(ctx, fromReader, fromStore)
+	}
+}
+
 // readStore reads the store itself.
 func (r *Relay) readStore(ctx context.Context, q request) (platform.Rows, error) {
 	if q.Watch {
@@ -122,11 +140,7 @@
 	}
 	// The call may outlive this one's ctx, so that its outcome shows whether the
 	// store responds.
-	done := make(chan result, 1)
-	go func() {
-		rows, err := r.readStore(context.WithoutCancel(ctx), q)
-		done <- result{rows, err}
-	}()
+	done := async(func() (platform.Rows, error) { return r.readStore(context.WithoutCancel(ctx), q) })
 	timer := time.NewTimer(wait + r.hedgeDelayFor(q))
 	defer timer.Stop()
 	select {
@@ -154,16 +168,27 @@
 // readWithHedge reads through peers while the store's response is pending, and
 // returns the first rows that arrive.
 func (r *Relay) readWithHedge(ctx context.Context, q request, fromStore <-chan result) (platform.Rows, error) {
-	fromPeers := make(chan result, 1)
+	fromPeers := async(func() (platform.Rows, error) { return r.readFromPeers(ctx, q, 0) })
+	return firstSuccess(ctx, fromStore, fromPeers)
+}
+
+// async runs read and passes its outcome to the returned channel.
+func async(read func() (platform.Rows, error)) <-chan result {
+	done := make(chan result, 1)
 	go func() {
-		rows, err := r.readFromPeers(ctx, q, 0)
-		fromPeers <- result{rows, err}
+		rows, err := read()
+		done <- result{rows, err}
 	}()
+	return done
+}
+
+// firstSuccess returns the first rows that arrive, or the later error.
+func firstSuccess(ctx context.Context, a, b <-chan result) (platform.Rows, error) {
 	var last result
 	for range 2 {
 		select {
-		case last = <-fromStore:
-		case last = <-fromPeers:
+		case last = <-a:
+		case last = <-b:
 		case <-ctx.Done():
 			return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
 		}
@@ -325,10 +350,15 @@
 
 // queryPeer sends a request to one peer.
 func (r *Relay) queryPeer(ctx context.Context, p Peer, q request, timeout time.Duration) (response, error) {
+	q.AcceptsParts = true
 	res, err := r.exchange.Call(ctx, timeout, q, p.Address)
 	switch {
 	case err == nil:
-		return res, r.checkResponse(p, q, res)
+		if err := r.checkResponse(p, q, res); err != nil || res.Part == nil {
+			return res, err
+		}
+		res.Rows.Rows, err = r.fetch(ctx, p, q, *res.Part)
+		return res, err
 	case errors.Is(err, rpc.ErrTimeout):
 		r.backOffFrom(p, q, "no response in "+timeout.String())
 		return res, errors.Wrapf(platform.ErrUnavailable, "%s did not respond", p.VM)
@@ -374,6 +404,9 @@
 
 // respond serves a peer's request from the store itself.
 func (r *Relay) respond(ctx context.Context, q request) response {
+	if q.Content != 0 {
+		return r.respondPart(q)
+	}
 	out := response{Failure: failureUnavailable}
 	if r.Lost() {
 		return out
@@ -385,6 +418,12 @@
 		if out.Unchanged = q.Seen.Rows > 0 && q.Seen == fingerprintOf(rows); out.Unchanged {
 			out.Rows.Rows = nil
 		}
+		if q.AcceptsParts {
+			if err := r.splitLarge(&out); err != nil {
+				r.log.Error("Could not split a response.", "table", q.Table, "error", err)
+				return response{Failure: failureUnavailable}
+			}
+		}
 	case errors.Is(err, platform.ErrHistoryLost):
 		out.Failure = failureHistoryLost
 	}
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"hash/maphash"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -89,6 +90,11 @@
 	WaitMillis int64  `msgpack:"m,omitempty"`
 	// TimeoutMillis is how long the requester waits for the response.
 	TimeoutMillis int64 `msgpack:"p,omitempty"`
+	// AcceptsParts says that the requester fetches a large response in parts.
+	AcceptsParts bool `msgpack:"k,omitempty"`
+	// Content, if not 0, requests the part at Offset of a response sent before.
+	Content uint64 `msgpack:"c,omitempty"`
+	Offset  int    `msgpack:"o,omitempty"`
 }
 
 // wait returns how long the store may wait for a change; 0 for a read.
@@ -130,6 +136,8 @@
 	// Unchanged says that the rows are those of the request's Seen and are
 	// omitted.
 	Unchanged bool `msgpack:"u,omitempty"`
+	// Part is a part of rows that are too large for one message; Rows then has none.
+	Part *part `msgpack:"p,omitempty"`
 }
 
 // Peer is a proxy as listed in the directory.
@@ -164,6 +172,7 @@
 	log      *slog.Logger
 	exchange *rpc.Endpoint[request, response]
 	reads    singleflight.Group
+	contents contents
 
 	mu      sync.Mutex
 	watches map[string]*storeWatch
@@ -195,6 +204,7 @@
 		exchange: rpc.New[request, response](rpc.Options{
 			Address: o.Self.Address, RequestTopic: topicRequest, ResponseTopic: topicResponse, Bus: o.Bus, Log: log,
 		}),
+		contents:   contents{seed: maphash.MakeSeed()},
 		watches:    make(map[string]*storeWatch),
 		avoidUntil: make(map[tables.VMID]tables.Time),
 		failures:   make(map[tables.VMID]int),
--- a/internal/rowrelay/transfer_test.go
+++ b/internal/rowrelay/transfer_test.go
@@ -161,26 +161,39 @@
 	return time.Now()
 }
 
+// checkArrival checks that every proxy has a version, or a later one, in time.
+func (f *linkedFleet) checkArrival(t *testing.T, version string, at time.Time) {
+	t.Helper()
+	for _, p := range f.proxies {
+		delay, err := p.delay(version, at)
+		assert.Check(t, err)
+		assert.Check(t, delay <= applyLimit, "%s: %s", p.relay.Self.VM, delay)
+		t.Logf("%s: %s, received %d bytes", p.relay.Self.VM, delay, p.links.In.Bytes())
+	}
+}
+
+// playTwoChanges changes the configuration twice and checks that the second change
+// arrives in time.
+func (f *linkedFleet) playTwoChanges(t *testing.T, between time.Duration) {
+	t.Helper()
+	f.store.Put("servers", "s", []byte("entry"))
+	f.store.Put(shared, "g", []byte("record"))
+	f.putRoutes("1", 1000)
+	time.Sleep(10 * time.Second)
+	f.putRoutes("2", routesBytes)
+	time.Sleep(between)
+	at := f.putRoutes("3", routesBytes)
+	time.Sleep(30 * time.Second)
+	f.checkArrival(t, "3", at)
+}
+
 // The moment of the second change decides how much of a wait is left for its transfer.
 func TestLargeConfigurationReachesProxiesOnSlowLinksInTime(t *testing.T) {
 	for moment := 2 * time.Second; moment < 4*time.Second; moment += 250 * time.Millisecond {
 		t.Run(moment.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newLinkedFleet(t, fastLink, fastLink, slowLink, slowLink, slowLink, slowLink, slowLink, slowLink, slowLink, slowLink)
-				f.store.Put("servers", "s", []byte("entry"))
-				f.store.Put(shared, "g", []byte("record"))
-				f.putRoutes("1", 1000)
-				time.Sleep(10 * time.Second)
-				f.putRoutes("2", routesBytes)
-				time.Sleep(moment)
-				at := f.putRoutes("3", routesBytes)
-				time.Sleep(30 * time.Second)
-				for _, p := range f.proxies {
-					delay, err := p.delay("3", at)
-					assert.Check(t, err)
-					assert.Check(t, delay <= applyLimit, "%s: %s", p.relay.Self.VM, delay)
-					t.Logf("%s: %s, received %d bytes", p.relay.Self.VM, delay, p.links.In.Bytes())
-				}
+				f.playTwoChanges(t, moment)
 			})
 		})
 	}
