Read the store once over a slow link, and not behind a slow reader

A proxy read the same rows from the store a second time for each peer that asked for them, and from peers while the store's response was arriving over the same link. A designated reader forwarded rows only once it had them all, so that slow links were waited for one after the other, and its uplink was shared by all that waited.

Change: a call whose response is arriving serves every request for the same changes, and no peer is queried beside it for 2 s. A reader at which the response arrives for longer than 0.3 s tells those that wait to read the store themselves. The store is read beside a peer's transfer only if the rest of that is expected to take over 2 s.

--- a/internal/platform/rows.go
+++ b/internal/platform/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -76,3 +77,19 @@
 	// ErrUnknown may still take effect seconds later.
 	Apply(ctx context.Context, c Change) (Rows, error)
 }
+
+// responseKey is the context key of OnResponse.
+type responseKey struct{}
+
+// OnResponse returns a context with which a Metadata that receives its responses
+// over a network calls begun once when the first byte of a response has arrived.
+func OnResponse(ctx context.Context, begun func()) context.Context {
+	return context.WithValue(ctx, responseKey{}, sync.OnceFunc(begun))
+}
+
+// ResponseBegun calls the function of OnResponse, if ctx has one.
+func ResponseBegun(ctx context.Context) {
+	if begun, ok := ctx.Value(responseKey{}).(func()); ok {
+		begun()
+	}
+}
--- a/internal/rowrelay/parts.go
+++ b/internal/rowrelay/parts.go
@@ -24,9 +24,11 @@
 	maxContentBytes = 16 << 20
 	// maxContents bounds the contents that are kept for peers.
 	maxContents = 8
-	// transferHedgeDelay is how long a response of the designated reader may arrive
-	// in parts before the store is read as well.
-	transferHedgeDelay = time.Second
+	// rateSampleTime is how long a transfer is observed before its rate is known.
+	rateSampleTime = 300 * time.Millisecond
+	// maxTransferRest is how long the rest of a transfer may be expected to take
+	// before it counts as slow.
+	maxTransferRest = 2 * time.Second
 )
 
 // part is a piece of encoded rows that are too large for one message.
@@ -128,8 +130,8 @@
 
 // fetch requests the parts after the first from the peer that sent it, and returns
 // the rows. It has no limit for the whole transfer: a transfer that makes progress
-// is never given up and started again.
-func (r *Relay) fetch(ctx context.Context, p Peer, q request, first part) ([]platform.TableRow, error) {
+// is never given up and started again. If it is slow, fetch calls onSlow unless nil.
+func (r *Relay) fetch(ctx context.Context, p Peer, q request, first part, onSlow func()) ([]platform.TableRow, error) {
 	if first.Size > maxContentBytes || !first.follows(nil, first) {
 		return nil, errors.Wrapf(platform.ErrUnavailable, "%s sent an invalid part", p.VM)
 	}
@@ -146,6 +148,10 @@
 			return nil, errors.Wrapf(platform.ErrUnavailable, "%s sent an invalid part", p.VM)
 		}
 		data = append(data, next.Data...)
+		received := len(data) - len(first.Data)
+		if onSlow != nil && slowTransfer(received, first.Size-len(data), r.Now().Sub(start)) {
+			onSlow()
+		}
 	}
 	var rows []platform.TableRow
 	if err := msgpack.Unmarshal(data, &rows); err != nil {
@@ -154,6 +160,15 @@
 	return rows, nil
 }
 
+// slowTransfer reports whether the rest of a transfer is expected to take long. took
+// is the time in which the received bytes arrived.
+func slowTransfer(received, rest int, took time.Duration) bool {
+	if took < rateSampleTime || received <= 0 {
+		return false
+	}
+	return took*time.Duration(rest)/time.Duration(received) > maxTransferRest
+}
+
 // follows reports whether p continues data, the first parts of the content of first.
 func (p part) follows(data []byte, first part) bool {
 	return p.Content == first.Content && p.Size == first.Size && p.Offset == len(data) &&
--- a/internal/rowrelay/parts_test.go
+++ b/internal/rowrelay/parts_test.go
@@ -85,6 +85,15 @@
 	}
 }
 
+func TestTransferIsSlowByItsExpectedRest(t *testing.T) {
+	const size = 930_000
+	assert.Assert(t, !slowTransfer(partBytes, size-partBytes, 100*time.Millisecond), "too early to tell")
+	assert.Assert(t, !slowTransfer(200_000, size-200_000, 320*time.Millisecond), "1.2 s left")
+	assert.Assert(t, slowTransfer(partBytes, size-partBytes, 360*time.Millisecond), "10 s left")
+	assert.Assert(t, !slowTransfer(size-10, 10, 10*time.Second), "nearly complete")
+	assert.Assert(t, !slowTransfer(0, size, time.Second), "nothing received")
+}
+
 func TestContentsKeepsTheMostRecentlyRequested(t *testing.T) {
 	c := contents{seed: maphash.MakeSeed()}
 	oldest := c.put([]byte("oldest"))
@@ -124,7 +133,7 @@
 				return
 			}
 			s := newCluster(t, "x")
-			_, err := s.relays[0].fetch(t.Context(), Peer{VM: "gone", Address: "gone"}, request{Table: "own"}, *res.Part)
+			_, err := s.relays[0].fetch(t.Context(), Peer{VM: "gone", Address: "gone"}, request{Table: "own"}, *res.Part, nil)
 			assert.Assert(t, err == nil || errors.Is(err, platform.ErrUnavailable), "%v", err)
 		})
 	})
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/peer/rpc"
@@ -33,7 +33,7 @@
 func (r *Relay) readSharedThroughReader(ctx context.Context) (platform.Rows, error) {
 	p, ok := r.reader()
 	if ok {
-		return r.readFromPeer(ctx, p, request{Table: r.SharedTable}, readerTimeout)
+		return r.readFromPeer(ctx, p, request{Table: r.SharedTable}, readerTimeout, nil)
 	}
 	if r.Lost() {
 		return platform.Rows{}, platform.ErrUnavailable
@@ -59,71 +59,27 @@
 }
 
 // watchThroughReader sends a watch to the designated reader. It also makes the
-// request storeReq if the reader does not respond, or if its response takes long to
-// arrive.
+// request storeReq if the reader does not respond, or if its response arrives
+// slowly.
 func (r *Relay) watchThroughReader(ctx context.Context, reader Peer, readerReq, storeReq request) (platform.Rows, error) {
-	timeout := readerReq.timeout() + peerTimeout
-	fromReader := async(func() (platform.Rows, error) { return r.readFromPeer(ctx, reader, readerReq, timeout) })
-	timer := time.NewTimer(timeout + transferHedgeDelay)
-	defer timer.Stop()
+	slow := make(chan struct{})
+	onSlow := sync.OnceFunc(func() { close(slow) })
+	fromReader := async(func() (platform.Rows, error) {
+		return r.readFromPeer(ctx, reader, readerReq, readerReq.timeout()+peerTimeout, onSlow)
+	})
 	select {
 	case res := <-fromReader:
 		if res.err == nil || errors.Is(res.err, platform.ErrHistoryLost) {
 			return res.rows, res.err
 		}
 		return r.read(ctx, storeReq)
-	case <-timer.C:
-		r.log.Info("A response takes long to arrive; reading the store too.", "peer", reader.VM, "table", readerReq.Table)
+	case <-slow:
+		r.log.Info("A response arrives slowly; reading the store too.", "peer", reader.VM, "table", readerReq.Table)
 		fromStore := async(func() (platform.Rows, error) { return r.readStore(ctx, storeReq) })
 		return firstSuccess(ctx, fromReader, fromStore)
 	}
 }
 
-// readStore reads the store itself.
-func (r *Relay) readStore(ctx context.Context, q request) (platform.Rows, error) {
-	if q.Watch {
-		w := r.joinStoreWatch(ctx, q)
-		<-w.done
-		return w.rows, w.err
-	}
-	rows, err := r.Store.ReadTable(ctx, q.Table)
-	r.recordStoreResult(rows, err)
-	return rows, err
-}
-
-// storeWatch is a call to the store for changes. Its result may be read once
-// done is closed.
-type storeWatch struct {
-	// startedAt is when the call was made, and overdueAt when the store should
-	// have responded.
-	startedAt, overdueAt tables.Time
-	done                 chan struct{}
-	rows                 platform.Rows
-	err                  error
-}
-
-// joinStoreWatch returns the running call for the same changes, or starts one.
-func (r *Relay) joinStoreWatch(ctx context.Context, q request) *storeWatch {
-	key := fmt.Sprintf("%s/%s/%d", q.Table, q.after(), q.WaitMillis)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if w, ok := r.watches[key]; ok {
-		return w
-	}
-	now := r.Now()
-	w := &storeWatch{startedAt: now, overdueAt: now.Add(q.wait() + hedgeDelay), done: make(chan struct{})}
-	r.watches[key] = w
-	go func() {
-		w.rows, w.err = r.Store.WatchTable(context.WithoutCancel(ctx), q.Table, q.after(), q.wait())
-		r.recordStoreResult(w.rows, w.err)
-		r.mu.Lock()
-		delete(r.watches, key)
-		r.mu.Unlock()
-		close(w.done)
-	}()
-	return w
-}
-
 // result is the outcome of one way to read.
 type result struct {
 	rows platform.Rows
@@ -140,19 +96,26 @@
 	}
 	// The call may outlive this one's ctx, so that its outcome shows whether the
 	// store responds.
-	done := async(func() (platform.Rows, error) { return r.readStore(context.WithoutCancel(ctx), q) })
+	call, age := r.callStore(ctx, q)
+	done := async(func() (platform.Rows, error) { return call.wait(age) })
 	timer := time.NewTimer(wait + r.hedgeDelayFor(q))
 	defer timer.Stop()
-	select {
-	case res := <-done:
-		if res.err == nil || !retryable(res.err) {
-			return res.rows, res.err
+	for {
+		select {
+		case res := <-done:
+			if res.err == nil || !retryable(res.err) {
+				return res.rows, res.err
+			}
+			return r.readFromPeers(ctx, q, 0)
+		case <-timer.C:
+			if !call.arriving() || r.Now().Sub(call.startedAt) > wait+arrivalHedgeDelay {
+				return r.readWithHedge(ctx, q, done)
+			}
+			// A peer would send the same rows over the same link.
+			timer.Reset(arrivalHedgeDelay)
+		case <-ctx.Done():
+			return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
 		}
-		return r.readFromPeers(ctx, q, 0)
-	case <-timer.C:
-		return r.readWithHedge(ctx, q, done)
-	case <-ctx.Done():
-		return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
 	}
 }
 
@@ -283,7 +246,7 @@
 	err := errors.Wrap(platform.ErrUnavailable, "no peer is available")
 	for _, p := range r.pickPeers(2) {
 		var rows platform.Rows
-		if rows, err = r.readFromPeer(ctx, p, q, wait+peerTimeout); err == nil || errors.Is(err, platform.ErrHistoryLost) {
+		if rows, err = r.readFromPeer(ctx, p, q, wait+peerTimeout, nil); err == nil || errors.Is(err, platform.ErrHistoryLost) {
 			return rows, err
 		}
 	}
@@ -342,14 +305,15 @@
 	return all[:min(n, len(all))]
 }
 
-// readFromPeer reads through one peer.
-func (r *Relay) readFromPeer(ctx context.Context, p Peer, q request, timeout time.Duration) (platform.Rows, error) {
-	res, err := r.queryPeer(ctx, p, q, timeout)
+// readFromPeer reads through one peer. It calls onSlow, unless nil, if the response
+// arrives slowly.
+func (r *Relay) readFromPeer(ctx context.Context, p Peer, q request, timeout time.Duration, onSlow func()) (platform.Rows, error) {
+	res, err := r.queryPeer(ctx, p, q, timeout, onSlow)
 	return res.Rows, err
 }
 
-// queryPeer sends a request to one peer.
-func (r *Relay) queryPeer(ctx context.Context, p Peer, q request, timeout time.Duration) (response, error) {
+// queryPeer sends a request to one peer and receives all parts of the response.
+func (r *Relay) queryPeer(ctx context.Context, p Peer, q request, timeout time.Duration, onSlow func()) (response, error) {
 	q.AcceptsParts = true
 	res, err := r.exchange.Call(ctx, timeout, q, p.Address)
 	switch {
@@ -357,7 +321,7 @@
 		if err := r.checkResponse(p, q, res); err != nil || res.Part == nil {
 			return res, err
 		}
-		res.Rows.Rows, err = r.fetch(ctx, p, q, *res.Part)
+		res.Rows.Rows, err = r.fetch(ctx, p, q, *res.Part, onSlow)
 		return res, err
 	case errors.Is(err, rpc.ErrTimeout):
 		r.backOffFrom(p, q, "no response in "+timeout.String())
@@ -385,6 +349,8 @@
 		return nil
 	case failureHistoryLost:
 		return platform.ErrHistoryLost
+	case failureSlow:
+		return errors.Wrapf(platform.ErrUnavailable, "the store's response arrives slowly at %s", p.VM)
 	default:
 		r.backOffFrom(p, q, "it does not reach the store")
 		return errors.Wrapf(platform.ErrUnavailable, "%s does not reach the store either", p.VM)
@@ -426,6 +392,8 @@
 		}
 	case errors.Is(err, platform.ErrHistoryLost):
 		out.Failure = failureHistoryLost
+	case errors.Is(err, errSlowResponse):
+		out.Failure = failureSlow
 	}
 	return out
 }
@@ -440,23 +408,35 @@
 	return r.readStore(ctx, q)
 }
 
+// errSlowResponse means that the store's response arrives slowly at this proxy.
+var errSlowResponse = errors.New("rowrelay: the store's response arrives slowly")
+
 // watchFor waits for changes for as long as the requester does. One call to the
 // store serves all requesters and lasts longer than each of them waits: a
 // response without changes is as old as that call. While the store's response
-// is overdue, this proxy can't tell whether there are changes.
+// is overdue, this proxy can't tell whether there are changes. While it arrives
+// slowly, the requester had better read the store itself.
 func (r *Relay) watchFor(ctx context.Context, q request) (platform.Rows, error) {
-	w := r.joinStoreWatch(ctx, q)
+	call, age := r.callStore(ctx, q)
 	timeout := time.NewTimer(q.timeout())
 	defer timeout.Stop()
-	overdue := time.NewTimer(max(w.overdueAt.Sub(r.Now()), 0))
+	overdue := time.NewTimer(max(call.overdueAt.Sub(r.Now()), 0))
 	defer overdue.Stop()
-	select {
-	case <-w.done:
-		return w.rows, w.err
-	case <-overdue.C:
-		return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, "the store's response is overdue")
-	case <-timeout.C:
-		return platform.Rows{Era: q.Era, Version: q.After, Age: r.Now().Sub(w.startedAt)}, nil
+	begun, overdueAt := call.begun, overdue.C
+	var slow <-chan time.Time
+	for {
+		select {
+		case <-call.done:
+			return call.wait(age)
+		case <-begun:
+			begun, overdueAt, slow = nil, nil, time.After(forwardDelay)
+		case <-slow:
+			return platform.Rows{}, errSlowResponse
+		case <-overdueAt:
+			return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, "the store's response is overdue")
+		case <-timeout.C:
+			return platform.Rows{Era: q.Era, Version: q.After, Age: r.Now().Sub(call.startedAt)}, nil
+		}
 	}
 }
 
@@ -519,7 +499,7 @@
 	r.mu.Lock()
 	cached := r.sharedRows
 	r.mu.Unlock()
-	res, err := r.queryPeer(ctx, p, request{Table: r.SharedTable, Seen: fingerprintOf(cached)}, globalReaderTimeout)
+	res, err := r.queryPeer(ctx, p, request{Table: r.SharedTable, Seen: fingerprintOf(cached)}, globalReaderTimeout, nil)
 	if err != nil {
 		return platform.Rows{}, err
 	}
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -41,6 +41,13 @@
 	// of configuration take 0.2 s on a link of 10 Mbit/s, and twice that with a
 	// second copy beside it.
 	largeReadHedgeDelay = 300 * time.Millisecond
+	// arrivalHedgeDelay is how long a response of the store may take to arrive before
+	// a peer is queried too.
+	arrivalHedgeDelay = 2 * time.Second
+	// forwardDelay is how long a response of the store may take to arrive before peers
+	// that wait for it are told to read the store themselves: they would receive it
+	// only after this proxy.
+	forwardDelay = 300 * time.Millisecond
 	// peerTimeout bounds the wait for a peer's response, in addition to the
 	// requested wait for changes.
 	peerTimeout = 300 * time.Millisecond
@@ -127,6 +134,8 @@
 	failureNone failure = iota
 	failureUnavailable
 	failureHistoryLost
+	// failureSlow means that the store's response arrives slowly at the peer.
+	failureSlow
 )
 
 // response holds the rows.
@@ -174,9 +183,10 @@
 	reads    singleflight.Group
 	contents contents
 
-	mu      sync.Mutex
-	watches map[string]*storeWatch
-	peers   []Peer
+	mu sync.Mutex
+	// calls are the reads of the store that are under way.
+	calls []*storeCall
+	peers []Peer
 	// avoidUntil is when the backoff from a peer ends; failures counts its
 	// failures in a row.
 	avoidUntil map[tables.VMID]tables.Time
@@ -205,7 +215,6 @@
 			Address: o.Self.Address, RequestTopic: topicRequest, ResponseTopic: topicResponse, Bus: o.Bus, Log: log,
 		}),
 		contents:   contents{seed: maphash.MakeSeed()},
-		watches:    make(map[string]*storeWatch),
 		avoidUntil: make(map[tables.VMID]tables.Time),
 		failures:   make(map[tables.VMID]int),
 		eraBegan:   make(chan struct{}, 1),
--- /dev/null
+++ b/internal/rowrelay/storecall.go
@@ -0,0 +1,99 @@
+package rowrelay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+// storeCall is a read of the store that is under way.
+type storeCall struct {
+	request request
+	// startedAt is when the call was made, and overdueAt when the store should
+	// have responded.
+	startedAt, overdueAt tables.Time
+	// begun is closed when the response begins to arrive, and done when the call has
+	// ended.
+	begun, done chan struct{}
+	rows        platform.Rows
+	err         error
+}
+
+// arriving reports whether the response has begun to arrive.
+func (c *storeCall) arriving() bool {
+	select {
+	case <-c.begun:
+		return true
+	default:
+		return false
+	}
+}
+
+// wait returns the outcome of the call. age is that of callStore.
+func (c *storeCall) wait(age time.Duration) (platform.Rows, error) {
+	<-c.done
+	rows := c.rows
+	rows.Age += age
+	return rows, c.err
+}
+
+// readStore reads the store itself.
+func (r *Relay) readStore(ctx context.Context, q request) (platform.Rows, error) {
+	call, age := r.callStore(ctx, q)
+	return call.wait(age)
+}
+
+// callStore returns a running call that serves q, or starts one. A second call for
+// the same rows would share the link with the first. age is how long before now the
+// response may have been made.
+func (r *Relay) callStore(ctx context.Context, q request) (call *storeCall, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	for _, c := range r.calls {
+		if !r.serves(c, q) {
+			continue
+		}
+		if q.Watch && !c.arriving() {
+			return c, 0
+		}
+		return c, now.Sub(c.startedAt)
+	}
+	call = &storeCall{
+		request: q, startedAt: now, overdueAt: now.Add(q.wait() + hedgeDelay),
+		begun: make(chan struct{}), done: make(chan struct{}),
+	}
+	r.calls = append(r.calls, call)
+	go r.runCall(platform.OnResponse(context.WithoutCancel(ctx), func() { close(call.begun) }), call)
+	return call, 0
+}
+
+// serves reports whether the response of a running call is one to q. A watch is
+// served by a call for the same changes that waits as long, or whose response is
+// arriving. A read is served only if its table is large.
+func (r *Relay) serves(c *storeCall, q request) bool {
+	if c.request.Table != q.Table || c.request.Watch != q.Watch {
+		return false
+	}
+	if !q.Watch {
+		return r.UrgentTables[q.Table]
+	}
+	return c.request.after() == q.after() && (c.request.WaitMillis == q.WaitMillis || c.arriving())
+}
+
+// runCall makes the call.
+func (r *Relay) runCall(ctx context.Context, c *storeCall) {
+	if c.request.Watch {
+		c.rows, c.err = r.Store.WatchTable(ctx, c.request.Table, c.request.after(), c.request.wait())
+	} else {
+		c.rows, c.err = r.Store.ReadTable(ctx, c.request.Table)
+	}
+	r.recordStoreResult(c.rows, c.err)
+	r.mu.Lock()
+	r.calls = slices.DeleteFunc(r.calls, func(o *storeCall) bool { return o == c })
+	r.mu.Unlock()
+	close(c.done)
+}
--- a/internal/rowrelay/transfer_test.go
+++ b/internal/rowrelay/transfer_test.go
@@ -198,3 +198,14 @@
 		})
 	}
 }
+
+func TestLargeConfigurationReachesProxiesBehindSlowReaderInTime(t *testing.T) {
+	for moment := 3 * time.Second; moment < 5*time.Second; moment += 250 * time.Millisecond {
+		t.Run(moment.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLinkedFleet(t, slowLink, slowLink, slowLink, slowLink, slowLink, slowLink, slowLink, slowLink)
+				f.playTwoChanges(t, moment)
+			})
+		})
+	}
+}
--- a/internal/slowlink/slowlink.go
+++ b/internal/slowlink/slowlink.go
@@ -12,7 +12,7 @@
 )
 
 // chunkBytes is the unit in which transfers share a link.
-const chunkBytes = 4 << 10
+const chunkBytes = 16 << 10
 
 // Link is one direction of a machine's link. Transfers at the same time share its
 // bandwidth. It is safe for concurrent use.
