Send a configuration to a VM that asks for it, one copy at a time

What callers would see: in cranberrystage-proxy a VM on a slow link that starts while others have a large document serves nothing for a minute and longer.

Every peer that heard an older version sent the whole document unasked, once a second each, and the VM asked another peer every 500 ms, whatever the size. The copies shared its link, so that none arrived.

Change: a heartbeat says whether its sender requests configurations itself, and which one is such a request; only requests are answered. The time until the next request doubles until something arrives. A VM of an earlier release is sent configurations as before.

--- a/internal/systems/configure/configure.go
+++ b/internal/systems/configure/configure.go
@@ -2,7 +2,9 @@
 // pollers of each data centre read the platform's head row. A VM that receives a
 // heartbeat with a newer version sends its own heartbeat to that peer, which
 // replies with the configuration. The reply contains deltas if the VM is only a
-// few versions behind, otherwise the whole document. Versions never decrease.
+// few versions behind, otherwise the whole document. A VM receives one copy at a
+// time, as far as it can tell that one is on its way: copies share its link.
+// Versions never decrease.
 package configure
 
 import (
@@ -24,9 +26,14 @@
 	pollJitter = 200 * time.Millisecond
 	// readTimeout limits a read of the head or of a document.
 	readTimeout = 5 * time.Second
-	// pullTimeout limits a request to a peer for the configuration.
-	pullTimeout = 500 * time.Millisecond
-	// sendInterval is the minimum time between two configurations sent to one peer.
+	// minPullTimeout limits the first request to a peer for the configuration. The
+	// limit doubles with each further request until a configuration arrives, up to
+	// maxPullTimeout: on a slow link a large document takes longer than any fixed
+	// limit, and a second copy delays the first.
+	minPullTimeout = 500 * time.Millisecond
+	maxPullTimeout = 16 * time.Second
+	// sendInterval is the minimum time between two configurations sent to one peer
+	// that did not request the second.
 	sendInterval = time.Second
 )
 
@@ -50,9 +57,11 @@
 	// loading is the version of the document being loaded, until loadDeadline.
 	loading      uint64
 	loadDeadline tables.Time
-	// pulling is the version requested from a peer, until pullDeadline.
+	// pulling is the version requested from a peer or being loaded, until
+	// pullDeadline; pullTimeout is the limit of the next request.
 	pulling      uint64
 	pullDeadline tables.Time
+	pullTimeout  time.Duration
 	// nextSendAt is when the next configuration may be sent to a VM.
 	nextSendAt *tables.Table[tables.VMID, tables.Time]
 }
@@ -60,7 +69,7 @@
 // New returns a system that updates the tables with apply and uses rng for its
 // jitter.
 func New(apply ApplyFunc, rng *rand.Rand) *System {
-	return &System{apply: apply, rng: rng, nextSendAt: tables.NewTable[tables.VMID, tables.Time]()}
+	return &System{apply: apply, rng: rng, pullTimeout: minPullTimeout, nextSendAt: tables.NewTable[tables.VMID, tables.Time]()}
 }
 
 // Handle processes the head, documents, deltas and messages of peers.
@@ -110,6 +119,7 @@
 	if e.Head.Version <= s.loading && now < s.loadDeadline {
 		return nil
 	}
+	s.startPull(now, e.Head.Version)
 	s.loading = e.Head.Version
 	s.loadDeadline = now.Add(readTimeout)
 	if w.ConfigDeltas && e.Head.BaseHash == s.log.Current().Hash {
@@ -161,7 +171,7 @@
 	switch {
 	case h.From == w.Self:
 		return nil
-	case h.ConfigVersion < w.ConfigVersion:
+	case h.ConfigVersion < w.ConfigVersion && (h.WantsConfig || !h.PullsConfig):
 		return s.send(now, h)
 	case h.ConfigVersion > w.ConfigVersion:
 		return s.pull(now, w, h)
@@ -171,10 +181,11 @@
 }
 
 // send sends the configuration to the sender of h: as deltas if the peer accepts
-// them and the log has them, otherwise as a document. It sends nothing within
-// sendInterval of the last configuration sent to that peer.
+// them and the log has them, otherwise as a document. It sends nothing unasked
+// within sendInterval of the last configuration sent to that peer.
 func (s *System) send(now tables.Time, h peer.Heartbeat) []action.Action {
-	if at, ok := s.nextSendAt.Get(h.From); ok && now < at || s.log.Version() == 0 {
+	at, recent := s.nextSendAt.Get(h.From)
+	if recent && now < at && !h.WantsConfig || s.log.Version() == 0 {
 		return nil
 	}
 	s.nextSendAt.Put(h.From, now.Add(sendInterval))
@@ -203,8 +214,7 @@
 	if h.ConfigVersion <= s.pulling && now < s.pullDeadline {
 		return nil
 	}
-	s.pulling = h.ConfigVersion
-	s.pullDeadline = now.Add(pullTimeout)
+	s.startPull(now, h.ConfigVersion)
 	self, _ := w.VMs.Get(w.Self)
 	request := peer.Heartbeat{
 		From:          w.Self,
@@ -213,10 +223,19 @@
 		ConfigVersion: w.ConfigVersion,
 		Deltas:        w.ConfigDeltas,
 		Leaving:       self.Leaving,
+		PullsConfig:   true,
+		WantsConfig:   true,
 	}
 	return []action.Action{action.Publish{To: []tables.VMID{h.From}, Topic: peer.TopicHeartbeat, Message: request}}
 }
 
+// startPull starts the time in which a version is expected to arrive.
+func (s *System) startPull(now tables.Time, version uint64) {
+	s.pulling = version
+	s.pullDeadline = now.Add(s.pullTimeout)
+	s.pullTimeout = min(2*s.pullTimeout, maxPullTimeout)
+}
+
 func (s *System) handleConfig(now tables.Time, w *tables.World, m peer.Config) []action.Action {
 	if m.Version <= w.ConfigVersion {
 		return nil
@@ -262,6 +281,7 @@
 	if version <= w.ConfigVersion || !s.log.Put(version, rev) {
 		return nil
 	}
+	s.pullTimeout = minPullTimeout
 	w.ConfigDeltas = true
 	setVersion(w, version, rev.Document)
 	s.apply(now, w, rev.Document)
--- a/internal/systems/configure/configure_test.go
+++ b/internal/systems/configure/configure_test.go
@@ -114,6 +114,31 @@
 	assert.Equal(t, len(receiveHeartbeat(2*second, 6)), 1)
 }
 
+func TestConfigurationIsNotSentUnaskedToPeerThatPulls(t *testing.T) {
+	s, w := newFixture()
+	s.Handle(0, w, event.DocumentLoaded{Version: 5, Document: document(1)})
+	h := peer.Heartbeat{From: "vm-1", ConfigVersion: 4, PullsConfig: true}
+	assert.Equal(t, len(s.Handle(0, w, event.PeerMessage{Message: h})), 0)
+	h.WantsConfig = true
+	assert.Equal(t, len(s.Handle(0, w, event.PeerMessage{Message: h})), 1)
+}
+
+func TestPullTimeoutDoublesUntilConfigurationArrives(t *testing.T) {
+	s, w := newFixture()
+	newer := func(now tables.Time) int {
+		return len(s.Handle(now, w, event.PeerMessage{Message: peer.Heartbeat{From: "vm-1", ConfigVersion: 6}}))
+	}
+	var pulls []tables.Time
+	for now := tables.Time(0); now < 8*second; now = now.Add(100 * time.Millisecond) {
+		if newer(now) > 0 {
+			pulls = append(pulls, now)
+		}
+	}
+	assert.DeepEqual(t, pulls, []tables.Time{0, second / 2, 3 * second / 2, 7 * second / 2, 15 * second / 2})
+	s.Handle(8*second, w, event.DocumentLoaded{Version: 5, Document: document(1)})
+	assert.Equal(t, s.pullTimeout, minPullTimeout)
+}
+
 func TestInvalidDocumentIsIgnored(t *testing.T) {
 	s, w := newFixture()
 	bad := peer.Config{Version: 9, Document: []byte("{")}
--- a/internal/systems/membership/membership.go
+++ b/internal/systems/membership/membership.go
@@ -281,6 +281,7 @@
 		ConfigVersion: w.ConfigVersion,
 		Deltas:        w.ConfigDeltas,
 		Leaving:       self.Leaving,
+		PullsConfig:   true,
 	}
 }
 
--- a/internal/systems/systemstest/cluster.go
+++ b/internal/systems/systemstest/cluster.go
@@ -50,10 +50,14 @@
 	Versions []uint64
 	// Documents are the documents of Versions.
 	Documents []config.Document
+	// Bandwidth limits what it receives from peers and of documents, in bytes per
+	// second; 0 is unlimited.
+	Bandwidth int
 	// Paused means that its ticks and messages are deferred until Resume.
 	Paused bool
 
 	deferred []scheduledEvent
+	link     link
 	systems  []System
 	// started is the virtual time of its last start.
 	started time.Duration
@@ -130,6 +134,7 @@
 	vm.Documents = nil
 	vm.Paused = false
 	vm.deferred = nil
+	vm.link = link{bytes: vm.link.bytes}
 	vm.epoch++
 	c.after(time.Duration(c.rng.Int64N(int64(TickInterval))), vm, func() { c.tick(vm) })
 }
@@ -244,7 +249,8 @@
 			c.replyFromPlatform(vm, c.readHead(vm))
 		case action.LoadDocument:
 			vm.ConfigBytes += c.DocumentSize
-			c.replyFromPlatform(vm, event.DocumentLoaded{Version: a.Version, Outcome: c.outcome(vm), Document: c.Document})
+			ev := event.DocumentLoaded{Version: a.Version, Outcome: c.outcome(vm), Document: c.Document}
+			c.receive(vm, c.latency()+c.PlatformDelay, c.DocumentSize, func() { c.handle(vm, ev) })
 		case action.LoadDelta:
 			vm.ConfigBytes += c.DeltaSize
 			c.replyFromPlatform(vm, event.DeltaLoaded{Version: a.Version, Hash: a.Hash, Outcome: c.outcome(vm), Delta: c.Delta})
@@ -280,7 +286,9 @@
 		}
 		receiver := c.byID[id]
 		if receiver.Running && c.delivers(vm, receiver) {
-			c.reply(receiver, event.PeerMessage{Message: message})
+			c.receive(receiver, c.latency(), frameOverhead+len(payload), func() {
+				c.handle(receiver, event.PeerMessage{Message: message})
+			})
 		}
 	}
 }
