Give each 64 KiB of a message to a peer a write deadline of its own

What callers would see: a message that takes longer than 5 s on a full link is never delivered, and fills the link for good.

TestLargeFrameToSlowPeerIsSentOnce (4 MiB at 1.25 MB/s, deadline 1 s) failed before with an i/o timeout.

--- a/internal/peer/tcpbus/bus.go
+++ b/internal/peer/tcpbus/bus.go
@@ -48,7 +48,7 @@
 	MaxInbound int
 	// DialTimeout bounds the TCP connect and the TLS handshake, each; 1 s.
 	DialTimeout time.Duration
-	// WriteTimeout bounds one write and how long sent bytes may stay
+	// WriteTimeout bounds the write of 64 KiB and how long sent bytes may stay
 	// unacknowledged by the peer's kernel; 5 s.
 	WriteTimeout time.Duration
 	// IdleTimeout is how long a connection without traffic stays open; inbound
--- a/internal/peer/tcpbus/outbound.go
+++ b/internal/peer/tcpbus/outbound.go
@@ -12,6 +12,10 @@
 	"github.com/pkg/errors"
 )
 
+// writeBytes is the size of one write. Each has a deadline of its own, so that a
+// frame which takes long on a slow link is not sent again from its beginning.
+const writeBytes = 64 << 10
+
 // outbound sends the frames queued for one peer over a single reused connection.
 type outbound struct {
 	bus     *Bus
@@ -66,13 +70,16 @@
 	if err := o.connect(ctx); err != nil {
 		return err
 	}
-	if err := o.conn.SetWriteDeadline(time.Now().Add(o.bus.opts.WriteTimeout)); err != nil {
-		return errors.Wrap(err, "write deadline")
-	}
-	n, err := o.conn.Write(wire)
-	o.bus.stats.bytesSent.Add(uint64(n))
-	if err != nil {
-		return errors.Wrap(err, "write")
+	for len(wire) > 0 {
+		if err := o.conn.SetWriteDeadline(time.Now().Add(o.bus.opts.WriteTimeout)); err != nil {
+			return errors.Wrap(err, "write deadline")
+		}
+		n, err := o.conn.Write(wire[:min(len(wire), writeBytes)])
+		o.bus.stats.bytesSent.Add(uint64(n))
+		if err != nil {
+			return errors.Wrap(err, "write")
+		}
+		wire = wire[n:]
 	}
 	o.bus.stats.framesSent.Add(1)
 	return nil
--- a/internal/peer/tcpbus/tcpbus_test.go
+++ b/internal/peer/tcpbus/tcpbus_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -201,3 +202,33 @@
 	assert.Assert(t, q.pushFront([]byte("e")))
 	assert.Assert(t, !q.empty())
 }
+
+func TestLargeFrameToSlowPeerIsSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			size = 4 << 20
+			// step is what the peer reads in pause, which gives 1.25 MB/s.
+			step  = 12_500
+			pause = 10 * time.Millisecond
+		)
+		conn, remote := net.Pipe()
+		defer remote.Close()
+		o := &outbound{bus: &Bus{opts: Options{WriteTimeout: time.Second}}, conn: conn}
+		sent := make(chan error, 1)
+		go func() {
+			sent <- o.send(t.Context(), make([]byte, size))
+			_ = conn.Close()
+		}()
+		received, buffer := 0, make([]byte, step)
+		for {
+			n, err := remote.Read(buffer)
+			received += n
+			if err != nil {
+				break
+			}
+			time.Sleep(pause)
+		}
+		assert.NilError(t, <-sent)
+		assert.Equal(t, received, size)
+	})
+}
