Don't acknowledge a commit that a restarted replica received without evidence

What callers would see: a proxy that has lost the store acknowledges commits that the next primary lacks, where a primary crashes and comes back before its replacement leads, and a replica restarts after the order.

Cause: a commit counted as its own lease evidence, since a held replica does not receive it. A replica that restarts has lost its hold.

Change: once a connection to a replica has broken or could not be opened since the newest evidence from the store, a commit needs evidence that no promotion had been ordered when it was acknowledged. While the store is lost it is refused before it is sent. An announcement no longer invalidates older evidence: the order follows it by Lease.

--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -107,11 +107,12 @@
 }
 
 // Committed records that a commit was acknowledged after a replica had received
-// it, which is lease evidence; at is a moment before the commit was sent.
+// it, which is lease evidence if no replica may have restarted; at is a moment before
+// the commit was sent.
 func (f *Fleet) Committed(l Leader, at tables.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r := f.routing.Load(); r == nil || r.Groups[l.group.id].SyncReplicas < 1 {
+	if r := f.routing.Load(); r == nil || r.Groups[l.group.id].SyncReplicas < 1 || !f.commitProves(l, at) {
 		return
 	}
 	l.group.AddEvidence(l.Upstream.entry.ID, l.record, at)
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -223,6 +223,24 @@
 	return c, true
 }
 
+// CloseBroken closes the idle connections that are no longer alive and returns
+// whether there were any.
+func (p *Pool) CloseBroken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	alive := p.idle[:0:0]
+	for _, c := range p.idle {
+		if c.Alive() {
+			alive = append(alive, c)
+		} else {
+			p.closeConn(c)
+		}
+	}
+	broken := len(alive) < len(p.idle)
+	p.idle = alive
+	return broken
+}
+
 // takeOrReserve returns an idle connection, or a channel to wait on, or neither
 // after it reserved capacity for a connection that the caller opens.
 func (p *Pool) takeOrReserve(fresh bool) (*Conn, chan *Conn, error) {
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -415,11 +416,20 @@
 	at    time.Time
 	vm    tables.VMID
 	token uint64
+	// server is the server to promote.
+	server tables.UpstreamID
+}
+
+// ordered returns the promotion orders so far.
+func (tc *testCluster) ordered() []promotionOrder {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	return slices.Clone(tc.orders)
 }
 
 func (p promoter) Promote(ctx context.Context, token uint64, _ tables.GroupID, u tables.UpstreamID) error {
 	p.tc.mu.Lock()
-	p.tc.orders = append(p.tc.orders, promotionOrder{time.Now(), p.vm, token})
+	p.tc.orders = append(p.tc.orders, promotionOrder{time.Now(), p.vm, token, u})
 	p.tc.mu.Unlock()
 	return p.tc.group.Promote(ctx, u)
 }
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -278,6 +278,33 @@
 	})
 }
 
+// A replica that restarts after the order has lost its hold, and the old primary comes
+// back before the promotion takes effect.
+func TestCommitIsNotAcknowledgedOnceReplicaLostItsHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, l := newLoadedCluster(t)
+		tc.proxies[0].store.setDown(true)
+		time.Sleep(time.Second)
+		tc.group.Change("s1", (*dbgroup.Server).Crash)
+		for len(tc.ordered()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		bystander := tables.UpstreamID("s2")
+		if tc.ordered()[0].server == bystander {
+			bystander = "s3"
+		}
+		tc.group.Change(bystander, (*dbgroup.Server).Crash)
+		time.Sleep(100 * time.Millisecond)
+		tc.restart("s1")
+		tc.restart(bystander)
+		time.Sleep(5 * time.Second)
+		tc.proxies[0].store.setDown(false)
+		time.Sleep(3 * time.Second)
+		l.end()
+		assert.Equal(t, tc.group.Promotions(), 1)
+	})
+}
+
 // While a primary is replaced, reads are served by held replicas that have all
 // acknowledged commits.
 func TestReadsAreServedDuringReplacement(t *testing.T) {
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -198,6 +198,10 @@
 			return r
 		}
 	}
+	if tx.wrote && tx.leader != nil && !s.fleet.MayCommit(q.ctx, *tx.leader) {
+		s.endTransaction(nil)
+		return statement.Refuse(statement.Aborted, codes.NotConfirmed, statement.Idle, "the primary may have been replaced")
+	}
 	at := s.fleet.Now()
 	out := q.runInTransaction(tx)
 	r := out.Reply
--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -119,6 +119,20 @@
 	}
 }
 
+// keptSeeds are seeds of TestRandomWalk that failed in the past, with the cause.
+var keptSeeds = []uint64{
+	880158, // a commit was acknowledged after a replica had lost its hold
+}
+
+func TestKeptSeeds(t *testing.T) {
+	for _, seed := range keptSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { randomWalk(t, seed, kindsWithoutDrills) })
+		})
+	}
+}
+
 // keptDrillSeeds are seeds that failed in the past, with the cause.
 var keptDrillSeeds = []uint64{
 	3008, // two servers that had ended counted as proof that no other leads
--- a/internal/relay/write.go
+++ b/internal/relay/write.go
@@ -26,6 +26,9 @@
 	if !ok {
 		return nil, refusal
 	}
+	if !p.q.s.fleet.MayCommit(p.q.ctx, l) {
+		return nil, p.q.refuse(codes.NotConfirmed, "the primary may have been replaced")
+	}
 	p.leader = l
 	p.at = p.q.s.fleet.Now()
 	return p.q.attemptAt(l.Upstream, tables.Position{}), statement.Reply{}
@@ -106,6 +109,9 @@
 	if f.Replaced(l) {
 		return statement.Refuse(statement.Unsure, codes.PrimaryChanged, statement.Idle, "the primary was replaced meanwhile")
 	}
+	if !f.MayAcknowledge(q.ctx, l) {
+		return statement.Refuse(statement.Unsure, codes.PrimaryChanged, statement.Idle, "the primary may have been replaced meanwhile")
+	}
 	f.Observe(l, at, r.Position)
 	f.Committed(l, at)
 	q.s.recordCommit(r.Position)
--- a/internal/systems/freshness/freshness.go
+++ b/internal/systems/freshness/freshness.go
@@ -80,12 +80,21 @@
 	// frozen group: they are proven, but there is no evidence yet that the new
 	// primary leads.
 	frozenProvenAt tables.Time
+	// previous is the evidence for the primary of the record before.
+	previous evidence
 	// points are in ascending order of At.
 	points []Point
 	// covering are the newest covering points, in ascending order of At.
 	covering []Point
 }
 
+// evidence is lease evidence for the primary of a record.
+type evidence struct {
+	primary  tables.UpstreamID
+	record   tables.Version
+	provenAt tables.Time
+}
+
 // maxCoveringPoints is the maximum number of covering points kept for one group.
 const maxCoveringPoints = 20
 
@@ -109,7 +118,7 @@
 	}
 	points := l.points
 	wasFrozen := l.Frozen != (tables.Position{})
-	*l = Leadership{Primary: primary, Record: record, covering: l.covering}
+	*l = Leadership{Primary: primary, Record: record, covering: l.covering, previous: l.lastEvidence()}
 	if wasFrozen {
 		// The new primary has received the frozen position, so the points remain valid.
 		l.points = points
@@ -126,7 +135,23 @@
 	if l.Record == record && l.Frozen == position {
 		return
 	}
-	*l = Leadership{Record: record, Frozen: position, covering: l.covering}
+	*l = Leadership{Record: record, Frozen: position, covering: l.covering, previous: l.lastEvidence()}
+}
+
+// lastEvidence returns the evidence for the newest primary that had any.
+func (l *Leadership) lastEvidence() evidence {
+	if l.Primary == "" || l.ProvenAt <= l.frozenProvenAt {
+		return l.previous
+	}
+	return evidence{primary: l.Primary, record: l.Record, provenAt: l.ProvenAt}
+}
+
+// NotOrderedAt reports whether it is proven that no promotion that replaces the
+// primary of a record had been ordered at t. An announcement in the meantime
+// invalidates no evidence: the order follows it by Lease.
+func (l *Leadership) NotOrderedAt(primary tables.UpstreamID, record tables.Version, t tables.Time) bool {
+	e := l.lastEvidence()
+	return e.primary == primary && e.record == record && t < e.provenAt.Add(Lease)
 }
 
 // AddEvidence adds lease evidence for the primary of a record; at is the start of
