Serve reads of a frozen group although its old primary has an unreceived commit

What callers saw: reads of the newest data were refused with reason 203, 'no server can answer ... behind', for the 1.4 s of a planned replacement.

Cause: a covering point is the newest position that any server has received. The log of the replaced primary may end with a commit that no replica has, since they are held; no server that may be read can reach that position.

Change: in a frozen group the frozen position bounds what can have been acknowledged in its term, and so the covering point.

TestCoveringPointOfFrozenGroupLeavesOutCommitsWithoutReplica failed before.

--- a/internal/systems/freshness/freshness.go
+++ b/internal/systems/freshness/freshness.go
@@ -217,12 +217,22 @@
 	}
 	for _, p := range l.covering {
 		if p.At >= notBefore {
-			return p.Position, true
+			return l.limitToFrozen(p.Position), true
 		}
 	}
 	return tables.Position{}, false
 }
 
+// limitToFrozen returns the part of a covering position that can be acknowledged. The
+// log of a primary that is being replaced may go beyond the frozen position of its
+// term with commits that no replica has.
+func (l *Leadership) limitToFrozen(p tables.Position) tables.Position {
+	if p.LogTerm == l.Frozen.LogTerm && l.Frozen != (tables.Position{}) && p.AtLeast(l.Frozen) {
+		return l.Frozen
+	}
+	return p
+}
+
 // NewestPoint returns when the newest point was taken; ok is false without one.
 func (l *Leadership) NewestPoint() (at tables.Time, ok bool) {
 	if len(l.points) == 0 {
--- a/internal/systems/freshness/freshness_test.go
+++ b/internal/systems/freshness/freshness_test.go
@@ -180,3 +180,19 @@
 	_, ok = l.RequiredPosition(at(5001))
 	assert.Assert(t, !ok, "nothing proves the point of q")
 }
+
+func TestCoveringPointOfFrozenGroupLeavesOutCommitsWithoutReplica(t *testing.T) {
+	l := newLeadership()
+	l.Freeze(rec(2), pos(9))
+	l.AddCovering(Point{At: at(5000), Position: pos(10)})
+	need, ok := l.RequiredPosition(at(5000))
+	assert.Assert(t, ok)
+	assert.Equal(t, need, pos(9))
+	l.AddCovering(Point{At: at(5100), Position: pos(8)})
+	need, _ = l.RequiredPosition(at(5100))
+	assert.Equal(t, need, pos(8))
+	newer := tables.Position{LogTerm: pos(9).LogTerm + 1, Index: 1}
+	l.AddCovering(Point{At: at(5200), Position: newer})
+	need, _ = l.RequiredPosition(at(5200))
+	assert.Equal(t, need, newer)
+}
