Say which program is missing instead of ending the soak with a panic

cranberrystage-soak started where no proxy is built ended with a nil pointer in signal, called by close for proxies that were never started. It now looks for the program first and names it, and a proxy that was not started counts as exited. TestRunEndsWhenProxyCannotBeStarted panicked before.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -86,10 +86,16 @@
 }
 
 // signal sends a signal to the process; exits means that the process is expected
-// to exit. The returned channel is closed when the process has exited.
+// to exit. The returned channel is closed when the process has exited, or if it was
+// never started.
 func (p *proxy) signal(sig syscall.Signal, exits bool) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.command == nil {
+		exited := make(chan struct{})
+		close(exited)
+		return exited
+	}
 	p.exitExpected = p.exitExpected || exits
 	_ = p.command.Process.Signal(sig) // it may have exited
 	return p.exited
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,6 +95,9 @@
 // Run performs the run. It returns an error if the run could not be performed;
 // broken promises are in Failures.
 func (s *Soak) Run(ctx context.Context) error {
+	if _, err := exec.LookPath(s.Binary); err != nil {
+		return errors.Wrap(err, "find the proxy's program; build it, or name another with --proxy")
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer s.close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"io"
 	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -46,6 +47,18 @@
 	}
 }
 
+func TestRunWithoutProgramNamesIt(t *testing.T) {
+	s := &Soak{Binary: filepath.Join(t.TempDir(), "entry"), Directory: t.TempDir(), Seed: 1, Proxies: 1, Writers: 1}
+	assert.ErrorContains(t, s.Run(t.Context()), s.Binary)
+}
+
+func TestRunEndsWhenProxyCannotBeStarted(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "entry")
+	assert.NilError(t, os.WriteFile(binary, []byte("no program"), 0o700))
+	s := &Soak{Binary: binary, Directory: t.TempDir(), Seed: 1, Proxies: 2, Writers: 1}
+	assert.ErrorContains(t, s.Run(t.Context()), "start a proxy")
+}
+
 // newCheckedSoak returns a Soak with a group of two servers, for tests of its
 // checks.
 func newCheckedSoak() *Soak {
