Confirm a group that nobody has led since an earlier era

What callers would see: after two drills in a row a group has no primary for good; every write and read of newest data is refused.

Cause: an era that finds all servers following records a replacement without a primary. If that era ends before the replacement begins, the next one knows the same term and no primary, and 'no server leads' was an error that nothing could end.

Change: a known term without a primary is confirmed as a replacement under way, as a newer one already was.

The case of TestDecide failed before.

--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -135,11 +135,12 @@
 
 // keptDrillSeeds are seeds that failed in the past, with the cause.
 var keptDrillSeeds = []uint64{
-	3008, // two servers that had ended counted as proof that no other leads
-	3097, // a server without an entry was missing from the members of a new era
-	3115, // a primary was demoted by a replacement that the drill ended; nobody led
-	4057, // the same
-	6078, // the same
+	3008,    // two servers that had ended counted as proof that no other leads
+	3097,    // a server without an entry was missing from the members of a new era
+	3115,    // a primary was demoted by a replacement that the drill ended; nobody led
+	4057,    // the same
+	6078,    // the same
+	1200090, // the same in an earlier era, which ended before the group was replaced
 }
 
 func TestKeptSeedsWithDrills(t *testing.T) {
--- a/internal/systems/confirm/confirm.go
+++ b/internal/systems/confirm/confirm.go
@@ -81,8 +81,9 @@
 	if err := checkAnswers(v.Servers, record.Primary); err != nil {
 		return tables.PrimaryRecord{}, err
 	}
-	if term := highestTerm(v.Servers); term > record.Term {
-		return missingLeader(v, term), nil
+	term := highestTerm(v.Servers)
+	if term > record.Term || record.Primary == "" && record.Term > 0 {
+		return missingLeader(v, max(term, record.Term)), nil
 	}
 	if record.Primary == "" {
 		return tables.PrimaryRecord{}, fmt.Errorf("no server leads")
--- a/internal/systems/confirm/confirm_test.go
+++ b/internal/systems/confirm/confirm_test.go
@@ -140,6 +140,7 @@
 		"records of a newer term":             {known("p", 1), []Server{leads("p", 1), ended("n"), withRecordsOf(follows("r", 1), 2)}, known("n", 2), ""},
 		"one of two may lead a newer term":    {known("p", 1), []Server{leads("p", 1), ended("n"), ended("m"), follows("r", 2)}, tables.PrimaryRecord{}, "[n m] do not answer and may have acknowledged commits together"},
 		"nobody leads the newest term":        {known("p", 1), []Server{follows("p", 2), follows("r", 2)}, tables.PrimaryRecord{Term: 2, Replacing: true}, ""},
+		"nobody has led since an earlier era": {tables.PrimaryRecord{Term: 2, Replacing: true}, []Server{follows("p", 2), follows("r", 2)}, tables.PrimaryRecord{Term: 2, Replacing: true}, ""},
 		"nobody ever led":                     {tables.PrimaryRecord{}, []Server{follows("p", 0)}, tables.PrimaryRecord{}, "no server leads"},
 		"no server":                           {known("p", 1), nil, tables.PrimaryRecord{}, "no server is known"},
 		"primary and a replica have ended":    {known("p", 1), []Server{ended("p"), ended("r"), follows("n", 1)}, tables.PrimaryRecord{}, "[p r] do not answer and may have acknowledged commits together"},
