--- a/internal/fleet/acknowledge.go
+++ b/internal/fleet/acknowledge.go
@@ -13,8 +13,8 @@
 // it until the promotion takes effect. So once a replica may have restarted, a commit
 // needs evidence that no promotion had been ordered when it was acknowledged.
 
-// MayCommit reports whether a commit that is sent to l now can be acknowledged. It
-// fetches evidence if necessary.
+// MayCommit reports whether a commit that is sent to l now can be acknowledged. While
+// the store is lost, it fetches evidence if necessary; otherwise MayAcknowledge can.
 func (f *Fleet) MayCommit(ctx context.Context, l Leader) bool {
 	now := f.Now()
 	f.mu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -45,7 +45,7 @@
 	// Probe requests a heartbeat from the receiver, which the sender regards as unresponsive.
 	Probe bool `msgpack:"p,omitempty"`
 	// PullsConfig reports that the sender requests a newer configuration itself. A
-	// proxy of an earlier release does not set it and is sent one unasked.
+	// proxy of an earlier release does not set it and is sent one without a request.
 	PullsConfig bool `msgpack:"u,omitempty"`
 	// WantsConfig requests the receiver's configuration if it is newer.
 	WantsConfig bool `msgpack:"w,omitempty"`
--- a/internal/rowrelay/parts.go
+++ b/internal/rowrelay/parts.go
@@ -59,7 +59,7 @@
 
 // put keeps data and returns its first part.
 func (c *contents) put(data []byte) part {
-	// 0 is the content of a request that asks for none.
+	// A request for no content has 0.
 	id := max(maphash.Bytes(c.seed, data), 1)
 	if first, ok := c.part(id, 0); ok {
 		return first
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -415,7 +415,7 @@
 // store serves all requesters and lasts longer than each of them waits: a
 // response without changes is as old as that call. While the store's response
 // is overdue, this proxy can't tell whether there are changes. While it arrives
-// slowly, the requester had better read the store itself.
+// slowly, the request fails, because the requester receives it sooner from the store.
 func (r *Relay) watchFor(ctx context.Context, q request) (platform.Rows, error) {
 	call, age := r.callStore(ctx, q)
 	timeout := time.NewTimer(q.timeout())
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -44,9 +44,9 @@
 	// arrivalHedgeDelay is how long a response of the store may take to arrive before
 	// a peer is queried too.
 	arrivalHedgeDelay = 2 * time.Second
-	// forwardDelay is how long a response of the store may take to arrive before peers
-	// that wait for it are told to read the store themselves: they would receive it
-	// only after this proxy.
+	// forwardDelay is how long a response of the store may take to arrive before the
+	// requests of peers that wait for it fail: they would receive it only after this
+	// proxy, and sooner from the store.
 	forwardDelay = 300 * time.Millisecond
 	// peerTimeout bounds the wait for a peer's response, in addition to the
 	// requested wait for changes.
--- a/internal/systems/configure/configure.go
+++ b/internal/systems/configure/configure.go
@@ -181,8 +181,8 @@
 }
 
 // send sends the configuration to the sender of h: as deltas if the peer accepts
-// them and the log has them, otherwise as a document. It sends nothing unasked
-// within sendInterval of the last configuration sent to that peer.
+// them and the log has them, otherwise as a document. Without a request it sends
+// nothing within sendInterval of the last configuration sent to that peer.
 func (s *System) send(now tables.Time, h peer.Heartbeat) []action.Action {
 	at, recent := s.nextSendAt.Get(h.From)
 	if recent && now < at && !h.WantsConfig || s.log.Version() == 0 {
