--- a/internal/systems/systemstest/cluster.go
+++ b/internal/systems/systemstest/cluster.go
@@ -222,11 +222,6 @@
 	}
 }
 
-// reply delivers an event to vm after a random latency.
-func (c *Cluster) reply(vm *VM, ev event.Event) {
-	c.after(c.latency(), vm, func() { c.handle(vm, ev) })
-}
-
 // replyFromPlatform delivers a response of the platform to vm.
 func (c *Cluster) replyFromPlatform(vm *VM, ev event.Event) {
 	c.after(c.latency()+c.PlatformDelay, vm, func() { c.handle(vm, ev) })
