--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -144,7 +145,7 @@
 		Metrics:    m,
 		DrainLimit: s.DrainLimit,
 	})
-	server := relay.NewServer(f, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, m, log)
+	server := relay.NewServer(f, relay.Unlimited{}, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, m, log)
 	p, err := entry.New(s, f, server, log)
 	if err != nil {
 		return err
@@ -247,8 +248,8 @@
 
 // opener returns the function that opens connections to servers.
 func opener(vm tables.VMID) links.Open {
-	return func(ctx context.Context, e tables.Entry) (links.Link, statement.Reply, error) {
-		u, reply, err := wire.Dial(ctx, e, string(vm))
+	return func(ctx context.Context, e tables.Entry, team tables.TeamID) (links.Link, statement.Reply, error) {
+		u, reply, err := wire.Dial(ctx, e, cmp.Or(string(team), string(vm)))
 		if u == nil {
 			return nil, reply, err
 		}
--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -50,6 +50,8 @@
 	MalformedFrame  Code = 106
 	SessionState    Code = 107
 	BadSessionToken Code = 108
+	UnknownKey      Code = 109
+	KeyRemoved      Code = 110
 
 	NoPrimary      Code = 201
 	PrimaryChanged Code = 202
@@ -64,6 +66,7 @@
 	NoSlot           Code = 304
 	RetryBudget      Code = 305
 	TooManyCallers   Code = 306
+	TeamLimit        Code = 307
 
 	ShuttingDown Code = 401
 	NotReady     Code = 402
@@ -103,6 +106,8 @@
 	{MalformedFrame, "MalformedFrame", "08P01", "A protocol message could not be read."},
 	{SessionState, "SessionState", "0A000", "The request would leave state on a shared connection."},
 	{BadSessionToken, "BadSessionToken", "22023", "The session token could not be read."},
+	{UnknownKey, "UnknownKey", "28P01", "The caller's key is unknown."},
+	{KeyRemoved, "KeyRemoved", "28P01", "The caller's key was removed from the configuration."},
 	{NoPrimary, "NoPrimary", "57P03", "The database has no confirmed primary at the moment."},
 	{PrimaryChanged, "PrimaryChanged", "40001", "The primary was replaced while the request was under way."},
 	{NoFreshReplica, "NoFreshReplica", "57P03", "No server can answer within the stated age."},
@@ -115,6 +120,7 @@
 	{NoSlot, "NoSlot", "53300", "No slot on an upstream became free in time."},
 	{RetryBudget, "RetryBudget", "53300", "The retry budget is used up."},
 	{TooManyCallers, "TooManyCallers", "53300", "The proxy holds its limit of caller connections."},
+	{TeamLimit, "TeamLimit", "53300", "The team has reached its limit of operations."},
 	{ShuttingDown, "ShuttingDown", "57P01", "The proxy is shutting down."},
 	{NotReady, "NotReady", "57P03", "The proxy has no configuration yet."},
 	{StaleBase, "StaleBase", "55000", "The plan was made from a configuration that has been replaced."},
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,11 +38,11 @@
 			Entry: func(string, []byte) (tables.Entry, error) { return tables.Entry{}, errors.New("none") },
 		},
 		Proxies: func() int { return 1 },
-		Open: func(context.Context, tables.Entry) (links.Link, statement.Reply, error) {
+		Open: func(context.Context, tables.Entry, tables.TeamID) (links.Link, statement.Reply, error) {
 			return nil, statement.Reply{}, errors.New("no server")
 		},
 	})
-	server := relay.NewServer(f, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, m, log)
+	server := relay.NewServer(f, relay.Unlimited{}, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, m, log)
 	p, err := New(settings.Entry{
 		VM: "vm", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", Grace: 3 * time.Second, DrainLimit: time.Second,
 	}, f, server, log)
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -238,7 +238,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	token := u.startStatement(false)
-	c, err := u.pool.Get(ctx, true)
+	c, err := u.pool.Get(ctx, "", true)
 	if err != nil {
 		u.recordProbeFailure(token, err)
 		return
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -91,15 +91,16 @@
 	u.gate.SetSlots(u.pace.Slots())
 }
 
-// Connect returns a connection to the server.
-func (u *Upstream) Connect(ctx context.Context) (*links.Conn, error) {
-	return u.connectFrom(ctx, u.pooled)
+// Connect returns a connection of a team to the server.
+func (u *Upstream) Connect(ctx context.Context, team tables.TeamID) (*links.Conn, error) {
+	return u.connectFrom(ctx, func(ctx context.Context) (*links.Conn, error) { return u.pool.Get(ctx, team, false) })
 }
 
 // connSource returns a connection from the pool or a new one.
 type connSource func(ctx context.Context) (*links.Conn, error)
 
-func (u *Upstream) pooled(ctx context.Context) (*links.Conn, error) { return u.pool.Get(ctx, false) }
+// pooled returns a connection for the proxy's own work, which may be a team's.
+func (u *Upstream) pooled(ctx context.Context) (*links.Conn, error) { return u.pool.GetOwn(ctx) }
 
 func (u *Upstream) connectFrom(ctx context.Context, source connSource) (*links.Conn, error) {
 	token := u.startStatement(false)
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,12 +59,16 @@
 	Close() error
 }
 
-// Open opens a session at a server. A refusal is returned as a reply with its code.
-type Open func(ctx context.Context, e tables.Entry) (Link, statement.Reply, error)
+// Open opens a session at a server for a team, or the proxy's own session if team is
+// empty. A refusal is returned as a reply with its code.
+type Open func(ctx context.Context, e tables.Entry, team tables.TeamID) (Link, statement.Reply, error)
 
 // Conn is a link in use by one session at a time.
 type Conn struct {
 	Link
+	// Team is the team to which the connection belongs; empty in deployments without
+	// teams and for a connection of the proxy's own.
+	Team tables.TeamID
 	// State is the session state set on the connection.
 	State preparation.Connection
 	// OpenedAt is when its opening began.
@@ -91,7 +96,7 @@
 	limit       int
 	total       int
 	idle        []*Conn
-	waiters     []chan *Conn
+	waiters     []waiter
 	noDialUntil tables.Time
 	// useInterval tracks the time between two uses, the last of them at
 	// lastUsedAt (0 before the first).
@@ -104,6 +109,13 @@
 	closed      bool
 }
 
+// waiter is a call of Get that waits for a connection of its team.
+type waiter struct {
+	team tables.TeamID
+	// ready receives the connection, or nil if the call is to try again.
+	ready chan *Conn
+}
+
 // NewPool returns an empty pool that opens at most limit connections.
 func NewPool(e tables.Entry, limit int, open Open, now func() tables.Time) *Pool {
 	return &Pool{entry: e, limit: limit, open: open, now: now}
@@ -116,20 +128,20 @@
 	p.limit = n
 }
 
-// Get returns an idle connection, or opens one. At the limit it waits for at
-// most waitTimeout for a connection that is returned. fresh requests a new
-// connection.
-func (p *Pool) Get(ctx context.Context, fresh bool) (*Conn, error) {
+// Get returns an idle connection of a team, or opens one. At the limit it closes an
+// idle connection of another team, or waits for at most waitTimeout for a connection
+// that is returned. fresh requests a new connection.
+func (p *Pool) Get(ctx context.Context, team tables.TeamID, fresh bool) (*Conn, error) {
 	p.recordUse()
 	waitCtx, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
 	for {
-		c, wait, err := p.takeOrReserve(fresh)
+		c, wait, err := p.takeOrReserve(team, fresh)
 		if c != nil || err != nil {
 			return c, err
 		}
 		if wait == nil {
-			return p.dial(ctx)
+			return p.dial(ctx, team)
 		}
 		select {
 		case c := <-wait:
@@ -143,14 +155,27 @@
 	}
 }
 
-// GetBeyondLimit returns a connection for the proxy's own work at a server that
+// GetOwn returns a connection for the proxy's own work: an idle one of any team, or
+// as Get.
+func (p *Pool) GetOwn(ctx context.Context) (*Conn, error) {
+	p.mu.Lock()
+	c := p.takeIdle(anyTeam)
+	p.mu.Unlock()
+	if c != nil {
+		p.recordUse()
+		return c, nil
+	}
+	return p.Get(ctx, "", false)
+}
+
+// GetBeyondLimit returns a connection of any team for the proxy's own work at a server that
 // callers keep full. It may exceed the pool's limit, and retries until ctx
 // ends, then returns ErrFull.
 func (p *Pool) GetBeyondLimit(ctx context.Context) (*Conn, error) {
 	for {
 		c, err := p.takeIdleOrReserve()
 		if c == nil && err == nil {
-			c, err = p.dial(ctx)
+			c, err = p.dial(ctx, "")
 		}
 		if !errors.Is(err, ErrFull) {
 			return c, err
@@ -169,19 +194,24 @@
 	if p.closed {
 		return nil, ErrClosed
 	}
-	if c := p.takeIdle(); c != nil {
+	if c := p.takeIdle(anyTeam); c != nil {
 		return c, nil
 	}
 	p.total++
 	return nil, nil
 }
 
-// takeIdle takes the most recently used idle connection that is still open; nil
-// if there is none. The lock must be held.
-func (p *Pool) takeIdle() *Conn {
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+func anyTeam(*Conn) bool { return true }
+
+// takeIdle takes the most recently used idle connection that matches and is still
+// open; nil if there is none. The lock must be held.
+func (p *Pool) takeIdle(match func(*Conn) bool) *Conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if !match(c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if c.Alive() {
 			return c
 		}
@@ -190,6 +220,15 @@
 	return nil
 }
 
+// evictIdle closes the connection that has been idle longest, if there is one. The
+// lock must be held.
+func (p *Pool) evictIdle() {
+	if len(p.idle) > 0 {
+		p.closeConn(p.idle[0])
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
+}
+
 func (p *Pool) recordUse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -243,22 +282,21 @@
 
 // takeOrReserve returns an idle connection, or a channel to wait on, or neither
 // after it reserved capacity for a connection that the caller opens.
-func (p *Pool) takeOrReserve(fresh bool) (*Conn, chan *Conn, error) {
+func (p *Pool) takeOrReserve(team tables.TeamID, fresh bool) (*Conn, chan *Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, nil, ErrClosed
 	}
 	if !fresh {
-		if c := p.takeIdle(); c != nil {
+		if c := p.takeIdle(func(c *Conn) bool { return c.Team == team }); c != nil {
 			return c, nil, nil
 		}
 	}
-	if fresh && p.total >= p.currentLimit() && len(p.idle) > 0 {
-		// A new connection is needed to test whether the server responds, so the
-		// oldest idle one is closed for it.
-		p.closeConn(p.idle[0])
-		p.idle = p.idle[1:]
+	// Idle connections at the limit belong to other teams, or a new connection is
+	// needed to test whether the server responds.
+	if p.total >= p.currentLimit() {
+		p.evictIdle()
 	}
 	if p.total < p.currentLimit() && p.now() >= p.noDialUntil {
 		p.total++
@@ -268,7 +306,7 @@
 		return nil, nil, ErrFull
 	}
 	wait := make(chan *Conn, 1)
-	p.waiters = append(p.waiters, wait)
+	p.waiters = append(p.waiters, waiter{team: team, ready: wait})
 	return nil, wait, nil
 }
 
@@ -285,7 +323,7 @@
 func (p *Pool) cancelWait(wait chan *Conn) {
 	p.mu.Lock()
 	for i, w := range p.waiters {
-		if w == wait {
+		if w.ready == wait {
 			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
 			p.mu.Unlock()
 			return
@@ -300,13 +338,13 @@
 }
 
 // dial opens a connection for which capacity was reserved.
-func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+func (p *Pool) dial(ctx context.Context, team tables.TeamID) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, OpenTimeout)
 	defer cancel()
 	startedAt := p.now()
-	link, reply, err := p.open(ctx, p.entry)
+	link, reply, err := p.open(ctx, p.entry, team)
 	if err == nil && reply.Code == statement.OK {
-		return &Conn{Link: link, OpenedAt: startedAt}, nil
+		return &Conn{Link: link, Team: team, OpenedAt: startedAt}, nil
 	}
 	if link != nil {
 		_ = link.Close() // it was refused and holds nothing
@@ -340,10 +378,17 @@
 		p.closeConn(c)
 		return
 	}
+	for i, w := range p.waiters {
+		if w.team == c.Team {
+			p.waiters = slices.Delete(p.waiters, i, i+1)
+			w.ready <- c
+			return
+		}
+	}
 	if len(p.waiters) > 0 {
-		w := p.waiters[0]
-		p.waiters = p.waiters[1:]
-		w <- c
+		// The waiting teams can't use it, but need its place.
+		p.closeConn(c)
+		p.wakeOneLocked()
 		return
 	}
 	c.idleSince = p.now()
@@ -376,7 +421,7 @@
 	}
 	w := p.waiters[0]
 	p.waiters = p.waiters[1:]
-	w <- nil
+	w.ready <- nil
 }
 
 // Trim closes connections that have been idle for too long. share is the number
@@ -414,7 +459,7 @@
 	}
 	p.idle = nil
 	for _, w := range p.waiters {
-		w <- nil
+		w.ready <- nil
 	}
 	p.waiters = nil
 }
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -30,7 +30,7 @@
 }
 
 func openCounted(n *int) Open {
-	return func(context.Context, tables.Entry) (Link, statement.Reply, error) {
+	return func(context.Context, tables.Entry, tables.TeamID) (Link, statement.Reply, error) {
 		*n++
 		return &fakeLink{}, statement.Reply{}, nil
 	}
@@ -38,7 +38,7 @@
 
 func get(t *testing.T, p *Pool, fresh bool) *Conn {
 	t.Helper()
-	c, err := p.Get(t.Context(), fresh)
+	c, err := p.Get(t.Context(), "", fresh)
 	assert.NilError(t, err)
 	return c
 }
@@ -87,7 +87,7 @@
 		c := get(t, p, false)
 		got := make(chan *Conn)
 		go func() {
-			c, _ := p.Get(context.Background(), false)
+			c, _ := p.Get(context.Background(), "", false)
 			got <- c
 		}()
 		synctest.Wait()
@@ -107,7 +107,7 @@
 		for _, limit := range []time.Duration{time.Second, waitTimeout / 2} {
 			ctx, cancel := context.WithTimeout(t.Context(), limit)
 			at := time.Now()
-			_, err := p.Get(ctx, false)
+			_, err := p.Get(ctx, "", false)
 			cancel()
 			assert.Equal(t, err, ErrFull)
 			assert.Equal(t, time.Since(at), min(limit, waitTimeout))
@@ -118,17 +118,17 @@
 func TestBacksOffFromFullServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := 0
-		p := newTestPool(5, func(context.Context, tables.Entry) (Link, statement.Reply, error) {
+		p := newTestPool(5, func(context.Context, tables.Entry, tables.TeamID) (Link, statement.Reply, error) {
 			n++
 			return refuse(statement.TooMany)
 		})
 		for range 3 {
-			_, err := p.Get(t.Context(), false)
+			_, err := p.Get(t.Context(), "", false)
 			assert.Equal(t, err, ErrFull)
 		}
 		assert.Equal(t, n, 1)
 		time.Sleep(fullBackoff)
-		_, err := p.Get(t.Context(), false)
+		_, err := p.Get(t.Context(), "", false)
 		assert.Equal(t, err, ErrFull)
 		assert.Equal(t, n, 2)
 	})
@@ -136,8 +136,10 @@
 
 func TestReturnsErrMisrouted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newTestPool(1, func(context.Context, tables.Entry) (Link, statement.Reply, error) { return refuse(statement.Misrouted) })
-		_, err := p.Get(t.Context(), false)
+		p := newTestPool(1, func(context.Context, tables.Entry, tables.TeamID) (Link, statement.Reply, error) {
+			return refuse(statement.Misrouted)
+		})
+		_, err := p.Get(t.Context(), "", false)
 		assert.Equal(t, err, ErrMisrouted)
 	})
 }
@@ -192,7 +194,7 @@
 		p.Close()
 		p.Put(c)
 		assert.Assert(t, c.Link.(*fakeLink).closed)
-		_, err := p.Get(t.Context(), false)
+		_, err := p.Get(t.Context(), "", false)
 		assert.Equal(t, err, ErrClosed)
 	})
 }
@@ -202,21 +204,21 @@
 func TestReleasesConnectionsWhileServerIsFull(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, full := 0, false
-		p := newTestPool(5, func(ctx context.Context, e tables.Entry) (Link, statement.Reply, error) {
+		p := newTestPool(5, func(ctx context.Context, e tables.Entry, _ tables.TeamID) (Link, statement.Reply, error) {
 			if full {
 				return refuse(statement.TooMany)
 			}
-			return openCounted(&n)(ctx, e)
+			return openCounted(&n)(ctx, e, "")
 		})
 		a, b := get(t, p, false), get(t, p, false)
 		full = true
-		_, err := p.Get(t.Context(), false)
+		_, err := p.Get(t.Context(), "", false)
 		assert.Equal(t, err, ErrFull)
 		full = false
 		time.Sleep(2 * fullBackoff)
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
-		_, err = p.Get(ctx, false)
+		_, err = p.Get(ctx, "", false)
 		assert.Equal(t, err, ErrFull, "opened more connections than it had")
 		p.Put(a)
 		p.Put(b)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,7 +44,7 @@
 
 // Connect implements exec.Attempt.
 func (a *attempt) Connect(ctx context.Context) (err error) {
-	a.conn, err = a.u.Connect(ctx)
+	a.conn, err = a.u.Connect(ctx, a.q.s.teamID())
 	return err
 }
 
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -366,7 +366,7 @@
 		},
 		Peers:   peers{tc, i},
 		Proxies: func() int { return max(i+1, tc.size) },
-		Open: func(ctx context.Context, e tables.Entry) (links.Link, statement.Reply, error) {
+		Open: func(ctx context.Context, e tables.Entry, _ tables.TeamID) (links.Link, statement.Reply, error) {
 			if tc.pathDown(vm, e.ID) {
 				<-ctx.Done()
 				return nil, statement.Reply{}, os.ErrDeadlineExceeded
--- a/internal/relay/requestlog.go
+++ b/internal/relay/requestlog.go
@@ -89,6 +89,9 @@
 		"request", st.ID, "kind", st.Kind.String(), "database", s.database, "code", r.Code.String(),
 		"reason", int(r.Reason), "detail", r.Detail, "retryAfter", r.RetryAfter, "took", took,
 	}
+	if s.team != nil {
+		out = append(out, "team", s.team.ID)
+	}
 	if routing := s.fleet.Routing(); routing != nil {
 		out = append(out, "config", routing.Version)
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -15,8 +15,10 @@
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
 
@@ -26,8 +28,9 @@
 
 // Caller is the codec's end of a caller's connection.
 type Caller interface {
-	// Startup reads the startup message and returns the requested database.
-	Startup() (database string, err error)
+	// Startup reads the startup message and returns the requested database and the
+	// caller's key.
+	Startup() (database, key string, err error)
 	// Welcome reports to the caller that the session is established.
 	Welcome() error
 	// Reject refuses a startup.
@@ -44,9 +47,23 @@
 	Close() error
 }
 
+// Limiter enforces the teams' limits of operations over all proxies.
+type Limiter interface {
+	// Admit counts an operation of a team. If ok is false, the team has reached its
+	// limit, and retryAfter says when it is worth trying again.
+	Admit(ctx context.Context, team tables.TeamID) (retryAfter time.Duration, ok bool)
+}
+
+// Unlimited is a Limiter that admits everything.
+type Unlimited struct{}
+
+// Admit implements Limiter.
+func (Unlimited) Admit(context.Context, tables.TeamID) (time.Duration, bool) { return 0, true }
+
 // Server serves callers' connections.
 type Server struct {
 	fleet      *fleet.Fleet
+	limiter    Limiter
 	wrap       func(net.Conn) Caller
 	log        *slog.Logger
 	requestLog *requestLog
@@ -70,12 +87,15 @@
 	// idle is true while the connection waits for a statement.
 	idle          atomic.Bool
 	inTransaction atomic.Bool
+	// checkKey is true if the caller's key may have been removed.
+	checkKey atomic.Bool
 }
 
 // NewServer returns a server that wraps accepted connections by wrap.
-func NewServer(f *fleet.Fleet, wrap func(net.Conn) Caller, m *metrics.Metrics, log *slog.Logger) *Server {
+func NewServer(f *fleet.Fleet, limiter Limiter, wrap func(net.Conn) Caller, m *metrics.Metrics, log *slog.Logger) *Server {
 	return &Server{
 		fleet:      f,
+		limiter:    limiter,
 		wrap:       wrap,
 		log:        logging.For(log, "relay"),
 		requestLog: newRequestLog(log, m),
@@ -86,6 +106,7 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	go s.closeRevoked(ctx)
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -123,12 +144,12 @@
 	if c.SetReadDeadline(time.Now().Add(startupTimeout)) != nil {
 		return
 	}
-	database, err := c.Startup()
+	database, key, err := c.Startup()
 	if err != nil {
 		s.logReadError(err)
 		return
 	}
-	sess := &session{fleet: s.fleet, requestLog: s.requestLog, database: database}
+	sess := &session{fleet: s.fleet, requestLog: s.requestLog, limiter: s.limiter, database: database, key: key}
 	if r := s.admit(ctx, sess); r.Code != statement.OK {
 		s.requestLog.sessionRejected(database, r)
 		_ = c.Reject(r) // the connection is closed next
@@ -158,7 +179,7 @@
 	if _, ok := sess.route(); !ok {
 		return statement.Refuse(statement.NoDatabase, codes.UnknownService, statement.Idle, sess.database)
 	}
-	return statement.Reply{}
+	return sess.authorize()
 }
 
 // serveStatement serves one statement. It returns false when the session ends.
@@ -174,7 +195,11 @@
 		s.logReadError(err)
 		return false
 	}
-	return ok && conn.caller.Reply(sess.handle(ctx, st)) == nil
+	if !ok {
+		return false
+	}
+	r := sess.handle(ctx, st)
+	return conn.caller.Reply(r) == nil && r.Code != statement.NoAuth
 }
 
 // logReadError logs a failure to read a message, unless the caller closed the
@@ -212,6 +237,11 @@
 			return true
 		case !sockopt.TimedOut(err):
 			return false
+		case conn.checkKey.Swap(false):
+			if r := sess.authorize(); r.Code != statement.OK {
+				s.requestLog.sessionRejected(sess.database, r)
+				return false
+			}
 		case s.moveIdle.Load() && !open:
 			return false
 		case !s.closeIdle.Load() && !s.endTransactions.Load():
@@ -240,6 +270,39 @@
 	s.wakeIdle(transactions)
 }
 
+// revocationInterval is how often open sessions are compared with a changed
+// configuration.
+const revocationInterval = 200 * time.Millisecond
+
+// closeRevoked closes idle sessions whose keys a new configuration removed, until ctx
+// ends. Sessions that run a statement notice it at the next one.
+func (s *Server) closeRevoked(ctx context.Context) {
+	last := s.fleet.Routing()
+	for sleep.For(ctx, revocationInterval) == nil {
+		routing := s.fleet.Routing()
+		if routing == last {
+			continue
+		}
+		if last != nil && routing.RemovesKeys(last) {
+			s.log.Info("Closing sessions whose keys were removed.", "config", routing.Version)
+			s.checkKeys()
+		}
+		last = routing
+	}
+}
+
+// checkKeys wakes all idle sessions, so that they look up their keys again.
+func (s *Server) checkKeys() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.sessions {
+		if conn.idle.Load() {
+			conn.checkKey.Store(true)
+			_ = conn.caller.SetReadDeadline(time.Unix(1, 0)) // as in wakeIdle
+		}
+	}
+}
+
 // moveIdleDuration is how long moveIdle stays set; idle sessions notice it within this time.
 const moveIdleDuration = 200 * time.Millisecond
 
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -60,7 +60,7 @@
 func serveProxy(t *testing.T, p *proxyUnderTest) (*Server, *pipeListener) {
 	t.Helper()
 	tc := p.tc
-	s := NewServer(p.fleet, func(nc net.Conn) Caller { return wire.NewCaller(nc) },
+	s := NewServer(p.fleet, Unlimited{}, func(nc net.Conn) Caller { return wire.NewCaller(nc) },
 		metrics.New(prometheus.NewRegistry()), slog.New(slog.NewTextHandler(tc.logTo(), nil)))
 	l := newPipeListener()
 	go func() { _ = s.Serve(tc.ctx, l) }()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -19,8 +19,15 @@
 type session struct {
 	fleet      *fleet.Fleet
 	requestLog *requestLog
+	limiter    Limiter
 	database   string
-	state      preparation.Session
+	// key is the caller's secret key.
+	key string
+	// checked is the configuration in which the key was last looked up, team the team
+	// found; nil if the caller has none.
+	checked *tables.Routing
+	team    *tables.Team
+	state   preparation.Session
 	// newest is the newest position of the session's acknowledged commits.
 	newest tables.Position
 	status statement.State
@@ -34,6 +41,11 @@
 	began := s.fleet.Now()
 	s.lastRequest = nil
 	var r statement.Reply
+	if refusal := s.authorize(); refusal.Code != statement.OK {
+		s.endTransaction(nil)
+		s.requestLog.replied(s, st, refusal, s.fleet.Now().Sub(began))
+		return refusal
+	}
 	switch st.Kind {
 	case statement.Set, statement.Prepare, statement.Forget:
 		r = s.handleLocal(st)
@@ -76,6 +88,60 @@
 	return statement.Reply{State: s.status}
 }
 
+// authorize looks up the caller's key again if the configuration has changed. A reply
+// other than OK ends the session: the key was removed, or belongs to another team.
+func (s *session) authorize() statement.Reply {
+	routing := s.fleet.Routing()
+	if routing == nil || routing == s.checked {
+		return statement.Reply{}
+	}
+	route, found := routing.Routes[s.database]
+	if !found && s.team == nil {
+		return statement.Reply{} // the route is gone, and a key was never needed
+	}
+	team, ok := routing.Authorize(route, s.key)
+	switch {
+	case ok && (s.checked == nil || sameTeam(s.team, team)):
+		s.checked, s.team = routing, team
+		return statement.Reply{}
+	case s.checked == nil:
+		return statement.Refuse(statement.NoAuth, codes.UnknownKey, statement.Idle, "unknown key")
+	default:
+		return statement.Refuse(statement.NoAuth, codes.KeyRemoved, statement.Idle, "the key was removed")
+	}
+}
+
+// sameTeam reports whether a and b stand for the same team, or both for none.
+func sameTeam(a, b *tables.Team) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.ID == b.ID
+}
+
+// teamID returns the team for which servers run the session's statements.
+func (s *session) teamID() tables.TeamID {
+	if s.team == nil {
+		return ""
+	}
+	return s.team.ID
+}
+
+// admitOperation counts an operation of the session's team against its limit. A reply
+// other than OK refuses it.
+func (s *session) admitOperation(ctx context.Context) statement.Reply {
+	if s.team == nil || s.team.Rate <= 0 {
+		return statement.Reply{}
+	}
+	after, ok := s.limiter.Admit(ctx, s.team.ID)
+	if ok {
+		return statement.Reply{}
+	}
+	r := statement.Refuse(statement.Busy, codes.TeamLimit, s.status, "the team has reached its limit")
+	r.RetryAfter = after
+	return r
+}
+
 // route returns the current route of the session's database.
 func (s *session) route() (tables.Route, bool) {
 	routing := s.fleet.Routing()
@@ -108,6 +174,9 @@
 	}
 	q := newRequest(ctx, s, route, st, writes)
 	defer q.cancel()
+	if r := s.admitOperation(q.ctx); r.Code != statement.OK {
+		return r
+	}
 	switch {
 	case writes:
 		return exec.Serve(q.ctx, &writePlan{q: q})
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -169,6 +169,9 @@
 // beginAtServer begins the transaction at a server. A reply other than OK is to be
 // returned to the caller.
 func (q *request) beginAtServer(tx *transaction) statement.Reply {
+	if r := q.s.admitOperation(q.ctx); r.Code != statement.OK {
+		return r
+	}
 	if tx.readOnly && tx.route.Freshness != tables.FreshNewest {
 		return q.readAny(tx.arrived, tx)
 	}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -111,6 +111,8 @@
 	NoStatement
 	// NoDatabase means that there is no route for the database's name; nothing ran.
 	NoDatabase
+	// NoAuth means that the caller's key is unknown; nothing ran.
+	NoAuth
 	// Bad means that the statement can't be parsed or is not allowed in this state;
 	// nothing ran.
 	Bad
@@ -123,7 +125,7 @@
 )
 
 var codeNames = [...]string{"ok", "busy", "aborted", "behind", "read only", "misrouted", "too many",
-	"no statement", "no database", "bad", "failed", "timeout", "unsure"}
+	"no statement", "no database", "no authorization", "bad", "failed", "timeout", "unsure"}
 
 // String returns the label used in logs and metrics.
 func (c Code) String() string { return codeNames[c] }
@@ -132,7 +134,7 @@
 // run on the upstream.
 func (c Code) NotRun() bool {
 	switch c {
-	case Busy, Behind, ReadOnly, Misrouted, TooMany, NoStatement, NoDatabase, Bad:
+	case Busy, Behind, ReadOnly, Misrouted, TooMany, NoStatement, NoDatabase, NoAuth, Bad:
 		return true
 	default:
 		return false
--- a/internal/tables/directory.go
+++ b/internal/tables/directory.go
@@ -68,6 +68,24 @@
 	TargetLatency time.Duration
 	// Priority orders routes; 0 is the highest priority.
 	Priority int
+	// Open means that callers need no key.
+	Open bool
+}
+
+// TeamID names a team, a customer that shares the upstreams with others.
+type TeamID string
+
+// Team is one team of the configuration.
+type Team struct {
+	// ID names the team; upstreams are told this name.
+	ID TeamID
+	// Priority orders teams; 0 is the highest priority.
+	Priority int
+	// Rate is how many operations the team may start each second, over all
+	// proxies; 0 means no limit.
+	Rate float64
+	// Burst is how many operations the team may start at once.
+	Burst float64
 }
 
 // GroupLimits are the operator's limits of one group.
@@ -94,4 +112,32 @@
 	IdleTransactionTimeout time.Duration
 	// StartupTimeout limits the wait for a caller's first message.
 	StartupTimeout time.Duration
+	// Teams are the configured teams; nil if the deployment has no teams, and callers
+	// then need no key.
+	Teams map[TeamID]*Team
+	// Keys holds the team of each key of a caller. Keys are secret: they must not be
+	// logged or sent on.
+	Keys map[string]*Team
+}
+
+// Authorize returns the team of a caller with the given key. team is nil for a caller
+// of an open route whose key is unknown, and in a deployment without teams. ok is
+// false if the caller may not use the route.
+func (r *Routing) Authorize(route Route, key string) (team *Team, ok bool) {
+	if r.Teams == nil {
+		return nil, true
+	}
+	team, known := r.Keys[key]
+	return team, known || route.Open
+}
+
+// RemovesKeys reports whether a key that an earlier configuration has is missing from
+// r, or belongs to another team there.
+func (r *Routing) RemovesKeys(earlier *Routing) bool {
+	for key, team := range earlier.Keys {
+		if now, ok := r.Keys[key]; !ok || now.ID != team.ID {
+			return true
+		}
+	}
+	return false
 }
