--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -184,6 +184,7 @@
 	defer r.mu.Unlock()
 	if err == nil {
 		r.acceptEra(rows.Era)
+		r.storeRespondedAt = r.Now()
 	}
 	switch {
 	case err != nil && retryable(err) && r.storeLostAt == 0:
@@ -195,6 +196,14 @@
 	}
 }
 
+// lastResponse returns when the store last responded to this proxy. A call that has
+// had no response yet is no sign that the store responds.
+func (r *Relay) lastResponse() tables.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.storeRespondedAt
+}
+
 // Lost reports whether the store does not respond to this proxy.
 func (r *Relay) Lost() bool {
 	r.mu.Lock()
@@ -435,7 +444,7 @@
 		case <-overdueAt:
 			return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, "the store's response is overdue")
 		case <-timeout.C:
-			return platform.Rows{Era: q.Era, Version: q.After, Age: r.Now().Sub(call.startedAt)}, nil
+			return platform.Rows{Era: q.Era, Version: q.After, Age: r.Now().Sub(min(call.startedAt, r.lastResponse()))}, nil
 		}
 	}
 }
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -194,6 +194,8 @@
 	// storeLostAt is when the store stopped responding; 0 while it responds.
 	storeLostAt  tables.Time
 	storeTriedAt tables.Time
+	// storeRespondedAt is when the store last responded.
+	storeRespondedAt tables.Time
 	// era is the newest era of the store that any response has shown.
 	era uint64
 	// sharedRows are the newest rows of the shared table, as of sharedRowsAsOf.
--- a/internal/rowrelay/rowrelay_test.go
+++ b/internal/rowrelay/rowrelay_test.go
@@ -84,7 +84,12 @@
 		time.Sleep(wait + 1500*time.Millisecond) // the store's client times out
 		return platform.Rows{}, platform.ErrUnavailable
 	}
-	return p.Store.WatchTable(ctx, table, after, wait)
+	rows, err := p.Store.WatchTable(ctx, table, after, wait)
+	if p.isDown() { // the response is lost
+		time.Sleep(time.Second)
+		return platform.Rows{}, platform.ErrUnavailable
+	}
+	return rows, err
 }
 
 type cluster struct {
