--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -159,7 +159,10 @@
 		}
 	}
 	f.log.Info("Put a configuration in force.", "version", next.Version, "rowVersion", r.Version,
-		"routes", len(next.Routes), "groups", len(next.Groups))
+		"routes", len(next.Routes), "groups", len(next.Groups), "teams", len(next.Teams))
+	for _, problem := range next.Problems {
+		f.log.Warn("The configuration has a fault.", "version", next.Version, "problem", problem)
+	}
 }
 
 func (f *Fleet) watchEntries(ctx context.Context) {
--- a/internal/tables/directory.go
+++ b/internal/tables/directory.go
@@ -118,6 +118,8 @@
 	// Keys holds the team of each key of a caller. Keys are secret: they must not be
 	// logged or sent on.
 	Keys map[string]*Team
+	// Problems describe faults of the configuration that don't prevent its use.
+	Problems []string
 }
 
 // Authorize returns the team of a caller with the given key. team is nil for a caller
