--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -111,6 +111,7 @@
 		Store:        metered.New(store.New(s.MetadataAddress), m),
 		SharedTable:  fleet.RecordTable,
 		UrgentTables: map[string]bool{routes.Table: true},
+		Regions:      s.Regions,
 		Bus:          bus,
 		Now:          boottime.Now,
 		Log:          log,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,8 +77,8 @@
 	defer p.mu.Unlock()
 	updated := p.settings
 	updated.Grace, updated.DrainLimit = s.Grace, s.DrainLimit
-	if s != p.settings {
-		p.log.Info("Reloaded the settings.", "grace", s.Grace, "drainLimit", s.DrainLimit, "restartNeeded", updated != s)
+	if !s.Equal(p.settings) {
+		p.log.Info("Reloaded the settings.", "grace", s.Grace, "drainLimit", s.DrainLimit, "restartNeeded", !updated.Equal(s))
 	} else {
 		p.log.Info("Reloaded the settings, nothing changed.")
 	}
--- a/internal/peer/peertest/peertest.go
+++ b/internal/peer/peertest/peertest.go
@@ -30,6 +30,39 @@
 	// connections holds the queues of messages by sender and receiver. Messages of
 	// one connection pass the links one after the other.
 	connections map[[2]string]chan delivery
+	// route returns the path of messages between two proxies; nil is a path without
+	// limits.
+	route func(from, to string) Route
+}
+
+// Route is the path of messages from one proxy to another.
+type Route struct {
+	// Link limits the bandwidth unless nil. Several routes may share it.
+	Link    *slowlink.Link
+	Latency time.Duration
+}
+
+// SetRoutes sets the paths of messages.
+func (n *Network) SetRoutes(route func(from, to string) Route) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.route = route
+}
+
+// Rejoin ends the effect of Isolate.
+func (n *Network) Rejoin(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.isolated, address)
+}
+
+// deliverOver passes the message to its receiver over a route.
+func (d delivery) deliverOver(r Route) {
+	if r.Link != nil {
+		r.Link.Transfer(len(d.message.Payload))
+	}
+	time.Sleep(r.Latency)
+	d.deliver()
 }
 
 // Links are the two directions of a proxy's link.
@@ -104,6 +137,10 @@
 		return
 	}
 	d := delivery{message: message.NewMessage(uuid.NewString(), payload), in: in}
+	if n.route != nil {
+		go d.deliverOver(n.route(b.address, address))
+		return
+	}
 	if len(n.links) == 0 {
 		go d.deliver()
 		return
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 // ReadTable implements platform.Metadata. Rows.Age says how much older than the
 // call the rows may be.
 func (r *Relay) ReadTable(ctx context.Context, table string) (platform.Rows, error) {
+	if r.regional {
+		return r.readInRegion(ctx, request{Table: table})
+	}
 	if table == r.SharedTable {
 		if rows, err := r.readSharedThroughReader(ctx); err == nil {
 			return rows, nil
@@ -40,12 +44,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
 	defer cancel()
-	return r.currentSharedRows(ctx)
+	return r.currentSharedRows(ctx, false)
 }
 
 // WatchTable implements platform.Metadata.
 func (r *Relay) WatchTable(ctx context.Context, table string, after tables.Version, wait time.Duration) (platform.Rows, error) {
 	q := request{Table: table, Watch: true, Era: after.Era, After: after.Counter, WaitMillis: wait.Milliseconds(), TimeoutMillis: wait.Milliseconds()}
+	if r.regional {
+		return r.readInRegion(ctx, q)
+	}
 	if p, ok := r.reader(); ok && wait > 0 {
 		peerReq := q
 		if r.UrgentTables[table] {
@@ -103,12 +110,13 @@
 	for {
 		select {
 		case res := <-done:
-			if res.err == nil || !retryable(res.err) {
+			if res.err == nil || !retryable(res.err) || errors.Is(res.err, errNoBudget) {
 				return res.rows, res.err
 			}
 			return r.readFromPeers(ctx, q, 0)
 		case <-timer.C:
-			if !call.arriving() || r.Now().Sub(call.startedAt) > wait+arrivalHedgeDelay {
+			late := !r.regional && r.Now().Sub(call.startedAt) > wait+arrivalHedgeDelay
+			if !call.arriving() || late {
 				return r.readWithHedge(ctx, q, done)
 			}
 			// A peer would send the same rows over the same link.
@@ -123,9 +131,9 @@
 // too.
 func (r *Relay) hedgeDelayFor(q request) time.Duration {
 	if r.UrgentTables[q.Table] && !q.Watch {
-		return largeReadHedgeDelay
+		return largeReadHedgeDelay + r.storeAllowance()
 	}
-	return hedgeDelay
+	return hedgeDelay + r.storeAllowance()
 }
 
 // readWithHedge reads through peers while the store's response is pending, and
@@ -185,6 +193,7 @@
 	if err == nil {
 		r.acceptEra(rows.Era)
 	}
+	r.adjustBudget(err != nil && retryable(err))
 	switch {
 	case err != nil && retryable(err) && r.storeLostAt == 0:
 		r.storeLostAt = r.Now()
@@ -207,7 +216,7 @@
 func (r *Relay) reader() (Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.firstByName(func(p Peer) bool { return p.DataCentre == r.Self.DataCentre })
+	return r.firstByName(r.inOwnDataCentre)
 }
 
 // ReaderAddress returns the address of the designated reader; ok is false if it is
@@ -218,10 +227,14 @@
 }
 
 // globalReader returns the proxy that reads the shared table for all data
-// centres; ok is false if it is this proxy.
+// centres, or with several regions everything for those of this region; ok is false
+// if it is this proxy.
 func (r *Relay) globalReader() (Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.regional {
+		return r.firstByName(r.inOwnRegion)
+	}
 	return r.firstByName(func(Peer) bool { return true })
 }
 
@@ -231,18 +244,23 @@
 	now := r.Now()
 	best := r.Self
 	for _, p := range r.peers {
-		if p.VM < best.VM && now >= r.avoidUntil[p.VM] && match(p) {
+		if p.VM < best.VM && now >= r.avoidUntil[p.VM] && !r.awaitsCheck(p) && match(p) {
 			best = p
 		}
 	}
 	return best, best.VM != r.Self.VM
 }
 
+// awaitsCheck reports whether a peer must respond to a check before it is used as a
+// reader. The lock must be held.
+func (r *Relay) awaitsCheck(p Peer) bool { return r.regional && r.failures[p.VM] > 0 }
+
 // readFromPeers reads through up to two peers, one of this data centre first.
 // They wait for changes for the time wait; the store responds at once if there
 // are any.
 func (r *Relay) readFromPeers(ctx context.Context, q request, wait time.Duration) (platform.Rows, error) {
 	q.TimeoutMillis = max(wait, peerTimeout/2).Milliseconds()
+	q.Direct = r.regional
 	err := errors.Wrap(platform.ErrUnavailable, "no peer is available")
 	for _, p := range r.pickPeers(2) {
 		var rows platform.Rows
@@ -266,17 +284,19 @@
 }
 
 // pickPeers returns up to n peers in random order, one of this data centre
-// first.
+// first, and with several regions those of this region before the others.
 func (r *Relay) pickPeers(n int) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
-	var near, far []Peer
+	var near, regional, far []Peer
 	for _, p := range r.shuffledPeers() {
 		switch {
 		case now < r.avoidUntil[p.VM]:
 		case p.DataCentre == r.Self.DataCentre:
 			near = append(near, p)
+		case r.regional && r.inOwnRegion(p):
+			regional = append(regional, p)
 		default:
 			far = append(far, p)
 		}
@@ -284,24 +304,28 @@
 	if len(near) > 1 {
 		near = near[:1]
 	}
-	all := append(near, far...)
+	all := slices.Concat(near, regional, far)
 	return all[:min(n, len(all))]
 }
 
 // PeerAddresses returns the addresses of up to n peers in random order, up to
-// half of them of this data centre.
+// half of them of this data centre. With several regions, those of this region come
+// before the others.
 func (r *Relay) PeerAddresses(n int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var near, far []string
+	var near, regional, far []string
 	for _, p := range r.shuffledPeers() {
-		if p.DataCentre == r.Self.DataCentre && len(near) < n/2 {
+		switch {
+		case p.DataCentre == r.Self.DataCentre && len(near) < n/2:
 			near = append(near, p.Address)
-		} else {
+		case r.regional && r.inOwnRegion(p):
+			regional = append(regional, p.Address)
+		default:
 			far = append(far, p.Address)
 		}
 	}
-	all := append(near, far...)
+	all := slices.Concat(near, regional, far)
 	return all[:min(n, len(all))]
 }
 
@@ -350,6 +374,9 @@
 	case failureHistoryLost:
 		return platform.ErrHistoryLost
 	case failureSlow:
+		if r.regional {
+			return errLate
+		}
 		return errors.Wrapf(platform.ErrUnavailable, "the store's response arrives slowly at %s", p.VM)
 	default:
 		r.backOffFrom(p, q, "it does not reach the store")
@@ -362,7 +389,11 @@
 func (r *Relay) backOffFrom(p Peer, q request, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.failures[p.VM] = min(r.failures[p.VM]+1, maxBackoffDoublings)
+	doublings := maxBackoffDoublings
+	if r.regional {
+		doublings = maxRegionalDoublings
+	}
+	r.failures[p.VM] = min(r.failures[p.VM]+1, doublings)
 	backoff := peerBackoff << r.failures[p.VM]
 	r.avoidUntil[p.VM] = r.Now().Add(backoff)
 	r.log.Info("Backing off from a peer.", "peer", p.VM, "table", q.Table, "reason", reason, "for", backoff)
@@ -374,9 +405,12 @@
 		return r.respondPart(q)
 	}
 	out := response{Failure: failureUnavailable}
-	if r.Lost() {
+	if r.refuses(q) {
 		return out
 	}
+	if q.Check {
+		return response{}
+	}
 	rows, err := r.rowsFor(ctx, q)
 	switch {
 	case err == nil:
@@ -392,22 +426,67 @@
 		}
 	case errors.Is(err, platform.ErrHistoryLost):
 		out.Failure = failureHistoryLost
-	case errors.Is(err, errSlowResponse):
+	case errors.Is(err, errSlowResponse) || errors.Is(err, errLate):
 		out.Failure = failureSlow
 	}
 	return out
 }
 
+// refuses reports whether this proxy can't serve a peer's request because it does not
+// reach the store.
+func (r *Relay) refuses(q request) bool {
+	switch {
+	case !r.Lost():
+		return false
+	case !r.regional:
+		return true
+	case q.Direct:
+		return r.skipStore()
+	default:
+		return r.isRegionReader()
+	}
+}
+
 func (r *Relay) rowsFor(ctx context.Context, q request) (platform.Rows, error) {
-	if q.Table == r.SharedTable && !q.Watch {
-		return r.currentSharedRows(ctx)
+	if r.isShared(q) {
+		if r.regional {
+			return r.sharedRowsInTime(ctx, q)
+		}
+		return r.currentSharedRows(ctx, false)
 	}
 	if q.Watch {
 		return r.watchFor(ctx, q)
 	}
+	if r.regional {
+		return r.readInTime(ctx, q)
+	}
 	return r.readStore(ctx, q)
 }
 
+// sharedRowsInTime returns the newest rows of the shared table, or errLate shortly
+// before the requester's timeout.
+func (r *Relay) sharedRowsInTime(ctx context.Context, q request) (platform.Rows, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.timeout())
+	defer cancel()
+	rows, err := r.currentSharedRows(ctx, q.Direct)
+	if err != nil && ctx.Err() != nil {
+		return platform.Rows{}, errLate
+	}
+	return rows, err
+}
+
+// readInTime returns a whole table, or errLate shortly before the requester's
+// timeout.
+func (r *Relay) readInTime(ctx context.Context, q request) (platform.Rows, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.timeout())
+	defer cancel()
+	rows, err := r.awaitCall(ctx, q)
+	if err != nil && ctx.Err() != nil {
+		return platform.Rows{}, errLate
+	}
+	return rows, err
+}
+
 // errSlowResponse means that the store's response arrives slowly at this proxy.
 var errSlowResponse = errors.New("rowrelay: the store's response arrives slowly")
 
@@ -429,20 +508,31 @@
 		case <-call.done:
 			return call.wait(age)
 		case <-begun:
-			begun, overdueAt, slow = nil, nil, time.After(forwardDelay)
+			begun, overdueAt = nil, nil
+			if !r.regional {
+				slow = time.After(forwardDelay)
+			}
 		case <-slow:
 			return platform.Rows{}, errSlowResponse
 		case <-overdueAt:
+			if r.regional {
+				return platform.Rows{}, errLate
+			}
 			return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, "the store's response is overdue")
 		case <-timeout.C:
-			return platform.Rows{Era: q.Era, Version: q.After, Age: r.Now().Sub(call.startedAt)}, nil
+			age := r.Now().Sub(call.startedAt)
+			if !call.direct {
+				// The reader may have joined a call of the length of one wait.
+				age += q.wait() + readerWatchTimeout
+			}
+			return platform.Rows{Era: q.Era, Version: q.After, Age: age}, nil
 		}
 	}
 }
 
 // currentSharedRows returns the newest rows of the shared table, reading it if
-// they are too old.
-func (r *Relay) currentSharedRows(ctx context.Context) (platform.Rows, error) {
+// they are too old. direct says that it is not read through another proxy.
+func (r *Relay) currentSharedRows(ctx context.Context, direct bool) (platform.Rows, error) {
 	arrived := r.Now()
 	r.mu.Lock()
 	rows, asOf := r.sharedRows, r.sharedRowsAsOf
@@ -450,9 +540,10 @@
 	r.mu.Unlock()
 	if asOf != 0 && current && arrived.Sub(asOf) <= maxSharedAge {
 		rows.Age = arrived.Sub(asOf)
+		r.refreshAhead(ctx, rows.Age)
 		return rows, nil
 	}
-	done := r.reads.DoChan(r.SharedTable, func() (any, error) { return nil, r.refreshSharedRows(context.WithoutCancel(ctx)) })
+	done := r.reads.DoChan(r.SharedTable, func() (any, error) { return nil, r.refreshSharedRows(context.WithoutCancel(ctx), direct) })
 	select {
 	case res := <-done:
 		if res.Err != nil {
@@ -469,14 +560,10 @@
 }
 
 // refreshSharedRows reads the shared table, through the global reader if that
-// is another proxy.
-func (r *Relay) refreshSharedRows(ctx context.Context) error {
+// is another proxy and direct is false.
+func (r *Relay) refreshSharedRows(ctx context.Context, direct bool) error {
 	asOf := r.Now()
-	rows, err := r.readThroughGlobalReader(ctx)
-	if err != nil {
-		asOf = r.Now()
-		rows, err = r.readStore(ctx, request{Table: r.SharedTable})
-	}
+	rows, err := r.readShared(ctx, direct, &asOf)
 	if err != nil {
 		return err
 	}
@@ -486,6 +573,19 @@
 	return nil
 }
 
+// readShared reads the shared table. It sets asOf to when the read began.
+func (r *Relay) readShared(ctx context.Context, direct bool, asOf *tables.Time) (platform.Rows, error) {
+	if r.regional {
+		return r.readSharedInRegion(ctx, direct, asOf)
+	}
+	rows, err := r.readThroughGlobalReader(ctx)
+	if err != nil {
+		*asOf = r.Now()
+		rows, err = r.readStore(ctx, request{Table: r.SharedTable})
+	}
+	return rows, err
+}
+
 // errIsGlobalReader means that this proxy is the global reader itself.
 var errIsGlobalReader = errors.New("rowrelay: this proxy is the global reader")
 
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -102,6 +102,10 @@
 	// Content, if not 0, requests the part at Offset of a response sent before.
 	Content uint64 `msgpack:"c,omitempty"`
 	Offset  int    `msgpack:"o,omitempty"`
+	// Direct requests that the rows are read from the store, not through a reader.
+	Direct bool `msgpack:"d,omitempty"`
+	// Check asks whether the peer reaches the store.
+	Check bool `msgpack:"h,omitempty"`
 }
 
 // wait returns how long the store may wait for a change; 0 for a read.
@@ -168,7 +172,10 @@
 	// UrgentTables are the tables with large rows whose changes must arrive in time
 	// even if a peer stops responding.
 	UrgentTables map[string]bool
-	Bus          rpc.Bus
+	// Regions maps data centres to regions. With fewer than two regions it has no
+	// effect.
+	Regions map[tables.DataCentreID]string
+	Bus     rpc.Bus
 	// Now is a clock that advances while the machine is suspended.
 	Now func() tables.Time
 	Log *slog.Logger
@@ -182,6 +189,11 @@
 	exchange *rpc.Endpoint[request, response]
 	reads    singleflight.Group
 	contents contents
+	// regional says that there are several regions.
+	regional bool
+	// directoryRead is closed when the directory has been read.
+	directoryRead chan struct{}
+	noteDirectory func()
 
 	mu sync.Mutex
 	// calls are the reads of the store that are under way.
@@ -201,6 +213,14 @@
 	sharedRowsAsOf tables.Time
 	// eraBegan receives a value when a newer era was found.
 	eraBegan chan struct{}
+	// storeTimes are the times in which the store responds, and readerTimes those in
+	// which a reader sends shared rows.
+	storeTimes, readerTimes allowance
+	// directInterval is the time between two calls to the store by a proxy that has a
+	// budget of them; directAt and largeDirectAt are the earliest times of the next
+	// call, and of the next one for an urgent table.
+	directInterval          time.Duration
+	directAt, largeDirectAt tables.Time
 }
 
 var _ platform.Metadata = (*Relay)(nil)
@@ -208,6 +228,7 @@
 // New returns a relay without peers.
 func New(o Options) *Relay {
 	log := logging.For(o.Log, "rowrelay")
+	directoryRead := make(chan struct{})
 	return &Relay{
 		Options: o,
 		log:     log,
@@ -218,6 +239,10 @@
 		avoidUntil: make(map[tables.VMID]tables.Time),
 		failures:   make(map[tables.VMID]int),
 		eraBegan:   make(chan struct{}, 1),
+
+		regional:      hasRegions(o.Regions),
+		directoryRead: directoryRead,
+		noteDirectory: sync.OnceFunc(func() { close(directoryRead) }),
 	}
 }
 
@@ -238,7 +263,12 @@
 // Run serves peers and maintains the directory until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
 	go r.maintainDirectory(ctx)
-	slots := make(chan struct{}, maxConcurrentRequests)
+	limit := maxConcurrentRequests
+	if r.regional {
+		go r.checkPeers(ctx)
+		limit = maxRegionalRequests
+	}
+	slots := make(chan struct{}, limit)
 	return r.exchange.Run(ctx, func(q request, reply func(response)) {
 		select {
 		case slots <- struct{}{}:
@@ -296,12 +326,15 @@
 }
 
 func (r *Relay) readDirectory(ctx context.Context) {
+	start := r.Now()
 	rows, err := r.Store.ReadTable(ctx, directoryTable)
 	if err != nil {
 		r.log.Info("Could not read the directory of proxies.", "error", err)
 		return
 	}
+	r.recordStoreTime(request{Table: directoryTable}, r.Now().Sub(start))
 	r.applyDirectory(rows)
+	r.noteDirectory()
 }
 
 // register writes this proxy's row unless the directory as read contains it.
--- a/internal/rowrelay/storecall.go
+++ b/internal/rowrelay/storecall.go
@@ -9,9 +9,12 @@
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
-// storeCall is a read of the store that is under way.
+// storeCall is a read of the store that is under way, or with several regions a read
+// through the reader of the region.
 type storeCall struct {
 	request request
+	// direct says that the store itself is called.
+	direct bool
 	// startedAt is when the call was made, and overdueAt when the store should
 	// have responded.
 	startedAt, overdueAt tables.Time
@@ -50,6 +53,8 @@
 // the same rows would share the link with the first. age is how long before now the
 // response may have been made.
 func (r *Relay) callStore(ctx context.Context, q request) (call *storeCall, age time.Duration) {
+	direct := !r.regional || q.Direct || r.isRegionReader()
+	allowance := r.storeAllowance()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
@@ -57,43 +62,61 @@
 		if !r.serves(c, q) {
 			continue
 		}
-		if q.Watch && !c.arriving() {
+		if q.Watch && c.direct && !c.arriving() {
 			return c, 0
 		}
 		return c, now.Sub(c.startedAt)
 	}
 	call = &storeCall{
-		request: q, startedAt: now, overdueAt: now.Add(q.wait() + hedgeDelay),
+		request: q, direct: direct, startedAt: now, overdueAt: now.Add(q.wait() + hedgeDelay + allowance),
 		begun: make(chan struct{}), done: make(chan struct{}),
 	}
 	r.calls = append(r.calls, call)
-	go r.runCall(platform.OnResponse(context.WithoutCancel(ctx), func() { close(call.begun) }), call)
+	go r.runCall(context.WithoutCancel(ctx), call)
 	return call, 0
 }
 
 // serves reports whether the response of a running call is one to q. A watch is
 // served by a call for the same changes that waits as long, or whose response is
-// arriving. A read is served only if its table is large.
+// arriving. A read is served only if its table is large, or with several regions.
 func (r *Relay) serves(c *storeCall, q request) bool {
-	if c.request.Table != q.Table || c.request.Watch != q.Watch {
+	if c.request.Table != q.Table || c.request.Watch != q.Watch || q.Direct && !c.direct {
 		return false
 	}
 	if !q.Watch {
-		return r.UrgentTables[q.Table]
+		return r.regional || r.UrgentTables[q.Table]
 	}
 	return c.request.after() == q.after() && (c.request.WaitMillis == q.WaitMillis || c.arriving())
 }
 
 // runCall makes the call.
 func (r *Relay) runCall(ctx context.Context, c *storeCall) {
-	if c.request.Watch {
-		c.rows, c.err = r.Store.WatchTable(ctx, c.request.Table, c.request.after(), c.request.wait())
+	if r.regional {
+		c.rows, c.err = r.readForRegion(ctx, c)
 	} else {
-		c.rows, c.err = r.Store.ReadTable(ctx, c.request.Table)
+		c.rows, c.err = r.readStoreNow(ctx, c)
 	}
-	r.recordStoreResult(c.rows, c.err)
 	r.mu.Lock()
 	r.calls = slices.DeleteFunc(r.calls, func(o *storeCall) bool { return o == c })
 	r.mu.Unlock()
 	close(c.done)
 }
+
+// readStoreNow calls the store.
+func (r *Relay) readStoreNow(ctx context.Context, c *storeCall) (rows platform.Rows, err error) {
+	q, start := c.request, r.Now()
+	ctx = platform.OnResponse(ctx, func() {
+		r.recordStoreTime(q, r.Now().Sub(start))
+		close(c.begun)
+	})
+	if q.Watch {
+		rows, err = r.Store.WatchTable(ctx, q.Table, q.after(), q.wait())
+	} else {
+		rows, err = r.Store.ReadTable(ctx, q.Table)
+	}
+	if !c.arriving() && err != nil {
+		r.recordStoreLate(q)
+	}
+	r.recordStoreResult(rows, err)
+	return rows, err
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -14,6 +15,9 @@
 	VM tables.VMID
 	// DataCentre is the data centre of the VM.
 	DataCentre tables.DataCentreID
+	// Regions maps data centres to regions. It is empty if the platform names no
+	// regions.
+	Regions map[tables.DataCentreID]string
 	// Address is the IP address of the VM.
 	Address string
 	// CallerAddress is the IP:port that callers connect to.
@@ -39,6 +43,9 @@
 	Descriptors int
 }
 
+// Equal reports whether two settings are the same.
+func (e Entry) Equal(o Entry) bool { return reflect.DeepEqual(e, o) }
+
 // Check returns an error that names the first field that is missing or invalid.
 func (e *Entry) Check() error {
 	fields := []struct {
