--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -25,11 +25,13 @@
 	"github.com/cranberrystage/cranberrystage/internal/peer/tcpbus"
 	"github.com/cranberrystage/cranberrystage/internal/platform/metered"
 	"github.com/cranberrystage/cranberrystage/internal/pointrelay"
+	"github.com/cranberrystage/cranberrystage/internal/quotarelay"
 	"github.com/cranberrystage/cranberrystage/internal/relay"
 	"github.com/cranberrystage/cranberrystage/internal/rowrelay"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
+	"github.com/cranberrystage/cranberrystage/internal/systems/quota"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/platform/duty"
 	"github.com/cranberrystage/cranberrystage/platform/entries"
@@ -145,7 +147,20 @@
 		Metrics:    m,
 		DrainLimit: s.DrainLimit,
 	})
-	server := relay.NewServer(f, relay.Unlimited{}, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, m, log)
+	limits := quotarelay.New(quotarelay.Options{
+		Address:    s.PeerAddress,
+		VM:         s.VM,
+		DataCentre: s.DataCentre,
+		Bus:        bus,
+		Allocator:  rows.ReaderAddress,
+		Directory:  func() quotarelay.Directory { return quotaDirectory(rows.Directory()) },
+		Routing:    f.Routing,
+		Tolerance:  quota.Tolerance{Window: s.QuotaWindow, Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack},
+		Now:        boottime.Now,
+		Log:        log,
+		Metrics:    m,
+	})
+	server := relay.NewServer(f, limits, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, m, log)
 	p, err := entry.New(s, f, server, log)
 	if err != nil {
 		return err
@@ -163,12 +178,25 @@
 			log.Error("entry: Stopped exchanging freshness points with other proxies.", "error", err)
 		}
 	}()
+	go func() {
+		if err := limits.Run(work); err != nil {
+			log.Error("entry: Stopped exchanging tokens of teams with other proxies.", "error", err)
+		}
+	}()
 	go reload(ctx, path, hup, p, log)
 	err = p.Run(ctx)
 	leave(work, rows, log)
 	return err
 }
 
+// quotaDirectory converts a reading of the directory of proxies.
+func quotaDirectory(d rowrelay.Directory) quotarelay.Directory {
+	return quotarelay.Directory{
+		Directory:  quota.Directory{Proxies: d.Proxies, Near: d.Near, Listed: d.Listed},
+		Allocators: d.Readers,
+	}
+}
+
 // leaveTimeout bounds the call that removes a stopping proxy from the directory.
 const leaveTimeout = 300 * time.Millisecond
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -111,6 +111,7 @@
 	callerErrors  *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeSeconds  *prometheus.HistogramVec
+	quota         *quotaMetrics
 }
 
 // New returns metrics whose collectors are registered with reg.
@@ -141,6 +142,7 @@
 	}
 	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.storeEra, m.unconfirmed, m.callers, m.callerErrors,
 		m.storeCalls, m.storeSeconds)
+	m.quota = newQuotaMetrics(reg)
 	return m
 }
 
--- /dev/null
+++ b/internal/quotarelay/limits_test.go
@@ -0,0 +1,223 @@
+package quotarelay
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	seeds     = flag.Int("quota.seeds", 3, "number of random runs")
+	firstSeed = flag.Uint64("quota.seed", 1, "seed of the first random run")
+)
+
+// TestLimitHoldsThroughFaults guards against any window with more operations than the
+// limit allows, through partitions, suspensions, restarts, joins and lowered limits.
+func TestLimitHoldsThroughFaults(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runFaults(t, seed) })
+		})
+	}
+}
+
+func runFaults(t *testing.T, seed uint64) {
+	centres := 3 + int(seed%2)
+	c := newCluster(t, seed, 5+int(seed*13%36), centres)
+	small, large, noisy := c.addTeam(2, 5), c.addTeam(150, 240), c.addTeam(10, 1)
+	bursty := c.addTeam(20, 200)
+	for _, v := range c.vms {
+		v.start()
+	}
+	time.Sleep(2 * time.Second)
+	const end = 75 * time.Second
+	usual := func() float64 { return 1 }
+	c.runLoad(small, 5, end, usual)
+	c.runLoad(large, 60, end, func() float64 {
+		if c.now()%(20*time.Second) > 10*time.Second {
+			return 7.5
+		}
+		return 1
+	})
+	c.runLoad(noisy, 20, end, func() float64 { return 7.5 })
+	c.runLoad(bursty, 20, end, func() float64 {
+		if c.now()%(12*time.Second) > 9*time.Second {
+			return 20
+		}
+		return 0.3
+	})
+	for c.now() < end {
+		c.injectFault(centres)
+		time.Sleep(time.Duration(c.random().Int64N(int64(3 * time.Second))))
+	}
+	time.Sleep(15 * time.Second)
+	for _, l := range c.teams {
+		t.Logf("seed %d, %d proxies: %s admitted %d, refused %d, fullest window %.2f", seed, len(c.vms), l.id, len(l.admitted), l.refused, c.checkWindows(l))
+	}
+	assert.Assert(t, len(small.admitted) > 60, "the small team was hardly served: %d", len(small.admitted))
+	c.stop()
+}
+
+// stop ends all processes, and waits for messages and callers under way.
+func (c *cluster) stop() {
+	for _, v := range c.vms {
+		v.stop()
+	}
+	time.Sleep(10 * time.Minute)
+}
+
+// injectFault starts one random fault, which ends by itself.
+func (c *cluster) injectFault(centres int) {
+	rng := c.random()
+	length := time.Duration(rng.Int64N(int64(8 * time.Second)))
+	v := c.vms[rng.IntN(len(c.vms))]
+	switch rng.IntN(7) {
+	case 0: // a partition between any proxies
+		c.partition(length, func(*vm) bool { return rng.IntN(3) == 0 })
+	case 1: // a data centre is cut off
+		c.partition(length, func(o *vm) bool { return o.dc == v.dc })
+	case 2: // suspensions
+		for range 1 + rng.IntN(3) {
+			v = c.vms[rng.IntN(len(c.vms))]
+			c.mu.Lock()
+			v.frozen = time.Now().Add(time.Duration(rng.Int64N(int64(length + 1))))
+			c.mu.Unlock()
+		}
+	case 3: // 55% of the proxies restart within 2 s
+		for _, i := range rng.Perm(len(c.vms))[:len(c.vms)*55/100] {
+			c.restart(c.vms[i], time.Duration(rng.Int64N(int64(2*time.Second))), 300*time.Millisecond)
+		}
+	case 4: // an allocator is killed, and returns later
+		for _, o := range c.vms {
+			if o.dc == v.dc {
+				c.restart(o, 0, length)
+				break
+			}
+		}
+	case 5:
+		if len(c.vms) < 44 {
+			c.mu.Lock()
+			joined := c.addVM(len(c.vms), centres)
+			c.mu.Unlock()
+			joined.start()
+		}
+	case 6:
+		c.changeLimit(c.teams[rng.IntN(len(c.teams))], 0.4+rng.Float64())
+	}
+}
+
+// partition separates the chosen proxies from the others for some time.
+func (c *cluster) partition(length time.Duration, chosen func(*vm) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, v := range c.vms {
+		if chosen(v) {
+			v.side = 1
+		}
+	}
+	time.AfterFunc(length, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, v := range c.vms {
+			v.side = 0
+		}
+	})
+}
+
+// restart stops a proxy after some time and starts it again.
+func (c *cluster) restart(v *vm, after, away time.Duration) {
+	go func() {
+		time.Sleep(after)
+		c.mu.Lock()
+		running := v.process != nil
+		c.mu.Unlock()
+		if running {
+			v.stop()
+			time.Sleep(away)
+			v.start()
+		}
+	}()
+}
+
+// changeLimit multiplies a team's first limit; proxies apply it within configApply.
+func (c *cluster) changeLimit(l *load, factor float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := l.limits[len(l.limits)-1]
+	if c.now()-last.at < 2*configApply {
+		return
+	}
+	team := last.team
+	team.Rate, team.Burst = l.limits[0].team.Rate*factor, l.limits[0].team.Burst*factor
+	l.limits = append(l.limits, limitAt{c.now(), team})
+	routing := c.routing()
+	for _, v := range c.vms {
+		p := v.process
+		time.AfterFunc(time.Duration(c.rng.Int64N(int64(configApply))), func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if p != nil {
+				p.routing = routing
+			}
+		})
+	}
+}
+
+// TestNothingIsRefusedBelowTheLimit guards against refusals of teams that stay below their
+// limit, because their tokens are at other proxies or data centres.
+func TestNothingIsRefusedBelowTheLimit(t *testing.T) {
+	for _, size := range []struct{ proxies, centres int }{{5, 3}, {37, 3}, {40, 4}} {
+		t.Run(fmt.Sprint(size.proxies, " proxies in ", size.centres), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runBelowLimit(t, size.proxies, size.centres) })
+		})
+	}
+}
+
+func runBelowLimit(t *testing.T, proxies, centres int) {
+	c := newCluster(t, *firstSeed, proxies, centres)
+	for range 10 {
+		c.addTeam(2, 5)
+	}
+	c.addTeam(150, 240)
+	c.addTeam(150, 1)
+	c.addTeam(20, 10)
+	for _, v := range c.vms {
+		v.start()
+	}
+	time.Sleep(10 * time.Second)
+	end := c.now() + 5*time.Minute
+	for _, l := range c.teams {
+		callers := 3
+		if l.rate > 10 {
+			callers = 80
+		}
+		c.runLoad(l, callers, end, func() float64 { return 1 })
+	}
+	clear(c.messages)
+	time.Sleep(5*time.Minute + time.Second)
+	refused, operations := make(map[float64]int), make(map[float64]int)
+	for _, l := range c.teams {
+		c.checkWindows(l)
+		refused[l.rate] += l.refused
+		operations[l.rate] += l.refused + len(l.admitted)
+	}
+	for rate, n := range operations {
+		share := float64(refused[rate]) / float64(n)
+		t.Logf("%d proxies in %d data centres, %v operations per second: refused %d of %d (%.3f%%)", proxies, centres, rate, refused[rate], n, 100*share)
+		assert.Check(t, share < 0.005, "refused %.2f%% of teams with %v operations per second", 100*share, rate)
+	}
+	t.Logf("messages per second and proxy: %v", perSecond(c.messages, proxies))
+	c.stop()
+}
+
+func perSecond(messages map[string]int, proxies int) string {
+	out := ""
+	for _, topic := range []string{topicRequest, topicResponse, topicDemand} {
+		out += fmt.Sprintf("%s %.1f ", topic, float64(messages[topic])/300/float64(proxies))
+	}
+	return out
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -35,6 +35,12 @@
 	// DrainLimit is how long a server may receive new work after it announced that it
 	// is leaving.
 	DrainLimit time.Duration
+	// QuotaWindow is the length of the sliding window in which the teams' limits hold;
+	// 0 means the default.
+	QuotaWindow time.Duration
+	// QuotaOvershoot is the fraction, and QuotaSlack a further number of operations, by
+	// which a window may exceed a team's limit.
+	QuotaOvershoot, QuotaSlack float64
 	// Descriptors is the number of file descriptors that the process may open.
 	Descriptors int
 }
@@ -54,6 +60,9 @@
 		{"heartbeatMs", e.Heartbeat > 0},
 		{"bounds.graceS", e.Grace > 0},
 		{"bounds.drainMs", e.DrainLimit > 0},
+		{"bounds.quotaWindowS", e.QuotaWindow >= 0},
+		{"bounds.quotaOvershoot", e.QuotaOvershoot >= 0},
+		{"bounds.quotaSlack", e.QuotaSlack >= 0},
 	}
 	for _, f := range fields {
 		if !f.ok {
--- /dev/null
+++ b/internal/systems/quota/membership.go
@@ -0,0 +1,86 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/cranberrystage/cranberrystage/internal/tables"
+)
+
+const (
+	// joinTime is how long a proxy that is new in the directory has no seat. The others
+	// read the directory every 30 s.
+	joinTime = 45 * time.Second
+	// countMemory is how long a larger number of proxies is remembered: after a loss of
+	// rows, the directory shows too few for some seconds.
+	countMemory = 60 * time.Second
+)
+
+// Directory is what this proxy knows of the directory of proxies.
+type Directory struct {
+	// Proxies is the number of proxies in it; 0 if it was not read.
+	Proxies int
+	// Near is the number of proxies of this data centre.
+	Near int
+	// Listed means that it contains this proxy.
+	Listed bool
+}
+
+// membership decides whether this proxy owns a seat, and how large one is. The sum of
+// all seats is at most one if no proxy believes in fewer proxies than others do. A
+// proxy that is new in the directory therefore waits until the others know it.
+type membership struct {
+	directory Directory
+	// restarted means that the first reading of the directory contained this proxy, so
+	// that the others have counted it already.
+	restarted bool
+	listedAt  tables.Time
+	// listed is the number of proxies in the directory, heard the number that other
+	// proxies have reported.
+	listed, heard count
+	owner         bool
+}
+
+// count is the largest number that was learnt within countMemory.
+type count struct {
+	n  int
+	at tables.Time
+}
+
+func (c *count) learn(n int, now tables.Time) {
+	if n >= c.n || now.Sub(c.at) > countMemory {
+		c.n, c.at = n, now
+	}
+}
+
+// setDirectory takes a reading of the directory.
+func (m *membership) setDirectory(d Directory, now tables.Time) {
+	first := m.directory.Proxies == 0
+	if d.Proxies == 0 {
+		return
+	}
+	m.directory = d
+	if first {
+		m.restarted = d.Listed
+	}
+	if d.Listed && m.listedAt == 0 {
+		m.listedAt = now
+	}
+	m.listed.learn(d.Proxies, now)
+}
+
+// proxies returns the number of proxies. It does not decrease within countMemory.
+func (m *membership) proxies() int { return max(m.listed.n, m.heard.n) }
+
+// seatSize returns the reciprocal of this proxy's fraction of the limits; 0 if it owns
+// no seat. A proxy whose row is older than the process owns its seat as soon as any
+// other one reports as many proxies.
+func (m *membership) seatSize(now tables.Time) int {
+	if !m.owner && m.listedAt != 0 {
+		confirmed := m.restarted && (m.heard.n >= m.directory.Proxies || m.directory.Proxies == 1)
+		m.owner = confirmed || now.Sub(m.listedAt) >= joinTime
+	}
+	if !m.owner {
+		return 0
+	}
+	return m.proxies()
+}
