--- a/internal/quotarelay/limits_test.go
+++ b/internal/quotarelay/limits_test.go
@@ -28,6 +28,7 @@
 func runFaults(t *testing.T, seed uint64) {
 	centres := 3 + int(seed%2)
 	c := newCluster(t, seed, 5+int(seed*13%36), centres)
+	c.duplicates = true
 	small, large, noisy := c.addTeam(2, 5), c.addTeam(150, 240), c.addTeam(10, 1)
 	bursty := c.addTeam(20, 200)
 	for _, v := range c.vms {
--- a/internal/quotarelay/request.go
+++ b/internal/quotarelay/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/systems/quota"
@@ -17,84 +18,120 @@
 	r.mu.Unlock()
 	t.counters.Asked.Add(float64(asks[0].Need + asks[0].Extra))
 	address, remote := r.Allocator()
-	if !remote {
-		if r.allocate(t, asks) {
-			r.requestElsewhere(t, asks, admitTimeout)
-		}
+	switch {
+	case !remote:
+		r.requestElsewhere(t, asks, r.allocate(t, asks), admitTimeout)
 		return
-	}
-	if r.lost(address) {
-		r.requestElsewhere(t, asks, admitTimeout)
+	case r.lost(address):
+		r.requestElsewhere(t, asks, anywhere, admitTimeout)
 		return
 	}
-	done := make(chan bool, 1)
+	done := make(chan hint, 1)
 	go func() { done <- r.requestFrom(t, address, asks) }()
 	hedge := time.NewTimer(hedgeDelay)
 	defer hedge.Stop()
+	h := anywhere
 	select {
-	case elsewhere := <-done:
-		if elsewhere {
-			r.requestElsewhere(t, asks, admitTimeout-hedgeDelay)
-		}
+	case h = <-done:
 	case <-hedge.C:
-		r.requestElsewhere(t, asks, admitTimeout-hedgeDelay)
 	}
+	r.requestElsewhere(t, asks, h, admitTimeout-hedgeDelay)
+}
+
+// hint says where tokens may be that an allocator did not grant.
+type hint struct {
+	// anywhere means that the allocator can't know.
+	anywhere bool
+	// dataCentre is a data centre that probably has some; empty if there is none.
+	dataCentre tables.DataCentreID
 }
 
-// allocate takes tokens from this proxy's own buckets. It returns true if another
-// allocator may have the missing ones.
-func (r *Relay) allocate(t *team, asks []quota.Ask) (elsewhere bool) {
+var anywhere = hint{anywhere: true}
+
+// hintOf returns the hint of an allocator's answer.
+func hintOf(asks []quota.Ask, grants []quota.Grant, partial bool) hint {
+	switch {
+	case len(grants) < len(asks):
+		return anywhere
+	case grants[0].Tokens >= asks[0].Need:
+		return hint{}
+	case grants[0].Elsewhere != "":
+		return hint{dataCentre: grants[0].Elsewhere}
+	}
+	return hint{anywhere: partial}
+}
+
+// allocate takes tokens from this proxy's own buckets.
+func (r *Relay) allocate(t *team, asks []quota.Ask) hint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
 	grants, partial := r.node.Allocate(asks, now)
 	r.node.Keep(asks, grants, now, now)
 	countGrants(t, grants)
-	return partial && missing(asks, grants)
+	return hintOf(asks, grants, partial)
 }
 
 // requestFrom requests tokens from the allocator of this data centre, and lends it this
-// proxy's seat. It returns true if another allocator may have the missing tokens.
-func (r *Relay) requestFrom(t *team, address string, asks []quota.Ask) (elsewhere bool) {
+// proxy's seat.
+func (r *Relay) requestFrom(t *team, address string, asks []quota.Ask) hint {
 	resp, err := r.call(context.Background(), address, true, asks, admitTimeout)
 	if err != nil {
-		return true
+		return anywhere
 	}
 	countGrants(t, resp.Grants)
-	return resp.Partial && missing(asks, resp.Grants)
+	return hintOf(asks, resp.Grants, resp.Partial)
 }
 
-// requestElsewhere requests tokens from the former allocator of this data centre, or
-// from that of another data centre.
-func (r *Relay) requestElsewhere(t *team, asks []quota.Ask, timeout time.Duration) {
-	address, ok := r.alternative()
-	if !ok {
-		return
-	}
-	resp, err := r.call(context.Background(), address, false, asks, timeout)
-	if err == nil {
+// requestElsewhere requests tokens from other allocators, as long as hints say so: the
+// allocator of the data centre that a hint names, or else the former one of this data
+// centre, or any other.
+func (r *Relay) requestElsewhere(t *team, asks []quota.Ask, h hint, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	tried := make([]string, 0, maxElsewhere)
+	for len(tried) < maxElsewhere {
+		address := r.addressFor(h)
+		if address == "" || slices.Contains(tried, address) {
+			return
+		}
+		tried = append(tried, address)
+		resp, err := r.call(ctx, address, false, asks, timeout)
+		if err != nil {
+			return
+		}
 		countGrants(t, resp.Grants)
+		h = hintOf(asks, resp.Grants, false)
 	}
 }
 
-// alternative returns the address of an allocator to ask instead of the present one.
-func (r *Relay) alternative() (address string, ok bool) {
+// maxElsewhere bounds how many other allocators are asked for one operation.
+const maxElsewhere = 3
+
+// addressFor returns the address of the allocator that a hint leads to; empty if there is
+// none.
+func (r *Relay) addressFor(h hint) (address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.former.respondedAt != 0 && r.former.lostAt == 0 && r.Now().Sub(r.former.respondedAt) < formerTime {
-		return r.former.address, true
+	switch {
+	case h.dataCentre != "":
+		return r.directory.Allocators[h.dataCentre]
+	case !h.anywhere:
+		return ""
+	case r.former.respondedAt != 0 && r.former.lostAt == 0 && r.Now().Sub(r.former.respondedAt) < formerTime:
+		return r.former.address
 	}
 	skip := 0
 	if n := len(r.directory.Allocators); n > 1 {
 		skip = rand.IntN(n)
 	}
-	for _, a := range r.directory.Allocators {
-		if address = a; skip == 0 {
+	for _, address = range r.directory.Allocators {
+		if skip == 0 {
 			break
 		}
 		skip--
 	}
-	return address, address != ""
+	return address
 }
 
 // call sends a request and takes the response.
@@ -174,11 +211,6 @@
 	}
 }
 
-// missing reports whether fewer tokens were granted than operations wait.
-func missing(asks []quota.Ask, grants []quota.Grant) bool {
-	return len(grants) < len(asks) || grants[0].Tokens < asks[0].Need
-}
-
 func countGrants(t *team, grants []quota.Grant) {
 	for _, g := range grants {
 		t.counters.Granted.Add(float64(g.Tokens))
--- a/internal/systems/quota/bucket.go
+++ b/internal/systems/quota/bucket.go
@@ -84,6 +84,17 @@
 	return n
 }
 
+// receive takes tokens of another data centre. Those for which this pool has room stay
+// in it, the others end at a time.
+func (b *bucket) receive(n float64, until tables.Time, p part, now tables.Time) {
+	sent := b.fill(p, now)
+	kept := max(0, min(n, b.plan.pool*p.pool-sent-b.level))
+	b.level += kept
+	if n > kept {
+		b.received = append(b.received, holding{n - kept, until})
+	}
+}
+
 // minTransfer is the least number of tokens worth a place in a message.
 const minTransfer = 0.1
 
--- a/internal/systems/quota/exchange.go
+++ b/internal/systems/quota/exchange.go
@@ -18,6 +18,9 @@
 	// evenShare is the part of the tokens that is divided evenly between data centres,
 	// whatever the demand is: callers move between them.
 	evenShare = 0.25
+	// needTime is the time, in seconds, for whose demand a data centre needs tokens, and
+	// needFloor a further number for operations that come by chance.
+	needTime, needFloor = 1.0, 1.0
 )
 
 // peer is the allocator of another data centre.
@@ -100,8 +103,9 @@
 // roundDown converts without growing.
 func roundDown(x float64) float32 { return float32(x * (1 - 1e-6)) }
 
-// surplus returns how many tokens the allocator of another data centre should get:
-// tokens are to be where operations come from.
+// surplus returns how many tokens the allocator of another data centre should get. Each
+// keeps what it needs until the next exchanges. If there is not enough, the tokens are to
+// be where operations come from.
 func (n *Node) surplus(team tables.TeamID, b *bucket, to tables.DataCentreID, now tables.Time) float64 {
 	b.fill(n.alloc.part, now)
 	own := b.available(now)
@@ -114,7 +118,7 @@
 		}
 	}
 	target := func(d float64) float64 {
-		return total * (evenShare/centres + (1-evenShare)*d/max(demand, minDemand))
+		return min(needFloor+needTime*d, total*(evenShare/centres+(1-evenShare)*d/max(demand, minDemand)))
 	}
 	mine := own - target(b.demand.current(now))
 	if mine <= 0 {
@@ -130,6 +134,25 @@
 	return max(0, missing) * mine / all
 }
 
+// richest returns the data centre that reported most tokens of a team; empty if none has
+// one. One that does not report a team has no demand for it, and so a full pool.
+func (n *Node) richest(team tables.TeamID, b *bucket, now tables.Time) (best tables.DataCentreID) {
+	most := 1.0
+	for dc, p := range n.peers {
+		if p.receivedAt == 0 || now.Sub(p.receivedAt) > maxReportAge {
+			continue
+		}
+		tokens := b.plan.pool
+		if load, ok := p.loads[team]; ok {
+			tokens = float64(load.Tokens)
+		}
+		if tokens >= most {
+			best, most = dc, tokens
+		}
+	}
+	return best
+}
+
 // Accept takes a message of the allocator of another data centre. A message that is
 // older than the last one is ignored.
 func (n *Node) Accept(e Exchange, now tables.Time) {
@@ -150,7 +173,7 @@
 	for _, t := range e.Teams {
 		p.loads[t.Team] = t
 		if b := n.alloc.buckets[t.Team]; b != nil && t.Sent > 0 && p.echo != 0 && now < until {
-			b.received = append(b.received, holding{float64(t.Sent), until})
+			b.receive(float64(t.Sent), until, n.alloc.part, now)
 		}
 	}
 }
--- a/internal/systems/quota/messages.go
+++ b/internal/systems/quota/messages.go
@@ -38,6 +38,8 @@
 	Tokens int `msgpack:"n"`
 	// WaitMillis is the time until there is a token, if there is none.
 	WaitMillis int `msgpack:"w,omitempty"`
+	// Elsewhere is another data centre that probably has a token, if there is none here.
+	Elsewhere tables.DataCentreID `msgpack:"e,omitempty"`
 }
 
 // Response is an allocator's answer. Its tokens are valid for the plan's grantLife from
--- a/internal/systems/quota/node.go
+++ b/internal/systems/quota/node.go
@@ -199,6 +199,7 @@
 		out[i].Tokens = b.grant(a.Need, a.Extra, n.alloc.part, now)
 		if out[i].Tokens < a.Need {
 			out[i].WaitMillis = int(min(b.wait(n.alloc.part, now), maxWaitSeconds)*1000) + 1
+			out[i].Elsewhere = n.richest(a.Team, b, now)
 		}
 	}
 	return out, n.partial(now)
@@ -230,7 +231,10 @@
 		if until := sentAt.Add(u.plan.grantLife); g.Tokens > 0 && now < until {
 			u.tokens = append(u.tokens, holding{float64(g.Tokens), until})
 		}
-		if g.Tokens < asks[i].Need {
+		switch {
+		case g.Tokens >= asks[i].Need:
+			u.deniedUntil = 0
+		case g.Elsewhere == "":
 			u.deniedUntil = now.Add(min(time.Duration(g.WaitMillis)*time.Millisecond, maxDenialTime))
 		}
 	}
