--- a/internal/quotarelay/cluster_test.go
+++ b/internal/quotarelay/cluster_test.go
@@ -137,14 +137,16 @@
 	go p.followDirectory(ctx)
 }
 
-func (v *vm) stop() {
+// stop ends the VM's process; it returns false if there is none.
+func (v *vm) stop() bool {
 	v.c.mu.Lock()
-	p := v.process
-	v.process = nil
-	v.c.mu.Unlock()
-	if p != nil {
-		p.cancel()
+	defer v.c.mu.Unlock()
+	if v.process == nil {
+		return false
 	}
+	v.process.cancel()
+	v.process = nil
+	return true
 }
 
 // followDirectory reads the directory as rowrelay does, and notices proxies that don't
--- a/internal/quotarelay/limits_test.go
+++ b/internal/quotarelay/limits_test.go
@@ -133,11 +133,7 @@
 func (c *cluster) restart(v *vm, after, away time.Duration) {
 	go func() {
 		time.Sleep(after)
-		c.mu.Lock()
-		running := v.process != nil
-		c.mu.Unlock()
-		if running {
-			v.stop()
+		if v.stop() {
 			time.Sleep(away)
 			v.start()
 		}
@@ -222,3 +218,48 @@
 	}
 	return out
 }
+
+// TestServiceContinuesWithoutAllocator guards against refusals while an allocator is
+// replaced after its end, and while half of the proxies restart.
+func TestServiceContinuesWithoutAllocator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, *firstSeed, 37, 3)
+		for range 10 {
+			c.addTeam(2, 5)
+		}
+		c.addTeam(150, 240)
+		for _, v := range c.vms {
+			v.start()
+		}
+		time.Sleep(10 * time.Second)
+		end := c.now() + time.Minute
+		for _, l := range c.teams {
+			c.runLoad(l, 3+int(l.rate/2), end, func() float64 { return 1 })
+		}
+		phase := func(name string, length time.Duration) {
+			for _, l := range c.teams {
+				l.refused, l.admitted = 0, nil
+			}
+			time.Sleep(length)
+			var refused, all [2]int
+			for i, l := range c.teams {
+				refused[i/10] += l.refused
+				all[i/10] += l.refused + len(l.admitted)
+			}
+			t.Logf("%s: refused %d of %d of small teams, %d of %d of a large team", name, refused[0], all[0], refused[1], all[1])
+		}
+		phase("before", 5*time.Second)
+		c.restart(c.vms[0], 0, 20*time.Second)
+		phase("first 200 ms without an allocator", 200*time.Millisecond)
+		phase("next 3 s", 3*time.Second)
+		phase("until 15 s", 12*time.Second)
+		phase("until the allocator is back and after", 10*time.Second)
+		for i, k := range c.random().Perm(len(c.vms))[:20] {
+			c.restart(c.vms[k], time.Duration(i)*100*time.Millisecond, 300*time.Millisecond)
+		}
+		phase("restarts of 55%", 3*time.Second)
+		phase("next 5 s", 5*time.Second)
+		phase("after", 5*time.Second)
+		c.stop()
+	})
+}
--- a/internal/systems/quota/node.go
+++ b/internal/systems/quota/node.go
@@ -28,9 +28,11 @@
 	members    membership
 	alloc      allocator
 	users      map[tables.TeamID]*user
-	// lentTo is the process that has this proxy's seat until lentUntil.
-	lentTo    uint64
-	lentUntil tables.Time
+	// lentTo is the process that has this proxy's seat until lentUntil, lentAddress its
+	// address.
+	lentTo      uint64
+	lentAddress string
+	lentUntil   tables.Time
 	// stamps are the newest stamps of allocators by address.
 	stamps map[string]received
 	peers  map[tables.DataCentreID]*peer
@@ -154,15 +156,21 @@
 	s, ok := n.stamps[address]
 	size := n.members.seatSize(now)
 	until := s.at.Add(lease)
-	if !lend || !ok || size == 0 || until <= now || now < n.lentUntil && n.lentTo != s.stamp.Process {
+	if !lend || !ok || size == 0 || until <= now || n.lentElsewhere(address, s.stamp.Process, now) {
 		return q
 	}
 	q.Seat, q.Stamp = size, s.stamp
-	n.lentTo, n.lentUntil = s.stamp.Process, max(n.lentUntil, until)
+	n.lentTo, n.lentAddress, n.lentUntil = s.stamp.Process, address, max(n.lentUntil, until)
 	n.updateOwn(now)
 	return q
 }
 
+// lentElsewhere reports whether another process than the given one may have this proxy's
+// seat. An earlier process at the same address has ended, and its tokens with it.
+func (n *Node) lentElsewhere(address string, process uint64, now tables.Time) bool {
+	return now < n.lentUntil && n.lentTo != process && n.lentAddress != address
+}
+
 // Respond answers a request as an allocator.
 func (n *Node) Respond(q Request, now tables.Time) Response {
 	n.members.heard.learn(q.Proxies, now)
