--- a/internal/systems/quota/membership.go
+++ b/internal/systems/quota/membership.go
@@ -7,9 +7,14 @@
 )
 
 const (
-	// joinTime is how long a proxy that is new in the directory has no seat. The others
-	// read the directory every 30 s.
+	// joinTime is how long a proxy that is new in the directory has no seat if no other
+	// proxy reports as many. The others read the directory every 30 s.
 	joinTime = 45 * time.Second
+	// spreadTime is the same if another one does: proxies tell each other the largest
+	// number with each message, so that it reaches all that are in touch within two
+	// exchanges between data centres and two renewals of leases. The overshoot covers
+	// the few that are not in touch.
+	spreadTime = 3 * time.Second
 	// countMemory is how long a larger number of proxies is remembered: after a loss of
 	// rows, the directory shows too few for some seconds.
 	countMemory = 60 * time.Second
@@ -27,7 +32,8 @@
 
 // membership decides whether this proxy owns a seat, and how large one is. The sum of
 // all seats is at most one if no proxy believes in fewer proxies than others do. A
-// proxy that is new in the directory therefore waits until the others know it.
+// proxy that is new in the directory therefore waits until the others know it, also when
+// all proxies of a deployment are new.
 type membership struct {
 	directory Directory
 	// restarted means that the first reading of the directory contained this proxy, so
@@ -76,8 +82,9 @@
 // other one reports as many proxies.
 func (m *membership) seatSize(now tables.Time) int {
 	if !m.owner && m.listedAt != 0 {
-		confirmed := m.restarted && (m.heard.n >= m.directory.Proxies || m.directory.Proxies == 1)
-		m.owner = confirmed || now.Sub(m.listedAt) >= joinTime
+		confirmed := m.heard.n >= m.directory.Proxies || m.directory.Proxies == 1
+		listedFor := now.Sub(m.listedAt)
+		m.owner = confirmed && (m.restarted || listedFor >= spreadTime) || listedFor >= joinTime
 	}
 	if !m.owner {
 		return 0
