--- a/internal/systems/quota/node.go
+++ b/internal/systems/quota/node.go
@@ -64,7 +64,9 @@
 func NewNode(vm tables.VMID, dataCentre tables.DataCentreID, process uint64, now tables.Time) *Node {
 	return &Node{
 		vm: vm, dataCentre: dataCentre, process: process,
-		lentUntil: now.Add(lease), // an earlier process of this VM may have lent the seat
+		// An earlier process of this VM may have lent the seat. An allocator counts the seat
+		// of a VM once, so it may be lent again, but not used by this proxy itself.
+		lentUntil: now.Add(lease),
 		alloc:     allocator{seats: make(map[tables.VMID]seat)},
 		users:     make(map[tables.TeamID]*user),
 		stamps:    make(map[string]received),
@@ -168,7 +170,7 @@
 // lentElsewhere reports whether another process than the given one may have this proxy's
 // seat. An earlier process at the same address has ended, and its tokens with it.
 func (n *Node) lentElsewhere(address string, process uint64, now tables.Time) bool {
-	return now < n.lentUntil && n.lentTo != process && n.lentAddress != address
+	return now < n.lentUntil && n.lentTo != 0 && n.lentTo != process && n.lentAddress != address
 }
 
 // Respond answers a request as an allocator.
--- a/internal/systems/quota/quota_test.go
+++ b/internal/systems/quota/quota_test.go
@@ -126,14 +126,22 @@
 }
 
 // TestJoiningProxyHasNoSeatUntilOthersKnowIt guards against seats that add up to more
-// than the limit while proxies have different directories.
+// than the limit while proxies have different directories. A proxy that no other one
+// has heard of waits until all have read the directory again.
 func TestJoiningProxyHasNoSeatUntilOthersKnowIt(t *testing.T) {
-	var m membership
-	m.setDirectory(Directory{Proxies: 5}, start)
-	m.setDirectory(Directory{Proxies: 6, Listed: true}, start.Add(time.Second))
-	m.heard.learn(6, start.Add(time.Second))
-	assert.Equal(t, m.seatSize(start.Add(joinTime)), 0)
-	assert.Equal(t, m.seatSize(start.Add(joinTime+time.Second)), 6)
-	m.setDirectory(Directory{Proxies: 3, Listed: true}, start.Add(joinTime+2*time.Second))
-	assert.Equal(t, m.seatSize(start.Add(joinTime+2*time.Second)), 6, "a directory that lost rows")
+	for _, c := range []struct {
+		reported int
+		wait     time.Duration
+	}{{5, joinTime}, {6, spreadTime}} {
+		var m membership
+		m.setDirectory(Directory{Proxies: 5}, start)
+		listedAt := start.Add(time.Second)
+		m.setDirectory(Directory{Proxies: 6, Listed: true}, listedAt)
+		m.heard.learn(c.reported, listedAt)
+		assert.Equal(t, m.seatSize(listedAt.Add(c.wait-time.Millisecond)), 0, "%d reported", c.reported)
+		later := listedAt.Add(c.wait)
+		assert.Equal(t, m.seatSize(later), 6, "%d reported", c.reported)
+		m.setDirectory(Directory{Proxies: 3, Listed: true}, later)
+		assert.Equal(t, m.seatSize(later), 6, "a directory that lost rows")
+	}
 }
