--- a/cmd/cranberrystage-soak/main.go
+++ b/cmd/cranberrystage-soak/main.go
@@ -15,6 +15,9 @@
 )
 
 func main() {
+	if soak.RunTicker() {
+		return
+	}
 	app := kingpin.New("cranberrystage-soak", "Runs proxies as processes under random faults and checks the consistency promises.")
 	binary := app.Flag("proxy", "Path of the proxy's program.").Default("bin/cranberrystage-entry").String()
 	first := app.Flag("seed", "First seed; 0 for a random one.").Default("0").Uint64()
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -89,6 +89,8 @@
 	// proxyIndex is the index of the proxy that was connected to last.
 	proxyIndex int
 	conn       *wire.Upstream
+	// problem is why the last request got no complete reply.
+	problem string
 }
 
 var statements atomic.Uint64
@@ -99,26 +101,25 @@
 		return r, false
 	}
 	st.ID = strconv.FormatUint(statements.Add(1), 16)
-	if err := c.conn.SetDeadline(time.Now().Add(replyTimeout)); err != nil {
-		c.disconnect()
-		return r, false
+	err := c.conn.SetDeadline(time.Now().Add(replyTimeout))
+	if err == nil {
+		err = c.conn.Send(st)
 	}
-	if c.conn.Send(st) != nil {
-		c.disconnect()
-		return r, false
+	if err == nil {
+		r, err = c.conn.Receive()
 	}
-	r, err := c.conn.Receive()
 	if err != nil {
+		c.problem = err.Error()
 		c.disconnect()
-		return r, false
 	}
-	return r, true
+	return r, err == nil
 }
 
 func (c *caller) connect() bool {
 	c.proxyIndex = (c.proxyIndex + 1) % len(c.soak.proxies)
 	nc, err := net.DialTimeout("tcp", c.soak.proxies[c.proxyIndex].front.address(), replyTimeout)
 	if err != nil {
+		c.problem = err.Error()
 		return false
 	}
 	conn := wire.NewUpstream(nc)
@@ -127,6 +128,7 @@
 	}
 	r, err := conn.Open(c.database, "soak")
 	if err != nil || r.Code != statement.OK {
+		c.problem = fmt.Sprintf("session refused: %s %s %v", r.Code, r.Detail, err)
 		_ = nc.Close() // the proxy refused the session
 		return false
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,6 +19,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
 	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/platform/emulator"
 	"github.com/cranberrystage/cranberrystage/platform/entries"
@@ -76,13 +77,16 @@
 	// Steps describe the injected faults in order.
 	Steps []string
 
-	mu               sync.Mutex
-	began            time.Time
-	store            *metadata.Store
-	group            *dbgroup.Group
-	links            []*link
-	proxies          []*proxy
-	history          *history
+	mu      sync.Mutex
+	began   time.Time
+	store   *metadata.Store
+	group   *dbgroup.Group
+	links   []*link
+	proxies []*proxy
+	history *history
+	pauses  pauses
+	// checkSteps describe what the last check did.
+	checkSteps       []string
 	storeAddress     string
 	promotionAddress string
 	closers          []func()
@@ -101,6 +105,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer s.close()
+	stopWatch, err := s.watchPauses(ctx)
+	if err != nil {
+		return err
+	}
+	defer stopWatch()
 	if err := s.setUp(ctx); err != nil {
 		return err
 	}
@@ -245,9 +254,16 @@
 func (s *Soak) checkService() {
 	for i := range s.proxies {
 		c := &caller{soak: s, database: own, proxyIndex: i - 1} // connect uses proxy i
-		r, ok := c.write(fmt.Sprintf("last%d", i), 1, false)
+		s.recordCheck("%s: connecting", vmName(i))
+		var r statement.Reply
+		ok := c.connect()
+		if ok {
+			s.recordCheck("%s: connected, writing", vmName(i))
+			r, ok = c.write(fmt.Sprintf("last%d", i), 1, false)
+		}
+		s.recordCheck("%s: reply %t, %s %d %s %s", vmName(i), ok, r.Code, r.Reason, r.Detail, c.problem)
 		c.disconnect()
-		if !ok || r.Code != 0 {
+		if !ok || r.Code != statement.OK {
 			s.fail("%s does not serve a write %s after the last fault: reply %t, %s %s", vmName(i), settleTime, ok, r.Code, r.Detail)
 		}
 	}
@@ -286,6 +302,11 @@
 	s.Failures = append(s.Failures, fmt.Sprintf("%6.2f s  ", time.Since(s.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// recordCheck records a step of the last check.
+func (s *Soak) recordCheck(format string, args ...any) {
+	s.checkSteps = append(s.checkSteps, time.Now().Format(clockFormat)+" "+fmt.Sprintf(format, args...))
+}
+
 // recordStep records the start of a fault.
 func (s *Soak) recordStep(format string, args ...any) {
 	s.mu.Lock()
@@ -315,7 +336,8 @@
 	fmt.Fprintf(&b, "seed %d: %d served, %d refused, %d unsure, %d promotions, %d faults, %d failures\n",
 		s.Seed, s.Served, s.Refused, s.Unsure, s.group.Promotions(), len(s.Steps), len(s.Failures))
 	if len(s.Failures) > 0 {
-		fmt.Fprintf(&b, "%s\n%s\n", strings.Join(s.Steps, "\n"), strings.Join(s.Failures, "\n"))
+		fmt.Fprintf(&b, "began at %s\n%s\nlast check:\n%s\npauses:\n%s\n%s\n", s.began.Format(clockFormat), strings.Join(s.Steps, "\n"),
+			strings.Join(s.checkSteps, "\n"), s.pauses.String(), strings.Join(s.Failures, "\n"))
 	}
 	return b.String()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +23,13 @@
 	first = flag.Uint64("soak-first", 1, "First seed of the soak.")
 )
 
+func TestMain(m *testing.M) {
+	if RunTicker() {
+		return
+	}
+	os.Exit(m.Run())
+}
+
 // Seeds that failed in the past, with the cause:
 //
 //	100  the run waited for a process that the end of another fault had started
@@ -178,3 +187,17 @@
 	assert.NilError(t, nc.SetDeadline(time.Now().Add(echoTimeout)))
 	return nc
 }
+
+// A stop of the machine must be in the report beside a failure, or it is taken for a
+// fault of the proxies. The ticking process is stopped in its place.
+func TestTickerFindsPause(t *testing.T) {
+	s := &Soak{}
+	ticker, stop, err := s.startTicker()
+	assert.NilError(t, err)
+	assert.NilError(t, ticker.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(2 * minPause)
+	assert.NilError(t, ticker.Process.Signal(syscall.SIGCONT))
+	stop()
+	assert.Assert(t, strings.HasPrefix(s.pauses.String(), "machine: "), s.pauses.String())
+	assert.Assert(t, strings.Contains(s.pauses.String(), "no tick for "), s.pauses.String())
+}
