--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -30,6 +30,10 @@
 	// Sessions that keep connections while their callers pause do so for long,
 	// and another server or proxy may have a free one.
 	waitTimeout = 100 * time.Millisecond
+	// teamTurn is how long a connection is handed on within its team while another
+	// team waits. Opening one for another team takes 12 ms, which would take most of
+	// the time if it happened at every use.
+	teamTurn = 25 * time.Millisecond
 	// fullBackoff is how long no connection is opened after the server refused
 	// one for lack of capacity.
 	fullBackoff = 40 * time.Millisecond
@@ -112,8 +116,16 @@
 // waiter is a call of Get that waits for a connection of its team.
 type waiter struct {
 	team tables.TeamID
-	// ready receives the connection, or nil if the call is to try again.
-	ready chan *Conn
+	// since is when the call began.
+	since tables.Time
+	ready chan grant
+}
+
+// grant is what a waiter gets: a connection, or the place of one that it opens, or
+// neither if it is to try again.
+type grant struct {
+	conn  *Conn
+	place bool
 }
 
 // NewPool returns an empty pool that opens at most limit connections.
@@ -133,10 +145,11 @@
 // that is returned. fresh requests a new connection.
 func (p *Pool) Get(ctx context.Context, team tables.TeamID, fresh bool) (*Conn, error) {
 	p.recordUse()
+	since := p.now()
 	waitCtx, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
 	for {
-		c, wait, err := p.takeOrReserve(team, fresh)
+		c, wait, err := p.takeOrReserve(team, fresh, since)
 		if c != nil || err != nil {
 			return c, err
 		}
@@ -144,9 +157,12 @@
 			return p.dial(ctx, team)
 		}
 		select {
-		case c := <-wait:
-			if c != nil {
-				return c, nil
+		case g := <-wait:
+			if g.conn != nil {
+				return g.conn, nil
+			}
+			if g.place {
+				return p.dial(ctx, team)
 			}
 		case <-waitCtx.Done():
 			p.cancelWait(wait)
@@ -282,7 +298,7 @@
 
 // takeOrReserve returns an idle connection, or a channel to wait on, or neither
 // after it reserved capacity for a connection that the caller opens.
-func (p *Pool) takeOrReserve(team tables.TeamID, fresh bool) (*Conn, chan *Conn, error) {
+func (p *Pool) takeOrReserve(team tables.TeamID, fresh bool, since tables.Time) (*Conn, chan grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -305,9 +321,19 @@
 	if p.total == 0 {
 		return nil, nil, ErrFull
 	}
-	wait := make(chan *Conn, 1)
-	p.waiters = append(p.waiters, waiter{team: team, ready: wait})
-	return nil, wait, nil
+	w := waiter{team: team, since: since, ready: make(chan grant, 1)}
+	p.addWaiter(w)
+	return nil, w.ready, nil
+}
+
+// addWaiter adds a waiter behind those that came before it; one that tries again keeps
+// its turn. The lock must be held.
+func (p *Pool) addWaiter(w waiter) {
+	i := len(p.waiters)
+	for i > 0 && p.waiters[i-1].since > w.since {
+		i--
+	}
+	p.waiters = slices.Insert(p.waiters, i, w)
 }
 
 // currentLimit returns how many connections may be open now.
@@ -320,7 +346,7 @@
 
 // cancelWait cancels a wait; a connection that arrived meanwhile goes back to
 // the pool.
-func (p *Pool) cancelWait(wait chan *Conn) {
+func (p *Pool) cancelWait(wait chan grant) {
 	p.mu.Lock()
 	for i, w := range p.waiters {
 		if w.ready == wait {
@@ -330,11 +356,17 @@
 		}
 	}
 	p.mu.Unlock()
-	if c := <-wait; c != nil {
-		p.Put(c)
-	} else {
-		p.wakeOne()
+	g := <-wait
+	if g.conn != nil {
+		p.Put(g.conn)
+		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.place {
+		p.total--
+	}
+	p.wakeOneLocked()
 }
 
 // dial opens a connection for which capacity was reserved.
@@ -378,23 +410,37 @@
 		p.closeConn(c)
 		return
 	}
-	for i, w := range p.waiters {
-		if w.team == c.Team {
-			p.waiters = slices.Delete(p.waiters, i, i+1)
-			w.ready <- c
-			return
-		}
-	}
 	if len(p.waiters) > 0 {
-		// The waiting teams can't use it, but need its place.
-		p.closeConn(c)
-		p.wakeOneLocked()
+		p.handOn(c)
 		return
 	}
 	c.idleSince = p.now()
 	p.idle = append(p.idle, c)
 }
 
+// handOn gives a returned connection to a waiter of its team. If there is none, or an
+// earlier waiter of another team is to have its turn, that one gets the connection's
+// place. The lock must be held.
+func (p *Pool) handOn(c *Conn) {
+	now := p.now()
+	i := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.team == c.Team })
+	first := p.waiters[0]
+	turnOver := now.Sub(c.OpenedAt) >= teamTurn && now.Sub(first.since) >= teamTurn && now >= p.noDialUntil
+	switch {
+	case i >= 0 && (i == 0 || !turnOver):
+		w := p.waiters[i]
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		w.ready <- grant{conn: c}
+	case now < p.noDialUntil || p.total > p.currentLimit():
+		p.closeConn(c)
+		p.wakeOneLocked()
+	default:
+		_ = c.Close() // no reply is expected any more
+		p.waiters = slices.Delete(p.waiters, 0, 1)
+		first.ready <- grant{place: true}
+	}
+}
+
 // Discard closes a connection whose state is unknown.
 func (p *Pool) Discard(c *Conn) {
 	p.mu.Lock()
@@ -408,12 +454,6 @@
 	_ = c.Close() // no reply is expected any more
 }
 
-func (p *Pool) wakeOne() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.wakeOneLocked()
-}
-
 // wakeOneLocked lets the first waiter try again.
 func (p *Pool) wakeOneLocked() {
 	if len(p.waiters) == 0 {
@@ -421,7 +461,7 @@
 	}
 	w := p.waiters[0]
 	p.waiters = p.waiters[1:]
-	w.ready <- nil
+	w.ready <- grant{}
 }
 
 // Trim closes connections that have been idle for too long. share is the number
@@ -459,7 +499,7 @@
 	}
 	p.idle = nil
 	for _, w := range p.waiters {
-		w.ready <- nil
+		w.ready <- grant{}
 	}
 	p.waiters = nil
 }
