--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -69,8 +69,14 @@
 	startReadTime time.Duration
 	// idleTransactionTimeout is the configured limit for idle transactions.
 	idleTransactionTimeout time.Duration
-	orders                 []promotionOrder
-	peersMu                sync.Mutex
+	// teams are the configured teams with their keys; nil if there are none.
+	teams map[tables.TeamID][]string
+	// open are the databases that need no key.
+	open map[string]bool
+	// log receives the proxies' logs, if set.
+	log     io.Writer
+	orders  []promotionOrder
+	peersMu sync.Mutex
 	// fleets are the fleets of the proxies, by number.
 	fleets map[int]*fleet.Fleet
 	rng    *rand.Rand
@@ -225,16 +231,18 @@
 func (tc *testCluster) configure(version uint64) {
 	route := func(name string, f tables.Freshness) tables.Route {
 		return tables.Route{Name: name, Database: name, Group: "g", Freshness: f, MaxAge: testMaxAge,
-			StatementTimeout: testTimeout, TargetLatency: 200 * time.Millisecond}
+			StatementTimeout: testTimeout, TargetLatency: 200 * time.Millisecond, Open: tc.open[name]}
 	}
-	value, err := json.Marshal(tables.Routing{
+	routing := tables.Routing{
 		Version: version,
 		Routes: map[string]tables.Route{
 			newest: route(newest, tables.FreshNewest), bounded: route(bounded, tables.FreshBounded), own: route(own, tables.FreshSession),
 		},
 		Groups:                 map[tables.GroupID]tables.GroupLimits{"g": {Connections: 22, SyncReplicas: 1}},
 		IdleTransactionTimeout: tc.idleTransactionTimeout,
-	})
+	}
+	tc.addTeams(&routing)
+	value, err := json.Marshal(routing)
 	assert.NilError(tc.t, err)
 	tc.store.Put("op", "config", value)
 }
@@ -366,12 +374,12 @@
 		},
 		Peers:   peers{tc, i},
 		Proxies: func() int { return max(i+1, tc.size) },
-		Open: func(ctx context.Context, e tables.Entry, _ tables.TeamID) (links.Link, statement.Reply, error) {
+		Open: func(ctx context.Context, e tables.Entry, team tables.TeamID) (links.Link, statement.Reply, error) {
 			if tc.pathDown(vm, e.ID) {
 				<-ctx.Done()
 				return nil, statement.Reply{}, os.ErrDeadlineExceeded
 			}
-			s, r, err := tc.group.Open(ctx, e)
+			s, r, err := tc.group.Open(ctx, e, string(team))
 			if s == nil {
 				return nil, r, err
 			}
@@ -393,6 +401,9 @@
 // logTo returns the destination of the proxies' logs. They are discarded unless
 // CRANBERRYSTAGE_TEST_LOG is set.
 func (tc *testCluster) logTo() io.Writer {
+	if tc.log != nil {
+		return tc.log
+	}
 	if os.Getenv("CRANBERRYSTAGE_TEST_LOG") != "" {
 		return os.Stderr
 	}
@@ -457,7 +468,7 @@
 
 // session opens a session of a database at the proxy.
 func (p *proxyUnderTest) session(database string) *session {
-	return &session{fleet: p.fleet, requestLog: p.requestLog, database: database}
+	return &session{fleet: p.fleet, requestLog: p.requestLog, limiter: Unlimited{}, database: database}
 }
 
 var lastID struct {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -83,12 +83,32 @@
 
 // callerConn is one caller's connection.
 type callerConn struct {
-	caller Caller
-	// idle is true while the connection waits for a statement.
-	idle          atomic.Bool
+	caller        Caller
 	inTransaction atomic.Bool
 	// checkKey is true if the caller's key may have been removed.
 	checkKey atomic.Bool
+
+	// mu orders the deadlines that end a wait and those of messages that arrive.
+	mu sync.Mutex
+	// idle is true while the connection waits for a statement.
+	idle bool
+}
+
+// setIdle marks the begin or end of a wait for a statement. Once a wait has ended,
+// wake no longer changes the read deadline.
+func (c *callerConn) setIdle(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = on
+}
+
+// wake ends a wait for a statement, unless one has just arrived.
+func (c *callerConn) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		_ = c.caller.SetReadDeadline(time.Unix(1, 0)) // the read times out at once
+	}
 }
 
 // NewServer returns a server that wraps accepted connections by wrap.
@@ -226,12 +246,15 @@
 			return false
 		}
 		conn.inTransaction.Store(open)
-		conn.idle.Store(true)
+		conn.setIdle(true)
 		if s.closeIdle.Load() && !open {
 			return false
 		}
+		if conn.checkKey.Load() && conn.caller.SetReadDeadline(time.Now().Add(revocationInterval)) != nil {
+			return false
+		}
 		err := conn.caller.Await()
-		conn.idle.Store(false)
+		conn.setIdle(false)
 		switch {
 		case err == nil:
 			return true
@@ -274,8 +297,9 @@
 // configuration.
 const revocationInterval = 200 * time.Millisecond
 
-// closeRevoked closes idle sessions whose keys a new configuration removed, until ctx
-// ends. Sessions that run a statement notice it at the next one.
+// closeRevoked closes sessions whose keys a new configuration removed, until ctx ends.
+// A session that runs a statement ends revocationInterval after it, or refuses the next
+// statement if that arrives before.
 func (s *Server) closeRevoked(ctx context.Context) {
 	last := s.fleet.Routing()
 	for sleep.For(ctx, revocationInterval) == nil {
@@ -291,15 +315,14 @@
 	}
 }
 
-// checkKeys wakes all idle sessions, so that they look up their keys again.
+// checkKeys makes all sessions look up their keys again, and wakes the idle ones for
+// that.
 func (s *Server) checkKeys() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn := range s.sessions {
-		if conn.idle.Load() {
-			conn.checkKey.Store(true)
-			_ = conn.caller.SetReadDeadline(time.Unix(1, 0)) // as in wakeIdle
-		}
+		conn.checkKey.Store(true)
+		conn.wake()
 	}
 }
 
@@ -320,9 +343,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn := range s.sessions {
-		if conn.idle.Load() && (transactions || !conn.inTransaction.Load()) {
-			// The read times out at once, unless a statement has just arrived.
-			_ = conn.caller.SetReadDeadline(time.Unix(1, 0))
+		if transactions || !conn.inTransaction.Load() {
+			conn.wake()
 		}
 	}
 }
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -69,13 +69,25 @@
 }
 
 func (l *pipeListener) connect(t *testing.T, database string) *testCaller {
+	t.Helper()
+	return l.connectWith(t, database+" me")
+}
+
+// connectWith connects a caller that sends the given words in its startup message.
+func (l *pipeListener) connectWith(t *testing.T, words string) *testCaller {
+	t.Helper()
+	c := l.connectRaw(t)
+	c.send("START " + words)
+	return c
+}
+
+// connectRaw connects a caller that has sent nothing.
+func (l *pipeListener) connectRaw(t *testing.T) *testCaller {
 	t.Helper()
 	near, far := net.Pipe()
 	l.conns <- far
-	c := &testCaller{t: t, nc: near, in: bufio.NewReader(near)}
 	t.Cleanup(func() { _ = near.Close() })
-	c.send("START " + database + " me")
-	return c
+	return &testCaller{t: t, nc: near, in: bufio.NewReader(near)}
 }
 
 // connectAccepted connects a caller and expects that its session is accepted.
--- a/internal/standin/dbgroup/dbgroup.go
+++ b/internal/standin/dbgroup/dbgroup.go
@@ -50,6 +50,10 @@
 	lost         []string
 	promotions   int
 	ignoreHolds  bool
+	// opened counts the sessions that servers accepted.
+	opened int
+	// observe receives the statements that servers run, if set.
+	observe func(Run)
 }
 
 // LimitSlots limits the statements that each server runs at the same time; the
@@ -215,6 +219,13 @@
 	return append([]string(nil), g.lost...)
 }
 
+// Opened returns how many sessions the servers accepted.
+func (g *Group) Opened() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.opened
+}
+
 // Acknowledged returns how many commits were acknowledged to sessions.
 func (g *Group) Acknowledged() int {
 	g.mu.Lock()
--- a/internal/standin/dbgroup/session.go
+++ b/internal/standin/dbgroup/session.go
@@ -17,7 +17,9 @@
 // Session is one connection to a server. It implements the Link interface of the
 // proxy's connections to upstreams.
 type Session struct {
-	s              *Server
+	s *Server
+	// user is the name for which the session was opened.
+	user           string
 	crashesAtStart int
 	queue          []statement.Statement
 	deadline       time.Time
@@ -29,10 +31,13 @@
 	// values are the values of settings by name.
 	values   map[string]string
 	prepared map[string]statement.Statement
+	// ranInTransaction means that a statement ran in the open transaction.
+	ranInTransaction bool
 }
 
-// Open opens a session on the server with the entry's id.
-func (g *Group) Open(ctx context.Context, e tables.Entry) (*Session, statement.Reply, error) {
+// Open opens a session on the server with the entry's id for user, a team or the
+// proxy.
+func (g *Group) Open(ctx context.Context, e tables.Entry, user string) (*Session, statement.Reply, error) {
 	time.Sleep(2 * oneWayLatency)
 	g.mu.Lock()
 	s, ok := g.servers[e.ID]
@@ -50,8 +55,9 @@
 	if s.full() {
 		return nil, statement.Reply{Code: statement.TooMany}, nil
 	}
-	c := &Session{s: s, crashesAtStart: s.crashes, prepared: make(map[string]statement.Statement)}
+	c := &Session{s: s, user: user, crashesAtStart: s.crashes, prepared: make(map[string]statement.Statement)}
 	s.sessions[c] = true
+	g.opened++
 	return c, statement.Reply{Position: s.appliedAt()}, nil
 }
 
@@ -193,8 +199,9 @@
 	case statement.Rollback:
 		c.state, c.writes = statement.Idle, nil
 	case statement.Commit:
-		return c.commit(r)
+		return c.commit(st, r)
 	case statement.Read:
+		c.ran(st)
 		r.Rows, r.Proof = []string{s.read(st.Arguments)}, string(s.entry.ID)
 	case statement.Write:
 		return c.write(st, r)
@@ -219,6 +226,7 @@
 		return r
 	}
 	c.state, c.readOnly, c.writes = statement.Open, st.Kind == statement.BeginRead, nil
+	c.ranInTransaction = false
 	r.State = c.state
 	return r
 }
@@ -245,6 +253,7 @@
 		r.State = c.state
 		return r, true
 	}
+	c.ran(st)
 	item, value := splitWrite(st.Arguments)
 	if c.state == statement.Open {
 		if c.writes == nil {
@@ -257,7 +266,8 @@
 	return c.commitWrites(map[string]string{item: value}, r)
 }
 
-func (c *Session) commit(r statement.Reply) (statement.Reply, bool) {
+func (c *Session) commit(st statement.Statement, r statement.Reply) (statement.Reply, bool) {
+	c.ran(st)
 	writes := c.writes
 	c.state, c.writes = statement.Idle, nil
 	r.State = c.state
