--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -134,6 +134,9 @@
 	})
 }
 
+// maxProblemLines limits the log lines about the mistakes in one configuration.
+const maxProblemLines = 20
+
 // applyConfig puts a configuration in force unless it is older than the current
 // one or the same.
 func (f *Fleet) applyConfig(r platform.TableRow) {
@@ -158,6 +161,9 @@
 			}
 		}
 	}
+	for _, problem := range next.Problems[:min(len(next.Problems), maxProblemLines)] {
+		f.log.Error("Found a mistake in the configuration.", "version", next.Version, "problem", problem, "problems", len(next.Problems))
+	}
 	f.log.Info("Put a configuration in force.", "version", next.Version, "rowVersion", r.Version,
 		"routes", len(next.Routes), "groups", len(next.Groups))
 }
--- a/internal/tables/directory.go
+++ b/internal/tables/directory.go
@@ -112,6 +112,9 @@
 	IdleTransactionTimeout time.Duration
 	// StartupTimeout limits the wait for a caller's first message.
 	StartupTimeout time.Duration
+	// Problems are mistakes that did not keep the configuration from being used. They
+	// contain no key.
+	Problems []string `json:"-"`
 	// Teams are the configured teams; nil if the deployment has no teams, and callers
 	// then need no key.
 	Teams map[TeamID]*Team
