--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -468,7 +469,7 @@
 
 // session opens a session of a database at the proxy.
 func (p *proxyUnderTest) session(database string) *session {
-	return &session{fleet: p.fleet, requestLog: p.requestLog, limiter: Unlimited{}, database: database}
+	return &session{fleet: p.fleet, requestLog: p.requestLog, limiter: Unlimited{}, database: database, key: p.regularKey(database)}
 }
 
 var lastID struct {
@@ -482,6 +483,9 @@
 	lastID.n++
 	id := strconv.Itoa(lastID.n)
 	lastID.Unlock()
+	if holder, ok := strings.CutPrefix(s.key, keyPrefix); ok {
+		id = holder + "." + id
+	}
 	return s.handle(context.Background(), statement.Statement{ID: id, Kind: kind, Arguments: arguments})
 }
 
