--- a/internal/relay/teamwalk_test.go
+++ b/internal/relay/teamwalk_test.go
@@ -24,6 +24,8 @@
 	// maxFaultTime is the longest time for which a fault of a walk affects proxies or
 	// the store.
 	maxFaultTime = 5200 * time.Millisecond
+	// maxCopyAge is more than the age of the oldest copy from which the store comes back.
+	maxCopyAge = 10 * time.Second
 )
 
 // walkTeams returns the teams of walks with their keys.
@@ -95,7 +97,7 @@
 func randomWalkWithTeams(t *testing.T, seed uint64) {
 	tc := newTestCluster(t, 3)
 	tc.configureTeams(2, walkTeams())
-	time.Sleep(time.Second)
+	time.Sleep(maxCopyAge) // else the store may come back without teams
 	var ran teamlog.Log
 	tc.group.Observe(ran.Record)
 	ctx, stop := context.WithCancel(tc.ctx)
