--- a/internal/tables/directory.go
+++ b/internal/tables/directory.go
@@ -112,14 +112,15 @@
 	IdleTransactionTimeout time.Duration
 	// StartupTimeout limits the wait for a caller's first message.
 	StartupTimeout time.Duration
+	// Problems are mistakes that did not keep the configuration from being used. They
+	// contain no key.
+	Problems []string `json:"-"`
 	// Teams are the configured teams; nil if the deployment has no teams, and callers
 	// then need no key.
 	Teams map[TeamID]*Team
 	// Keys holds the team of each key of a caller. Keys are secret: they must not be
 	// logged or sent on.
 	Keys map[string]*Team
-	// Problems describe faults of the configuration that don't prevent its use.
-	Problems []string
 }
 
 // Authorize returns the team of a caller with the given key. team is nil for a caller
