--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -138,13 +138,15 @@
 			Entry:       entries.Decode,
 			NotRunning:  duty.ErrNotRunning,
 		},
-		Open:       opener(s.VM),
-		Peers:      points,
-		Proxies:    rows.Proxies,
-		Now:        boottime.Now,
-		Log:        log,
-		Metrics:    m,
-		DrainLimit: s.DrainLimit,
+		Open:    opener(s.VM),
+		Peers:   points,
+		Proxies: rows.Proxies,
+
+		SeveralRegions: rows.SeveralRegions(),
+		Now:            boottime.Now,
+		Log:            log,
+		Metrics:        m,
+		DrainLimit:     s.DrainLimit,
 	})
 	server := relay.NewServer(f, relay.Unlimited{}, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, m, log)
 	p, err := entry.New(s, f, server, log)
--- a/internal/fleet/entries_test.go
+++ b/internal/fleet/entries_test.go
@@ -11,6 +11,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/systems/replace"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 )
@@ -157,3 +158,22 @@
 		assert.Assert(t, !ok, text)
 	}
 }
+
+// While a link between regions is full, every proxy of a region finds that a replica of
+// the other does not answer: 39 proxies made 130 attempts per second.
+func TestAttemptsSlowDownWhileReplicaIsSilent(t *testing.T) {
+	f := &Fleet{Options: Options{SeveralRegions: true}}
+	g := &group{}
+	silent := silentReplica{id: "a", err: errors.New("i/o timeout")}
+	assert.Equal(t, f.retryDelay(g, silent), replaceRetryDelay)
+	assert.Equal(t, f.retryDelay(g, silent), 2*replaceRetryDelay)
+	for range 5 {
+		f.retryDelay(g, silent)
+	}
+	assert.Equal(t, f.retryDelay(g, silent), 8*replaceRetryDelay)
+	assert.Equal(t, f.retryDelay(g, errNotCoordinator), replaceRetryDelay)
+	assert.Equal(t, f.retryDelay(g, silent), replaceRetryDelay)
+	f.SeveralRegions = false
+	f.retryDelay(g, silent)
+	assert.Equal(t, f.retryDelay(g, silent), replaceRetryDelay)
+}
--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -49,7 +49,9 @@
 		g := l.group
 		current := g.Primary == l.Upstream.entry.ID && g.Record == l.record
 		led := g.Leadership.LedAt(t)
-		storeProves := f.storeLostAt == 0 && f.confirmed(g)
+		// Without readers that bound them, reads would add to the load of a store that
+		// counts as lost.
+		storeProves := (f.storeLostAt == 0 || f.SeveralRegions) && f.confirmed(g)
 		f.mu.Unlock()
 		if !current || led {
 			return current && led
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,9 +67,12 @@
 	Peers      Peers
 	// Proxies returns the number of proxies that share the servers.
 	Proxies func() int
-	Now     func() tables.Time
-	Log     *slog.Logger
-	Metrics *metrics.Metrics
+	// SeveralRegions says that the deployment has several regions. Reads of the store
+	// then pass readers, which bound their number also while the store is slow.
+	SeveralRegions bool
+	Now            func() tables.Time
+	Log            *slog.Logger
+	Metrics        *metrics.Metrics
 	// DrainLimit is how long a server may still get new work after it announced
 	// that it is leaving.
 	DrainLimit time.Duration
@@ -134,8 +137,10 @@
 	// attemptRunning says that this proxy is replacing the primary or recording a
 	// new one.
 	attemptRunning bool
-	// nextReplaceAt is the earliest time of the next replacement.
-	nextReplaceAt tables.Time
+	// nextReplaceAt is the earliest time of the next replacement, and failedAttempts
+	// how many have failed in a row because a replica did not answer.
+	nextReplaceAt  tables.Time
+	failedAttempts int
 	// leaderChanged is closed when the primary changes.
 	leaderChanged chan struct{}
 	// promoteTook is the time from the last promotion order until its server led.
--- a/internal/fleet/replacement.go
+++ b/internal/fleet/replacement.go
@@ -73,9 +73,43 @@
 	g := f.group(id)
 	g.attemptRunning = false
 	g.nextReplaceAt = f.Now().Add(randomDelay())
-	if err != nil {
-		g.nextReplaceAt = f.Now().Add(replaceRetryDelay + randomDelay())
+	if err == nil {
+		g.failedAttempts = 0
+	} else {
+		g.nextReplaceAt = f.Now().Add(f.retryDelay(g, err) + randomDelay())
+	}
+}
+
+// silentReplica is the error of a replica that does not answer.
+type silentReplica struct {
+	id  tables.UpstreamID
+	err error
+}
+
+// Error implements error.
+func (e silentReplica) Error() string {
+	return "replica " + string(e.id) + " does not answer: " + e.err.Error()
+}
+
+// Unwrap returns the cause.
+func (e silentReplica) Unwrap() error { return e.err }
+
+// maxRetryDoublings bounds the doublings of the pause between attempts that fail.
+const maxRetryDoublings = 3
+
+// retryDelay returns the pause after a failed attempt. With several regions it doubles
+// with each attempt in a row that failed because a replica did not answer: while the
+// link between regions is full, every proxy of a region finds the same, and its
+// queries use that link. The lock must be held.
+func (f *Fleet) retryDelay(g *group, err error) time.Duration {
+	var silent silentReplica
+	if !f.SeveralRegions || !errors.As(err, &silent) {
+		g.failedAttempts = 0
+		return replaceRetryDelay
 	}
+	delay := replaceRetryDelay << min(g.failedAttempts, maxRetryDoublings)
+	g.failedAttempts++
+	return delay
 }
 
 // attempt is one try to replace a primary.
@@ -173,7 +207,7 @@
 	before := runControlOnAll(ctx, replicas, statement.Statement{Kind: statement.Status})
 	for i, u := range replicas {
 		if err := before[i].err; err != nil && (l.Upstream != nil || u.entry.ID != f.primaryOf(id)) {
-			return errors.Wrapf(err, "replica %s does not answer", u.ID())
+			return silentReplica{id: u.ID(), err: err}
 		}
 	}
 	if !cause.NeedsReplicaCheck() {
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -65,6 +65,8 @@
 	alter func(string, platform.Rows) platform.Rows
 	// startWithoutStore makes proxies start without access to the store.
 	startWithoutStore bool
+	// severalRegions is the option of the fleets that start.
+	severalRegions bool
 	// startReadTime is how long reading the configuration takes in proxies that start.
 	startReadTime time.Duration
 	// idleTransactionTimeout is the configured limit for idle transactions.
@@ -366,6 +368,8 @@
 		},
 		Peers:   peers{tc, i},
 		Proxies: func() int { return max(i+1, tc.size) },
+
+		SeveralRegions: tc.severalRegions,
 		Open: func(ctx context.Context, e tables.Entry, _ tables.TeamID) (links.Link, statement.Reply, error) {
 			if tc.pathDown(vm, e.ID) {
 				<-ctx.Done()
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -193,7 +193,6 @@
 	if err == nil {
 		r.acceptEra(rows.Era)
 	}
-	r.adjustBudget(err != nil && retryable(err))
 	switch {
 	case err != nil && retryable(err) && r.storeLostAt == 0:
 		r.storeLostAt = r.Now()
@@ -227,14 +226,10 @@
 }
 
 // globalReader returns the proxy that reads the shared table for all data
-// centres, or with several regions everything for those of this region; ok is false
-// if it is this proxy.
+// centres; ok is false if it is this proxy.
 func (r *Relay) globalReader() (Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.regional {
-		return r.firstByName(r.inOwnRegion)
-	}
 	return r.firstByName(func(Peer) bool { return true })
 }
 
@@ -426,7 +421,7 @@
 		}
 	case errors.Is(err, platform.ErrHistoryLost):
 		out.Failure = failureHistoryLost
-	case errors.Is(err, errSlowResponse) || errors.Is(err, errLate):
+	case errors.Is(err, errSlowResponse) || errors.Is(err, errLate) || errors.Is(err, errNoBudget):
 		out.Failure = failureSlow
 	}
 	return out
--- a/internal/rowrelay/region.go
+++ b/internal/rowrelay/region.go
@@ -22,20 +22,24 @@
 	// readersTried is how many readers of one level are tried for a request.
 	readersTried = 2
 	// freeRank is the number of proxies of a region that may call the store without a
-	// budget: the first by name, and the one that takes over from it.
-	freeRank = 2
-	// minDirectInterval is the time between two calls to the store by any other proxy.
-	// It leaves a proxy that is the reader because many before it have stopped
-	// enough for its region: 4 reads of shared rows and 3 watches per second.
-	minDirectInterval = 100 * time.Millisecond
-	// maxDirectInterval bounds that time, which doubles with each failed call.
-	maxDirectInterval = 2 * time.Second
-	// largeDirectInterval is the same for calls that may return a large row. 44
-	// copies of 278 kB take 1.6 s of the link of 60 Mbit/s between two regions.
-	largeDirectInterval = 4 * time.Second
+	// budget: the first ones, of which one takes over from the other.
+	freeRank = 3
+	// storeCallInterval and storeCallBurst are the budget of calls of any other proxy.
+	// They suffice for one that is the reader because many before it have stopped: 4
+	// reads of shared rows and 3 watches per second.
+	storeCallInterval = 100 * time.Millisecond
+	storeCallBurst    = 5
+	// largeCallInterval and largeCallBurst are the same for calls that may return a
+	// large row. 44 copies of 278 kB, one per proxy of a region, take 1.6 s of a link
+	// of 60 Mbit/s between two regions.
+	largeCallInterval = time.Second
+	largeCallBurst    = 3
 	// readerWatchTimeout is how long a reader holds a watch of any table. It decides
 	// how soon a stopped reader is noticed.
 	readerWatchTimeout = urgentWatchTimeout
+	// sharedTimeout bounds the wait for shared rows of a reader. Longer waits are of no
+	// use: fleet gives a read of the records up after 500 ms.
+	sharedTimeout = 430 * time.Millisecond
 	// lateMargin is the time between a reader's reply that its rows are late and the
 	// requester's timeout.
 	lateMargin = 30 * time.Millisecond
@@ -69,6 +73,9 @@
 	return false
 }
 
+// SeveralRegions reports whether the deployment has several regions.
+func (r *Relay) SeveralRegions() bool { return r.regional }
+
 // regionOf returns the region of a data centre. One that the settings do not name is
 // a region of its own.
 func (r *Relay) regionOf(dc tables.DataCentreID) string {
@@ -79,11 +86,73 @@
 	return r.regionOf(p.DataCentre) == r.regionOf(r.Self.DataCentre)
 }
 
+// level is one of the two levels of readers.
+type level uint8
+
+const (
+	// levelDataCentre are the proxies of this data centre by name.
+	levelDataCentre level = iota
+	// levelRegion are the proxies of this region: the first ones by name of all its
+	// data centres, then the second ones, and so on. So the first two do not stop
+	// together with a data centre.
+	levelRegion
+)
+
+// orderRegion returns the proxies of this region, including this one, in the order in
+// which they become its reader.
+func (r *Relay) orderRegion(peers []Peer) []Peer {
+	byDataCentre := make(map[tables.DataCentreID][]Peer)
+	for _, p := range peers {
+		if r.inOwnRegion(p) && p.VM != r.Self.VM {
+			byDataCentre[p.DataCentre] = append(byDataCentre[p.DataCentre], p)
+		}
+	}
+	byDataCentre[r.Self.DataCentre] = append(byDataCentre[r.Self.DataCentre], r.Self)
+	type place struct {
+		index int
+		peer  Peer
+	}
+	var places []place
+	for _, list := range byDataCentre {
+		slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+		for i, p := range list {
+			places = append(places, place{i, p})
+		}
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.index, b.index), cmp.Compare(a.peer.VM, b.peer.VM))
+	})
+	order := make([]Peer, len(places))
+	for i, p := range places {
+		order[i] = p.peer
+	}
+	return order
+}
+
+// nextReader returns the first reader of a level that is neither in backoff nor tried;
+// ok is false if it is this proxy.
+func (r *Relay) nextReader(l level, tried ...tables.VMID) (p Peer, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l == levelDataCentre {
+		return r.firstByName(func(p Peer) bool { return r.inOwnDataCentre(p) && !slices.Contains(tried, p.VM) })
+	}
+	for _, p := range r.regionOrder {
+		if p.VM == r.Self.VM {
+			break
+		}
+		if r.failures[p.VM] == 0 && !slices.Contains(tried, p.VM) {
+			return p, true
+		}
+	}
+	return r.Self, false
+}
+
 func (r *Relay) inOwnDataCentre(p Peer) bool { return p.DataCentre == r.Self.DataCentre }
 
 // isRegionReader reports whether this proxy reads the store for its region.
 func (r *Relay) isRegionReader() bool {
-	_, other := r.globalReader()
+	_, other := r.nextReader(levelRegion)
 	return !other
 }
 
@@ -103,7 +172,7 @@
 func (r *Relay) readerAllowance() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.readerTimes.value(), min(r.storeTimes.value()<<r.readerTimes.doublings, maxAllowance))
+	return max(r.readerTimes.value(), r.storeTimes.value())
 }
 
 // recordStoreTime records how long a response of the store took to begin. Watches that
@@ -128,14 +197,10 @@
 }
 
 // recordReaderTime records how long a reader took for shared rows.
-func (r *Relay) recordReaderTime(took time.Duration, err error) {
+func (r *Relay) recordReaderTime(took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err == nil {
-		r.readerTimes.add(took)
-	} else {
-		r.readerTimes.late()
-	}
+	r.readerTimes.add(took)
 }
 
 // allowStoreCall reports whether this proxy may call the store now. The first
@@ -144,35 +209,23 @@
 func (r *Relay) allowStoreCall(q request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rank := 0
-	for _, p := range r.peers {
-		if p.VM < r.Self.VM && r.inOwnRegion(p) {
-			rank++
-		}
-	}
-	now := r.Now()
-	large := r.UrgentTables[q.Table]
-	switch {
-	case rank < freeRank:
+	if slices.IndexFunc(r.regionOrder, func(p Peer) bool { return p.VM == r.Self.VM }) < freeRank {
 		return true
-	case now < r.directAt || large && now < r.largeDirectAt:
-		return false
 	}
-	r.directAt = now.Add(max(r.directInterval, minDirectInterval))
-	if large {
-		r.largeDirectAt = now.Add(largeDirectInterval)
+	b, now := r.budgetFor(q), r.Now()
+	if !b.available(now) {
+		return false
 	}
+	b.use(now)
 	return true
 }
 
-// adjustBudget changes the interval between this proxy's calls to the store by the
-// outcome of one. The lock must be held.
-func (r *Relay) adjustBudget(failed bool) {
-	if failed {
-		r.directInterval = min(max(2*r.directInterval, minDirectInterval), maxDirectInterval)
-	} else {
-		r.directInterval = 0
+// budgetFor returns the budget for a call. The lock must be held.
+func (r *Relay) budgetFor(q request) *budget {
+	if r.UrgentTables[q.Table] {
+		return &r.largeCalls
 	}
+	return &r.storeCalls
 }
 
 // awaitDirectory waits until the directory was read after the start.
@@ -207,7 +260,7 @@
 func (r *Relay) readInRegion(ctx context.Context, q request) (platform.Rows, error) {
 	r.awaitDirectory(ctx)
 	q.TimeoutMillis = readerWatchTimeout.Milliseconds()
-	rows, err := r.readThrough(ctx, r.inOwnDataCentre, q, false)
+	rows, err := r.readThrough(ctx, levelDataCentre, q)
 	switch {
 	case errors.Is(err, errIsReader):
 		return r.readAsReader(ctx, q)
@@ -222,7 +275,7 @@
 // or requests.
 func (r *Relay) readAsReader(ctx context.Context, q request) (platform.Rows, error) {
 	if r.isShared(q) {
-		ctx, cancel := context.WithTimeout(ctx, r.readerAllowance()+readerTimeout)
+		ctx, cancel := context.WithTimeout(ctx, sharedTimeout)
 		defer cancel()
 		return r.currentSharedRows(ctx, false)
 	}
@@ -250,66 +303,89 @@
 // readThroughRegion requests rows from the readers of this region.
 func (r *Relay) readThroughRegion(ctx context.Context, q request) (platform.Rows, error) {
 	q.TimeoutMillis = readerWatchTimeout.Milliseconds()
-	return r.readThrough(ctx, r.inOwnRegion, q, true)
+	return r.readThrough(ctx, levelRegion, q)
 }
 
-// readThrough requests rows from the first readers by name among the matching
-// proxies. The error is errLate if one responds but none has the rows in time, and
-// errIsReader if this proxy is the first. If secondDirect, the second reader calls the
-// store instead of the first reader.
-func (r *Relay) readThrough(ctx context.Context, match func(Peer) bool, q request, secondDirect bool) (platform.Rows, error) {
+// readThrough requests rows from the first readers of a level. The error is errLate if
+// one responds but none has the rows in time, and errIsReader if this proxy is the
+// first. The second reader of a region calls the store instead of the first.
+func (r *Relay) readThrough(ctx context.Context, l level, q request) (platform.Rows, error) {
+	if r.isShared(q) {
+		return r.readSharedThrough(ctx, l, q)
+	}
 	var tried []tables.VMID
 	var late error
 	for range readersTried {
-		p, ok := r.nextReader(match, tried)
+		p, ok := r.nextReader(l, tried...)
 		if !ok {
 			return platform.Rows{}, cmp.Or(late, errIsReader)
 		}
-		q.Direct = secondDirect && len(tried) > 0
-		rows, err := r.readFromReader(ctx, p, q)
-		if err == nil || errors.Is(err, platform.ErrHistoryLost) {
+		q.Direct = l == levelRegion && len(tried) > 0
+		rows, err := r.readFromPeer(ctx, p, q, q.timeout()+peerTimeout, nil)
+		if err == nil || errors.Is(err, platform.ErrHistoryLost) || ctx.Err() != nil {
 			return rows, err
 		}
 		if errors.Is(err, errLate) {
 			late = err
 		}
-		// The shared rows of a second reader would be as late as those of the first.
-		if ctx.Err() != nil || late != nil && r.isShared(q) {
-			return rows, err
-		}
 		tried = append(tried, p.VM)
 	}
 	return platform.Rows{}, cmp.Or(late, errNoReader)
 }
 
-// nextReader returns the first matching proxy by name that is neither in backoff nor
-// tried; ok is false if it is this proxy.
-func (r *Relay) nextReader(match func(Peer) bool, tried []tables.VMID) (Peer, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.firstByName(func(p Peer) bool { return match(p) && !slices.Contains(tried, p.VM) })
+// readSharedThrough requests the shared rows from the first reader, and also from the
+// second if the first takes longer than readers usually do.
+func (r *Relay) readSharedThrough(ctx context.Context, l level, q request) (platform.Rows, error) {
+	first, ok := r.nextReader(l)
+	if !ok {
+		return platform.Rows{}, errIsReader
+	}
+	q.TimeoutMillis = (sharedTimeout - lateMargin).Milliseconds()
+	fromFirst := async(func() (platform.Rows, error) { return r.readSharedFrom(ctx, first, q) })
+	hedge := time.NewTimer(r.readerAllowance() + readerTimeout)
+	defer hedge.Stop()
+	var failed result
+	select {
+	case failed = <-fromFirst:
+		if failed.err == nil || errors.Is(failed.err, errLate) {
+			return failed.rows, failed.err
+		}
+		fromFirst = nil
+	case <-hedge.C:
+	}
+	second, ok := r.nextReader(l, first.VM)
+	switch {
+	case !ok && fromFirst == nil:
+		return platform.Rows{}, errIsReader
+	case !ok:
+		failed = <-fromFirst
+		return failed.rows, failed.err
+	}
+	q.Direct = l == levelRegion
+	fromSecond := async(func() (platform.Rows, error) { return r.readSharedFrom(ctx, second, q) })
+	if fromFirst == nil {
+		failed = <-fromSecond
+		return failed.rows, failed.err
+	}
+	return firstSuccess(ctx, fromSecond, fromFirst)
 }
 
-// readFromReader requests rows from one reader.
-func (r *Relay) readFromReader(ctx context.Context, p Peer, q request) (platform.Rows, error) {
-	if !r.isShared(q) {
-		return r.readFromPeer(ctx, p, q, q.timeout()+peerTimeout, nil)
-	}
-	allowed := r.readerAllowance() + readerTimeout
-	q.TimeoutMillis = (allowed - lateMargin).Milliseconds()
+// readSharedFrom requests the shared rows from one reader.
+func (r *Relay) readSharedFrom(ctx context.Context, p Peer, q request) (platform.Rows, error) {
 	r.mu.Lock()
 	cached := r.sharedRows
 	r.mu.Unlock()
 	q.Seen = fingerprintOf(cached)
 	start := r.Now()
-	res, err := r.queryPeer(ctx, p, q, allowed, nil)
-	if err == nil && res.Unchanged {
-		res.Rows.Rows = cached.Rows
+	res, err := r.queryPeer(ctx, p, q, sharedTimeout, nil)
+	if err != nil {
+		return platform.Rows{}, err
 	}
-	if ctx.Err() == nil {
-		r.recordReaderTime(r.Now().Sub(start), err)
+	if res.Unchanged {
+		res.Rows.Rows = cached.Rows
 	}
-	return res.Rows, err
+	r.recordReaderTime(r.Now().Sub(start))
+	return res.Rows, nil
 }
 
 // readForRegion makes a call on behalf of this data centre: through the reader of the
@@ -338,9 +414,9 @@
 			return rows, err
 		}
 		*asOf = r.Now()
-		if errors.Is(err, errIsReader) {
-			return r.read(ctx, q)
-		}
+	}
+	if r.Lost() {
+		return r.read(ctx, q)
 	}
 	q.Direct = true
 	return r.awaitCall(ctx, q)
--- a/internal/rowrelay/region_test.go
+++ b/internal/rowrelay/region_test.go
@@ -283,6 +283,43 @@
 	})
 }
 
+// While the store is 60 times slower, evidence can still be read in time, and no further
+// proxies call the store.
+func TestReadsOfSlowStoreAreSharedInRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t, 9)
+		f.storeDelay.Store(int64(slowStore))
+		f.reset()
+		calls := f.store.Calls()
+		time.Sleep(5 * time.Second)
+		f.checkReads(t, 0.05)
+		calls = f.store.Calls() - calls
+		assert.Assert(t, calls <= 5*2*(4+3), "%d calls", calls)
+	})
+}
+
+// A data centre with the readers of its region is cut off: the proxies of the others
+// must not try its proxies one after the other.
+func TestReaderOfOtherDataCentreTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t, 14)
+		f.proxies = slices.DeleteFunc(f.proxies, func(p *regionalProxy) bool {
+			if p.relay.Self.DataCentre != "fa" {
+				return false
+			}
+			p.stop()
+			f.network.Isolate(string(p.relay.Self.VM))
+			return true
+		})
+		time.Sleep(time.Second)
+		f.reset()
+		at := f.putRoutes("2", largeConfigBytes)
+		time.Sleep(regionalApplyLimit)
+		f.checkConfig(t, "2", at)
+		f.checkReads(t, 0.05)
+	})
+}
+
 // The readers of a region stop: the next ones by name take over, and the first ones
 // are used again after they return.
 func TestNextReaderOfRegionTakesOver(t *testing.T) {
@@ -305,9 +342,8 @@
 			f.proxies = append(f.proxies, f.start(p.relay.Self.DataCentre, string(p.relay.Self.VM)))
 		}
 		time.Sleep(8 * time.Second)
-		last := f.proxies[len(f.proxies)-3].relay
-		reader, ok := last.globalReader()
-		assert.Assert(t, !ok || reader.VM == "vm-fa-00" || !isFar(string(last.Self.VM)), "%s", reader.VM)
+		reader, _ := f.proxies[0].relay.nextReader(levelRegion)
+		assert.Equal(t, reader.VM, tables.VMID("vm-fa-00"))
 		f.reset()
 		time.Sleep(5 * time.Second)
 		f.checkReads(t, 0.02)
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -199,6 +199,9 @@
 	// calls are the reads of the store that are under way.
 	calls []*storeCall
 	peers []Peer
+	// regionOrder are the proxies of this region, if there are several regions, in the
+	// order in which they become its reader.
+	regionOrder []Peer
 	// avoidUntil is when the backoff from a peer ends; failures counts its
 	// failures in a row.
 	avoidUntil map[tables.VMID]tables.Time
@@ -216,11 +219,9 @@
 	// storeTimes are the times in which the store responds, and readerTimes those in
 	// which a reader sends shared rows.
 	storeTimes, readerTimes allowance
-	// directInterval is the time between two calls to the store by a proxy that has a
-	// budget of them; directAt and largeDirectAt are the earliest times of the next
-	// call, and of the next one for an urgent table.
-	directInterval          time.Duration
-	directAt, largeDirectAt tables.Time
+	// storeCalls and largeCalls are the budgets of calls to the store of a proxy that
+	// is not one of the first of its region; largeCalls that for urgent tables.
+	storeCalls, largeCalls budget
 }
 
 var _ platform.Metadata = (*Relay)(nil)
@@ -240,6 +241,8 @@
 		failures:   make(map[tables.VMID]int),
 		eraBegan:   make(chan struct{}, 1),
 
+		storeCalls:    budget{interval: storeCallInterval, burst: storeCallBurst},
+		largeCalls:    budget{interval: largeCallInterval, burst: largeCallBurst},
 		regional:      hasRegions(o.Regions),
 		directoryRead: directoryRead,
 		noteDirectory: sync.OnceFunc(func() { close(directoryRead) }),
@@ -374,4 +377,7 @@
 		r.log.Info("The number of proxies changed.", "proxies", len(peers), "before", len(r.peers))
 	}
 	r.peers = peers
+	if r.regional {
+		r.regionOrder = r.orderRegion(peers)
+	}
 }
--- a/internal/rowrelay/storecall.go
+++ b/internal/rowrelay/storecall.go
@@ -118,5 +118,8 @@
 		r.recordStoreLate(q)
 	}
 	r.recordStoreResult(rows, err)
+	r.mu.Lock()
+	r.budgetFor(q).record(err != nil && retryable(err))
+	r.mu.Unlock()
 	return rows, err
 }
