--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -96,7 +96,7 @@
 // read reads the store, and through a peer if the store is lost or slow.
 func (r *Relay) read(ctx context.Context, q request) (platform.Rows, error) {
 	wait := q.wait()
-	if r.skipStore() {
+	if !r.regional && r.skipStore() {
 		if rows, err := r.readFromPeers(ctx, q, wait); err == nil || errors.Is(err, platform.ErrHistoryLost) {
 			return rows, err
 		}
@@ -255,17 +255,34 @@
 // are any.
 func (r *Relay) readFromPeers(ctx context.Context, q request, wait time.Duration) (platform.Rows, error) {
 	q.TimeoutMillis = max(wait, peerTimeout/2).Milliseconds()
-	q.Direct = r.regional
 	err := errors.Wrap(platform.ErrUnavailable, "no peer is available")
 	for _, p := range r.pickPeers(2) {
 		var rows platform.Rows
+		q.Direct = r.regional && r.inOwnRegion(p)
 		if rows, err = r.readFromPeer(ctx, p, q, wait+peerTimeout, nil); err == nil || errors.Is(err, platform.ErrHistoryLost) {
+			r.recordAcross(!r.inOwnRegion(p))
 			return rows, err
 		}
 	}
+	r.recordAcross(false)
 	return platform.Rows{}, err
 }
 
+// recordAcross records whether this proxy reads through a peer of another region.
+func (r *Relay) recordAcross(across bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.across = across
+}
+
+// readsAcross reports whether this proxy last read through a peer of another region,
+// as those of its own have lost the store too.
+func (r *Relay) readsAcross() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.across
+}
+
 // shuffledPeers returns the other proxies in random order. The lock must be
 // held.
 func (r *Relay) shuffledPeers() []Peer {
@@ -279,7 +296,7 @@
 }
 
 // pickPeers returns up to n peers in random order, one of this data centre
-// first, and with several regions those of this region before the others.
+// first. With several regions, one of this region comes before those of others.
 func (r *Relay) pickPeers(n int) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -299,6 +316,9 @@
 	if len(near) > 1 {
 		near = near[:1]
 	}
+	if len(near) > 0 || len(regional) > 1 {
+		regional = regional[:min(1-len(near), len(regional))]
+	}
 	all := slices.Concat(near, regional, far)
 	return all[:min(n, len(all))]
 }
@@ -436,9 +456,9 @@
 	case !r.regional:
 		return true
 	case q.Direct:
-		return r.skipStore()
+		return true
 	default:
-		return r.isRegionReader()
+		return r.isRegionReader() && !r.readsAcross()
 	}
 }
 
@@ -475,7 +495,11 @@
 func (r *Relay) readInTime(ctx context.Context, q request) (platform.Rows, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.timeout())
 	defer cancel()
-	rows, err := r.awaitCall(ctx, q)
+	read := r.awaitCall
+	if q.Table == directoryTable {
+		read = r.readDirectoryFor
+	}
+	rows, err := read(ctx, q)
 	if err != nil && ctx.Err() != nil {
 		return platform.Rows{}, errLate
 	}
--- a/internal/rowrelay/region.go
+++ b/internal/rowrelay/region.go
@@ -56,6 +56,10 @@
 	// maxChecks how many at a time.
 	checkInterval = 500 * time.Millisecond
 	maxChecks     = 8
+	// lostCheckInterval is how often a lost store is checked.
+	lostCheckInterval = 2 * time.Second
+	// maxDirectoryAge is the greatest age of a directory that is handed on.
+	maxDirectoryAge = 5 * time.Second
 	// maxRegionalDoublings bounds the doublings of the backoff: a check costs no
 	// statement a wait, so it can be frequent.
 	maxRegionalDoublings = 2
@@ -401,9 +405,37 @@
 	if !r.allowStoreCall(q) {
 		return platform.Rows{}, errNoBudget
 	}
+	if r.Lost() {
+		return r.readLost(ctx, q)
+	}
 	return r.readStoreNow(ctx, c)
 }
 
+// readLost reads through peers while the store is lost, also through those of other
+// regions: a region may be cut off from the store alone. Meanwhile it checks whether
+// the store responds again.
+func (r *Relay) readLost(ctx context.Context, q request) (platform.Rows, error) {
+	r.checkLostStore(ctx, storeRetryInterval)
+	return r.readFromPeers(ctx, q, q.wait())
+}
+
+// checkLostStore calls a lost store, to record whether it responds again, unless it was
+// called so within the interval.
+func (r *Relay) checkLostStore(ctx context.Context, interval time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	if r.storeLostAt == 0 || now.Sub(r.storeCheckedAt) < interval {
+		return
+	}
+	r.storeCheckedAt = now
+	r.reads.DoChan("lost", func() (any, error) {
+		rows, err := r.Store.ReadTable(context.WithoutCancel(ctx), r.SharedTable)
+		r.recordStoreResult(rows, err)
+		return nil, err
+	})
+}
+
 // readSharedInRegion reads the shared table through the reader of this region, or from
 // the store. It sets asOf to when the read began.
 func (r *Relay) readSharedInRegion(ctx context.Context, direct bool, asOf *tables.Time) (platform.Rows, error) {
@@ -422,6 +454,25 @@
 	return r.awaitCall(ctx, q)
 }
 
+// readDirectoryFor returns the directory for a peer, from a copy if it is recent.
+func (r *Relay) readDirectoryFor(ctx context.Context, q request) (platform.Rows, error) {
+	start := r.Now()
+	r.mu.Lock()
+	rows, asOf := r.directory, r.directoryAsOf
+	r.mu.Unlock()
+	if asOf != 0 && start.Sub(asOf) <= maxDirectoryAge {
+		rows.Age = start.Sub(asOf)
+		return rows, nil
+	}
+	rows, err := r.awaitCall(ctx, q)
+	if err == nil {
+		r.mu.Lock()
+		r.directory, r.directoryAsOf = rows, start.Add(-rows.Age)
+		r.mu.Unlock()
+	}
+	return rows, err
+}
+
 // refreshAhead reads the shared rows again, if they will soon be too old, while they
 // are handed on. Only the region's reader does: the others receive its copy at once.
 func (r *Relay) refreshAhead(ctx context.Context, age time.Duration) {
@@ -435,6 +486,9 @@
 // ends. A reader in backoff is used again only after it responded to a check.
 func (r *Relay) checkPeers(ctx context.Context) {
 	for sleep.For(ctx, checkInterval) == nil {
+		// A proxy that is not the reader of its region makes no other calls that would
+		// show that the store is back.
+		r.checkLostStore(ctx, lostCheckInterval)
 		r.mu.Lock()
 		now := r.Now()
 		var due []Peer
--- a/internal/rowrelay/region_test.go
+++ b/internal/rowrelay/region_test.go
@@ -59,16 +59,24 @@
 	// intoFar and intoNear are the directions of the link between the regions.
 	intoFar, intoNear *slowlink.Link
 	storeDelay        atomic.Int64
+	// farCut cuts the far region off from the store.
+	farCut atomic.Bool
 	proxies           []*regionalProxy
 	startedAt         time.Time
 }
 
 // roundTrips delays each request to the store by a round trip: a connection carries
-// one request at a time.
-type roundTrips struct{ net.Conn }
+// one request at a time. While cut is set, connections break.
+type roundTrips struct {
+	net.Conn
+	cut *atomic.Bool
+}
 
 func (c roundTrips) Write(p []byte) (int, error) {
 	time.Sleep(2 * regionLatency)
+	if c.cut.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	return c.Conn.Write(p)
 }
 
@@ -132,7 +140,7 @@
 			}
 			time.Sleep(2 * regionLatency)
 			nc, err := f.listener.Dial(ctx, f.intoFar)
-			return roundTrips{nc}, err
+			return roundTrips{nc, &f.farCut}, err
 		}),
 		SharedTable: shared, UrgentTables: map[string]bool{"own": true}, Regions: twoRegions, Bus: f.network.Bus(vm),
 		Now: func() tables.Time { return tables.Time(time.Since(f.startedAt) + time.Hour) },
@@ -320,6 +328,30 @@
 	})
 }
 
+// A region is cut off from the store alone: its proxies read through those of the other
+// region.
+func TestRegionWithoutStoreReadsThroughOtherRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t, 4)
+		f.farCut.Store(true)
+		time.Sleep(5 * time.Second)
+		f.reset()
+		time.Sleep(10 * time.Second)
+		f.checkReads(t, 0.2)
+		f.farCut.Store(false)
+		time.Sleep(5 * time.Second)
+		for _, p := range f.proxies {
+			assert.Check(t, !p.relay.Lost(), "%s still counts the store as lost", p.relay.Self.VM)
+		}
+		f.reset()
+		calls := f.store.Calls()
+		time.Sleep(10 * time.Second)
+		f.checkReads(t, 0.02)
+		calls = f.store.Calls() - calls
+		assert.Assert(t, calls <= 10*2*(4+2), "%d calls", calls)
+	})
+}
+
 // The readers of a region stop: the next ones by name take over, and the first ones
 // are used again after they return.
 func TestNextReaderOfRegionTakesOver(t *testing.T) {
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -209,6 +209,8 @@
 	// storeLostAt is when the store stopped responding; 0 while it responds.
 	storeLostAt  tables.Time
 	storeTriedAt tables.Time
+	// storeCheckedAt is when a lost store was last checked, with several regions.
+	storeCheckedAt tables.Time
 	// era is the newest era of the store that any response has shown.
 	era uint64
 	// sharedRows are the newest rows of the shared table, as of sharedRowsAsOf.
@@ -219,6 +221,11 @@
 	// storeTimes are the times in which the store responds, and readerTimes those in
 	// which a reader sends shared rows.
 	storeTimes, readerTimes allowance
+	// directory is the copy of the directory for peers, as of directoryAsOf.
+	directory     platform.Rows
+	directoryAsOf tables.Time
+	// across says that this proxy last read through a peer of another region.
+	across bool
 	// storeCalls and largeCalls are the budgets of calls to the store of a proxy that
 	// is not one of the first of its region; largeCalls that for urgent tables.
 	storeCalls, largeCalls budget
@@ -301,14 +308,14 @@
 func (r *Relay) maintainDirectory(ctx context.Context) {
 	// After a restart of all proxies, the directory still lists the same peers.
 	r.readDirectory(ctx)
-	for wait := directoryFirstRefresh; ; wait = directoryRefreshInterval {
+	for wait, first := directoryFirstRefresh, true; ; wait, first = directoryRefreshInterval, false {
 		if err := r.register(ctx); err != nil {
 			r.log.Info("Could not register in the directory.", "error", err)
 		}
 		if r.awaitDirectoryRefresh(ctx, wait) != nil {
 			return
 		}
-		r.readDirectory(ctx)
+		r.refreshDirectory(ctx, first)
 	}
 }
 
@@ -340,6 +347,22 @@
 	r.noteDirectory()
 }
 
+// refreshDirectory reads the directory again, through readers if there are several
+// regions and first is false. The first refresh must show the proxies that started at
+// the same time.
+func (r *Relay) refreshDirectory(ctx context.Context, first bool) {
+	if !r.regional || first {
+		r.readDirectory(ctx)
+		return
+	}
+	rows, err := r.readInRegion(ctx, request{Table: directoryTable})
+	if err != nil {
+		r.log.Info("Could not read the directory of proxies.", "error", err)
+		return
+	}
+	r.applyDirectory(rows)
+}
+
 // register writes this proxy's row unless the directory as read contains it.
 func (r *Relay) register(ctx context.Context) error {
 	r.mu.Lock()
