--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -106,17 +106,24 @@
 		return err
 	}
 	defer bus.Close()
+	var f *fleet.Fleet
 	rows := rowrelay.New(rowrelay.Options{
 		Self:         rowrelay.Peer{VM: s.VM, DataCentre: s.DataCentre, Address: s.PeerAddress},
 		Store:        metered.New(store.New(s.MetadataAddress), m),
 		SharedTable:  fleet.RecordTable,
 		UrgentTables: map[string]bool{routes.Table: true},
 		Regions:      s.Regions,
-		Bus:          bus,
-		Now:          boottime.Now,
-		Log:          log,
+		ConfigVersion: func() uint64 {
+			if r := f.Routing(); r != nil {
+				return r.Version
+			}
+			return 0
+		},
+		OnKnownConfig: m.SetConfigVersionKnown,
+		Bus:           bus,
+		Now:           boottime.Now,
+		Log:           log,
 	})
-	var f *fleet.Fleet
 	points := pointrelay.New(pointrelay.Options{
 		Address:         s.PeerAddress,
 		Bus:             bus,
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
@@ -31,6 +32,9 @@
 	UnconfirmedGroups = "cranberrystage_unconfirmed_groups"
 	// ConfigVersion is the configuration version in force.
 	ConfigVersion = "cranberrystage_config_version"
+	// ConfigVersionKnown is the newest configuration version that this proxy knows of,
+	// its own or that of a peer.
+	ConfigVersionKnown = "cranberrystage_config_version_known"
 	// CallerConnections is the number of open caller connections.
 	CallerConnections = "cranberrystage_caller_connections"
 	// CallerErrorsTotal counts caller connections that were refused or ended, by code.
@@ -105,12 +109,16 @@
 	readAge       *prometheus.HistogramVec
 	writeGap      *prometheus.HistogramVec
 	configVersion prometheus.Gauge
+	configKnown   prometheus.Gauge
 	storeEra      prometheus.Gauge
 	unconfirmed   prometheus.Gauge
 	callers       prometheus.Gauge
 	callerErrors  *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeSeconds  *prometheus.HistogramVec
+
+	knownMu sync.Mutex
+	known   uint64
 }
 
 // New returns metrics whose collectors are registered with reg.
@@ -129,6 +137,8 @@
 			prometheus.GaugeOpts{Name: UnconfirmedGroups, Help: "Groups whose primary is not confirmed since the store came back from an older copy."}),
 		configVersion: prometheus.NewGauge(
 			prometheus.GaugeOpts{Name: ConfigVersion, Help: "Configuration version in force."}),
+		configKnown: prometheus.NewGauge(
+			prometheus.GaugeOpts{Name: ConfigVersionKnown, Help: "Newest configuration version that this proxy or a peer has in force."}),
 		callers: prometheus.NewGauge(
 			prometheus.GaugeOpts{Name: CallerConnections, Help: "Open caller connections."}),
 		callerErrors: prometheus.NewCounterVec(
@@ -139,7 +149,7 @@
 			[]string{LabelCall, LabelTable, LabelResult}),
 		storeSeconds: histogram(StoreCallSeconds, "Time that calls to the metadata store took.", latencyBuckets, LabelCall),
 	}
-	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.storeEra, m.unconfirmed, m.callers, m.callerErrors,
+	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.configKnown, m.storeEra, m.unconfirmed, m.callers, m.callerErrors,
 		m.storeCalls, m.storeSeconds)
 	return m
 }
@@ -198,7 +208,19 @@
 func (m *Metrics) SetUnconfirmedGroups(n int) { m.unconfirmed.Set(float64(n)) }
 
 // SetConfigVersion records the configuration version in force.
-func (m *Metrics) SetConfigVersion(v uint64) { m.configVersion.Set(float64(v)) }
+func (m *Metrics) SetConfigVersion(v uint64) {
+	m.configVersion.Set(float64(v))
+	m.SetConfigVersionKnown(v)
+}
+
+// SetConfigVersionKnown records a configuration version that this proxy or a peer has in
+// force, unless a newer one is known.
+func (m *Metrics) SetConfigVersionKnown(v uint64) {
+	m.knownMu.Lock()
+	defer m.knownMu.Unlock()
+	m.known = max(m.known, v)
+	m.configKnown.Set(float64(m.known))
+}
 
 // AddCallers changes the number of open caller connections by n.
 func (m *Metrics) AddCallers(n int) { m.callers.Add(float64(n)) }
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -354,7 +354,7 @@
 // queryPeer sends a request to one peer and receives all parts of the response.
 func (r *Relay) queryPeer(ctx context.Context, p Peer, q request, timeout time.Duration, onSlow func()) (response, error) {
 	q.AcceptsParts = true
-	res, err := r.exchange.Call(ctx, timeout, q, p.Address)
+	res, err := r.call(ctx, timeout, q, p.Address)
 	switch {
 	case err == nil:
 		if err := r.checkResponse(p, q, res); err != nil || res.Part == nil {
--- a/internal/rowrelay/region_test.go
+++ b/internal/rowrelay/region_test.go
@@ -61,8 +61,11 @@
 	storeDelay        atomic.Int64
 	// farCut cuts the far region off from the store.
 	farCut atomic.Bool
-	proxies           []*regionalProxy
-	startedAt         time.Time
+	// nearConfig is the configuration version in force in the near region; in the far
+	// one it is 6.
+	nearConfig atomic.Uint64
+	proxies    []*regionalProxy
+	startedAt  time.Time
 }
 
 // roundTrips delays each request to the store by a round trip: a connection carries
@@ -142,6 +145,12 @@
 			nc, err := f.listener.Dial(ctx, f.intoFar)
 			return roundTrips{nc, &f.farCut}, err
 		}),
+		ConfigVersion: func() uint64 {
+			if isFar(vm) {
+				return 6
+			}
+			return f.nearConfig.Load()
+		},
 		SharedTable: shared, UrgentTables: map[string]bool{"own": true}, Regions: twoRegions, Bus: f.network.Bus(vm),
 		Now: func() tables.Time { return tables.Time(time.Since(f.startedAt) + time.Hour) },
 		Log: testLog(vm),
@@ -352,6 +361,21 @@
 	})
 }
 
+// In the incident a whole region was behind, so its proxies could not tell from each
+// other.
+func TestRegionKnowsOfNewerConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t, 3)
+		f.nearConfig.Store(10)
+		time.Sleep(4 * time.Second)
+		for _, p := range f.proxies {
+			p.relay.mu.Lock()
+			assert.Check(t, p.relay.known.version == 10, "%s knows %d", p.relay.Self.VM, p.relay.known.version)
+			p.relay.mu.Unlock()
+		}
+	})
+}
+
 // The readers of a region stop: the next ones by name take over, and the first ones
 // are used again after they return.
 func TestNextReaderOfRegionTakesOver(t *testing.T) {
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -106,6 +106,9 @@
 	Direct bool `msgpack:"d,omitempty"`
 	// Check asks whether the peer reaches the store.
 	Check bool `msgpack:"h,omitempty"`
+	// Config is the newest configuration version that the requester knows; 0 with one
+	// region.
+	Config uint64 `msgpack:"g,omitempty"`
 }
 
 // wait returns how long the store may wait for a change; 0 for a read.
@@ -151,6 +154,9 @@
 	Unchanged bool `msgpack:"u,omitempty"`
 	// Part is a part of rows that are too large for one message; Rows then has none.
 	Part *part `msgpack:"p,omitempty"`
+	// Config is the newest configuration version that the peer knows; 0 with one
+	// region.
+	Config uint64 `msgpack:"g,omitempty"`
 }
 
 // Peer is a proxy as listed in the directory.
@@ -175,7 +181,12 @@
 	// Regions maps data centres to regions. With fewer than two regions it has no
 	// effect.
 	Regions map[tables.DataCentreID]string
-	Bus     rpc.Bus
+	// ConfigVersion returns the configuration version in force, and OnKnownConfig
+	// receives the newest one that peers have. Both may be nil, and are used with
+	// several regions only.
+	ConfigVersion func() uint64
+	OnKnownConfig func(version uint64)
+	Bus           rpc.Bus
 	// Now is a clock that advances while the machine is suspended.
 	Now func() tables.Time
 	Log *slog.Logger
@@ -224,6 +235,7 @@
 	// directory is the copy of the directory for peers, as of directoryAsOf.
 	directory     platform.Rows
 	directoryAsOf tables.Time
+	known         knownConfig
 	// across says that this proxy last read through a peer of another region.
 	across bool
 	// storeCalls and largeCalls are the budgets of calls to the store of a proxy that
@@ -276,6 +288,7 @@
 	limit := maxConcurrentRequests
 	if r.regional {
 		go r.checkPeers(ctx)
+		go r.compareConfigs(ctx)
 		limit = maxRegionalRequests
 	}
 	slots := make(chan struct{}, limit)
@@ -283,7 +296,10 @@
 		select {
 		case slots <- struct{}{}:
 			go func() {
-				reply(r.respond(ctx, q))
+				r.noteConfig(q.Config)
+				res := r.respond(ctx, q)
+				res.Config = r.newestConfig()
+				reply(res)
 				<-slots
 			}()
 		default:
