--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -540,8 +540,9 @@
 			return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, "the store's response is overdue")
 		case <-timeout.C:
 			age := r.Now().Sub(call.startedAt)
-			if !call.direct {
-				// The reader may have joined a call of the length of one wait.
+			if r.regional {
+				// The call may not have reached the store, or joined an earlier one at a
+				// reader: the store has not answered since the last wait.
 				age += q.wait() + readerWatchTimeout
 			}
 			return platform.Rows{Era: q.Era, Version: q.After, Age: age}, nil
--- a/internal/rowrelay/region_test.go
+++ b/internal/rowrelay/region_test.go
@@ -238,6 +238,17 @@
 	}
 }
 
+// loseMessages drops all messages between proxies for d, as when connections are reset.
+func (f *regionalFleet) loseMessages(d time.Duration) {
+	for _, p := range f.proxies {
+		f.network.Isolate(string(p.relay.Self.VM))
+	}
+	time.Sleep(d)
+	for _, p := range f.proxies {
+		f.network.Rejoin(string(p.relay.Self.VM))
+	}
+}
+
 // The timeouts of a single region are below the round trip between regions: reads
 // through readers failed there, and each proxy of the far region called the store.
 func TestRegionsShareCallsToStore(t *testing.T) {
@@ -289,6 +300,7 @@
 		at = f.putRoutes("3", 2*largeConfigBytes)
 		time.Sleep(4 * time.Second)
 		f.storeDelay.Store(0)
+		f.loseMessages(300 * time.Millisecond)
 		time.Sleep(2 * time.Second)
 		f.checkConfig(t, "3", at)
 		f.reset()
