--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -96,7 +96,7 @@
 // read reads the store, and through a peer if the store is lost or slow.
 func (r *Relay) read(ctx context.Context, q request) (platform.Rows, error) {
 	wait := q.wait()
-	if r.skipStore() {
+	if !r.regional && r.skipStore() {
 		if rows, err := r.readFromPeers(ctx, q, wait); err == nil || errors.Is(err, platform.ErrHistoryLost) {
 			return rows, err
 		}
@@ -194,7 +194,6 @@
 		r.acceptEra(rows.Era)
 		r.storeRespondedAt = r.Now()
 	}
-	r.adjustBudget(err != nil && retryable(err))
 	switch {
 	case err != nil && retryable(err) && r.storeLostAt == 0:
 		r.storeLostAt = r.Now()
@@ -236,14 +235,10 @@
 }
 
 // globalReader returns the proxy that reads the shared table for all data
-// centres, or with several regions everything for those of this region; ok is false
-// if it is this proxy.
+// centres; ok is false if it is this proxy.
 func (r *Relay) globalReader() (Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.regional {
-		return r.firstByName(r.inOwnRegion)
-	}
 	return r.firstByName(func(Peer) bool { return true })
 }
 
@@ -269,17 +264,34 @@
 // are any.
 func (r *Relay) readFromPeers(ctx context.Context, q request, wait time.Duration) (platform.Rows, error) {
 	q.TimeoutMillis = max(wait, peerTimeout/2).Milliseconds()
-	q.Direct = r.regional
 	err := errors.Wrap(platform.ErrUnavailable, "no peer is available")
 	for _, p := range r.pickPeers(2) {
 		var rows platform.Rows
+		q.Direct = r.regional && r.inOwnRegion(p)
 		if rows, err = r.readFromPeer(ctx, p, q, wait+peerTimeout, nil); err == nil || errors.Is(err, platform.ErrHistoryLost) {
+			r.recordAcross(!r.inOwnRegion(p))
 			return rows, err
 		}
 	}
+	r.recordAcross(false)
 	return platform.Rows{}, err
 }
 
+// recordAcross records whether this proxy reads through a peer of another region.
+func (r *Relay) recordAcross(across bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.across = across
+}
+
+// readsAcross reports whether this proxy last read through a peer of another region,
+// as those of its own have lost the store too.
+func (r *Relay) readsAcross() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.across
+}
+
 // shuffledPeers returns the other proxies in random order. The lock must be
 // held.
 func (r *Relay) shuffledPeers() []Peer {
@@ -293,7 +305,7 @@
 }
 
 // pickPeers returns up to n peers in random order, one of this data centre
-// first, and with several regions those of this region before the others.
+// first. With several regions, one of this region comes before those of others.
 func (r *Relay) pickPeers(n int) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -313,6 +325,9 @@
 	if len(near) > 1 {
 		near = near[:1]
 	}
+	if len(near) > 0 || len(regional) > 1 {
+		regional = regional[:min(1-len(near), len(regional))]
+	}
 	all := slices.Concat(near, regional, far)
 	return all[:min(n, len(all))]
 }
@@ -348,7 +363,7 @@
 // queryPeer sends a request to one peer and receives all parts of the response.
 func (r *Relay) queryPeer(ctx context.Context, p Peer, q request, timeout time.Duration, onSlow func()) (response, error) {
 	q.AcceptsParts = true
-	res, err := r.exchange.Call(ctx, timeout, q, p.Address)
+	res, err := r.call(ctx, timeout, q, p.Address)
 	switch {
 	case err == nil:
 		if err := r.checkResponse(p, q, res); err != nil || res.Part == nil {
@@ -435,7 +450,7 @@
 		}
 	case errors.Is(err, platform.ErrHistoryLost):
 		out.Failure = failureHistoryLost
-	case errors.Is(err, errSlowResponse) || errors.Is(err, errLate):
+	case errors.Is(err, errSlowResponse) || errors.Is(err, errLate) || errors.Is(err, errNoBudget):
 		out.Failure = failureSlow
 	}
 	return out
@@ -450,9 +465,9 @@
 	case !r.regional:
 		return true
 	case q.Direct:
-		return r.skipStore()
+		return true
 	default:
-		return r.isRegionReader()
+		return r.isRegionReader() && !r.readsAcross()
 	}
 }
 
@@ -489,7 +504,11 @@
 func (r *Relay) readInTime(ctx context.Context, q request) (platform.Rows, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.timeout())
 	defer cancel()
-	rows, err := r.awaitCall(ctx, q)
+	read := r.awaitCall
+	if q.Table == directoryTable {
+		read = r.readDirectoryFor
+	}
+	rows, err := read(ctx, q)
 	if err != nil && ctx.Err() != nil {
 		return platform.Rows{}, errLate
 	}
@@ -530,8 +549,9 @@
 			return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, "the store's response is overdue")
 		case <-timeout.C:
 			age := r.Now().Sub(min(call.startedAt, r.lastResponse()))
-			if !call.direct {
-				// The reader may have joined a call of the length of one wait.
+			if r.regional {
+				// The call may have joined an earlier one at a reader, which has not
+				// answered since the last wait.
 				age += q.wait() + readerWatchTimeout
 			}
 			return platform.Rows{Era: q.Era, Version: q.After, Age: age}, nil
--- a/internal/rowrelay/region_test.go
+++ b/internal/rowrelay/region_test.go
@@ -59,16 +59,27 @@
 	// intoFar and intoNear are the directions of the link between the regions.
 	intoFar, intoNear *slowlink.Link
 	storeDelay        atomic.Int64
-	proxies           []*regionalProxy
-	startedAt         time.Time
+	// farCut cuts the far region off from the store.
+	farCut atomic.Bool
+	// nearConfig is the configuration version in force in the near region; in the far
+	// one it is 6.
+	nearConfig atomic.Uint64
+	proxies    []*regionalProxy
+	startedAt  time.Time
 }
 
 // roundTrips delays each request to the store by a round trip: a connection carries
-// one request at a time.
-type roundTrips struct{ net.Conn }
+// one request at a time. While cut is set, connections break.
+type roundTrips struct {
+	net.Conn
+	cut *atomic.Bool
+}
 
 func (c roundTrips) Write(p []byte) (int, error) {
 	time.Sleep(2 * regionLatency)
+	if c.cut.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	return c.Conn.Write(p)
 }
 
@@ -132,8 +143,14 @@
 			}
 			time.Sleep(2 * regionLatency)
 			nc, err := f.listener.Dial(ctx, f.intoFar)
-			return roundTrips{nc}, err
+			return roundTrips{nc, &f.farCut}, err
 		}),
+		ConfigVersion: func() uint64 {
+			if isFar(vm) {
+				return 6
+			}
+			return f.nearConfig.Load()
+		},
 		SharedTable: shared, UrgentTables: map[string]bool{"own": true}, Regions: twoRegions, Bus: f.network.Bus(vm),
 		Now: func() tables.Time { return tables.Time(time.Since(f.startedAt) + time.Hour) },
 		Log: testLog(vm),
@@ -221,6 +238,17 @@
 	}
 }
 
+// loseMessages drops all messages between proxies for d, as when connections are reset.
+func (f *regionalFleet) loseMessages(d time.Duration) {
+	for _, p := range f.proxies {
+		f.network.Isolate(string(p.relay.Self.VM))
+	}
+	time.Sleep(d)
+	for _, p := range f.proxies {
+		f.network.Rejoin(string(p.relay.Self.VM))
+	}
+}
+
 // The timeouts of a single region are below the round trip between regions: reads
 // through readers failed there, and each proxy of the far region called the store.
 func TestRegionsShareCallsToStore(t *testing.T) {
@@ -272,6 +300,7 @@
 		at = f.putRoutes("3", 2*largeConfigBytes)
 		time.Sleep(4 * time.Second)
 		f.storeDelay.Store(0)
+		f.loseMessages(300 * time.Millisecond)
 		time.Sleep(2 * time.Second)
 		f.checkConfig(t, "3", at)
 		f.reset()
@@ -283,6 +312,82 @@
 	})
 }
 
+// While the store is 60 times slower, evidence can still be read in time, and no further
+// proxies call the store.
+func TestReadsOfSlowStoreAreSharedInRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t, 9)
+		f.storeDelay.Store(int64(slowStore))
+		f.reset()
+		calls := f.store.Calls()
+		time.Sleep(5 * time.Second)
+		f.checkReads(t, 0.05)
+		calls = f.store.Calls() - calls
+		assert.Assert(t, calls <= 5*2*(4+3), "%d calls", calls)
+	})
+}
+
+// A data centre with the readers of its region is cut off: the proxies of the others
+// must not try its proxies one after the other.
+func TestReaderOfOtherDataCentreTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t, 14)
+		f.proxies = slices.DeleteFunc(f.proxies, func(p *regionalProxy) bool {
+			if p.relay.Self.DataCentre != "fa" {
+				return false
+			}
+			p.stop()
+			f.network.Isolate(string(p.relay.Self.VM))
+			return true
+		})
+		time.Sleep(time.Second)
+		f.reset()
+		at := f.putRoutes("2", largeConfigBytes)
+		time.Sleep(regionalApplyLimit)
+		f.checkConfig(t, "2", at)
+		f.checkReads(t, 0.05)
+	})
+}
+
+// A region is cut off from the store alone: its proxies read through those of the other
+// region.
+func TestRegionWithoutStoreReadsThroughOtherRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t, 4)
+		f.farCut.Store(true)
+		time.Sleep(5 * time.Second)
+		f.reset()
+		time.Sleep(10 * time.Second)
+		f.checkReads(t, 0.2)
+		f.farCut.Store(false)
+		time.Sleep(5 * time.Second)
+		for _, p := range f.proxies {
+			assert.Check(t, !p.relay.Lost(), "%s still counts the store as lost", p.relay.Self.VM)
+		}
+		f.reset()
+		calls := f.store.Calls()
+		time.Sleep(10 * time.Second)
+		f.checkReads(t, 0.02)
+		calls = f.store.Calls() - calls
+		assert.Assert(t, calls <= 10*2*(4+2), "%d calls", calls)
+	})
+}
+
+// In the incident a whole region was behind, so its proxies could not tell from each
+// other.
+func TestRegionKnowsOfNewerConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t, 3)
+		f.nearConfig.Store(10)
+		time.Sleep(4 * time.Second)
+		for _, p := range f.proxies {
+			p.relay.mu.Lock()
+			assert.Check(t, p.relay.known.version == 10, "%s knows %d", p.relay.Self.VM, p.relay.known.version)
+			p.relay.mu.Unlock()
+		}
+	})
+}
+
 // The readers of a region stop: the next ones by name take over, and the first ones
 // are used again after they return.
 func TestNextReaderOfRegionTakesOver(t *testing.T) {
@@ -305,9 +410,8 @@
 			f.proxies = append(f.proxies, f.start(p.relay.Self.DataCentre, string(p.relay.Self.VM)))
 		}
 		time.Sleep(8 * time.Second)
-		last := f.proxies[len(f.proxies)-3].relay
-		reader, ok := last.globalReader()
-		assert.Assert(t, !ok || reader.VM == "vm-fa-00" || !isFar(string(last.Self.VM)), "%s", reader.VM)
+		reader, _ := f.proxies[0].relay.nextReader(levelRegion)
+		assert.Equal(t, reader.VM, tables.VMID("vm-fa-00"))
 		f.reset()
 		time.Sleep(5 * time.Second)
 		f.checkReads(t, 0.02)
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -106,6 +106,9 @@
 	Direct bool `msgpack:"d,omitempty"`
 	// Check asks whether the peer reaches the store.
 	Check bool `msgpack:"h,omitempty"`
+	// Config is the newest configuration version that the requester knows; 0 with one
+	// region.
+	Config uint64 `msgpack:"g,omitempty"`
 }
 
 // wait returns how long the store may wait for a change; 0 for a read.
@@ -151,6 +154,9 @@
 	Unchanged bool `msgpack:"u,omitempty"`
 	// Part is a part of rows that are too large for one message; Rows then has none.
 	Part *part `msgpack:"p,omitempty"`
+	// Config is the newest configuration version that the peer knows; 0 with one
+	// region.
+	Config uint64 `msgpack:"g,omitempty"`
 }
 
 // Peer is a proxy as listed in the directory.
@@ -175,7 +181,12 @@
 	// Regions maps data centres to regions. With fewer than two regions it has no
 	// effect.
 	Regions map[tables.DataCentreID]string
-	Bus     rpc.Bus
+	// ConfigVersion returns the configuration version in force, and OnKnownConfig
+	// receives the newest one that peers have. Both may be nil, and are used with
+	// several regions only.
+	ConfigVersion func() uint64
+	OnKnownConfig func(version uint64)
+	Bus           rpc.Bus
 	// Now is a clock that advances while the machine is suspended.
 	Now func() tables.Time
 	Log *slog.Logger
@@ -199,6 +210,9 @@
 	// calls are the reads of the store that are under way.
 	calls []*storeCall
 	peers []Peer
+	// regionOrder are the proxies of this region, if there are several regions, in the
+	// order in which they become its reader.
+	regionOrder []Peer
 	// avoidUntil is when the backoff from a peer ends; failures counts its
 	// failures in a row.
 	avoidUntil map[tables.VMID]tables.Time
@@ -208,6 +222,8 @@
 	storeTriedAt tables.Time
 	// storeRespondedAt is when the store last responded.
 	storeRespondedAt tables.Time
+	// storeCheckedAt is when a lost store was last checked, with several regions.
+	storeCheckedAt tables.Time
 	// era is the newest era of the store that any response has shown.
 	era uint64
 	// sharedRows are the newest rows of the shared table, as of sharedRowsAsOf.
@@ -218,11 +234,15 @@
 	// storeTimes are the times in which the store responds, and readerTimes those in
 	// which a reader sends shared rows.
 	storeTimes, readerTimes allowance
-	// directInterval is the time between two calls to the store by a proxy that has a
-	// budget of them; directAt and largeDirectAt are the earliest times of the next
-	// call, and of the next one for an urgent table.
-	directInterval          time.Duration
-	directAt, largeDirectAt tables.Time
+	// directory is the copy of the directory for peers, as of directoryAsOf.
+	directory     platform.Rows
+	directoryAsOf tables.Time
+	known         knownConfig
+	// across says that this proxy last read through a peer of another region.
+	across bool
+	// storeCalls and largeCalls are the budgets of calls to the store of a proxy that
+	// is not one of the first of its region; largeCalls that for urgent tables.
+	storeCalls, largeCalls budget
 }
 
 var _ platform.Metadata = (*Relay)(nil)
@@ -242,6 +262,8 @@
 		failures:   make(map[tables.VMID]int),
 		eraBegan:   make(chan struct{}, 1),
 
+		storeCalls:    budget{interval: storeCallInterval, burst: storeCallBurst},
+		largeCalls:    budget{interval: largeCallInterval, burst: largeCallBurst},
 		regional:      hasRegions(o.Regions),
 		directoryRead: directoryRead,
 		noteDirectory: sync.OnceFunc(func() { close(directoryRead) }),
@@ -268,6 +290,7 @@
 	limit := maxConcurrentRequests
 	if r.regional {
 		go r.checkPeers(ctx)
+		go r.compareConfigs(ctx)
 		limit = maxRegionalRequests
 	}
 	slots := make(chan struct{}, limit)
@@ -275,7 +298,10 @@
 		select {
 		case slots <- struct{}{}:
 			go func() {
-				reply(r.respond(ctx, q))
+				r.noteConfig(q.Config)
+				res := r.respond(ctx, q)
+				res.Config = r.newestConfig()
+				reply(res)
 				<-slots
 			}()
 		default:
@@ -300,14 +326,14 @@
 func (r *Relay) maintainDirectory(ctx context.Context) {
 	// After a restart of all proxies, the directory still lists the same peers.
 	r.readDirectory(ctx)
-	for wait := directoryFirstRefresh; ; wait = directoryRefreshInterval {
+	for wait, first := directoryFirstRefresh, true; ; wait, first = directoryRefreshInterval, false {
 		if err := r.register(ctx); err != nil {
 			r.log.Info("Could not register in the directory.", "error", err)
 		}
 		if r.awaitDirectoryRefresh(ctx, wait) != nil {
 			return
 		}
-		r.readDirectory(ctx)
+		r.refreshDirectory(ctx, first)
 	}
 }
 
@@ -339,6 +365,22 @@
 	r.noteDirectory()
 }
 
+// refreshDirectory reads the directory again, through readers if there are several
+// regions and first is false. The first refresh must show the proxies that started at
+// the same time.
+func (r *Relay) refreshDirectory(ctx context.Context, first bool) {
+	if !r.regional || first {
+		r.readDirectory(ctx)
+		return
+	}
+	rows, err := r.readInRegion(ctx, request{Table: directoryTable})
+	if err != nil {
+		r.log.Info("Could not read the directory of proxies.", "error", err)
+		return
+	}
+	r.applyDirectory(rows)
+}
+
 // register writes this proxy's row unless the directory as read contains it.
 func (r *Relay) register(ctx context.Context) error {
 	r.mu.Lock()
@@ -376,4 +418,7 @@
 		r.log.Info("The number of proxies changed.", "proxies", len(peers), "before", len(r.peers))
 	}
 	r.peers = peers
+	if r.regional {
+		r.regionOrder = r.orderRegion(peers)
+	}
 }
