--- a/cmd/cranberrystage-entry/main.go
+++ b/cmd/cranberrystage-entry/main.go
@@ -19,6 +19,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/boottime"
 	"github.com/cranberrystage/cranberrystage/internal/entry"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/forward"
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
@@ -124,6 +125,16 @@
 		FreshnessReport: func(id tables.GroupID) (freshness.Report, bool) { return f.FreshnessReport(id) },
 		Log:             log,
 	})
+	holders := forward.New(forward.Options{
+		VM:      s.VM,
+		Address: s.PeerAddress,
+		Bus:     bus,
+		Nearby:  rows.Nearby,
+		Fleet:   func() *fleet.Fleet { return f },
+		Now:     boottime.Now,
+		Metrics: m,
+		Log:     log,
+	})
 	f = fleet.New(fleet.Options{
 		VM:         s.VM,
 		DataCentre: s.DataCentre,
@@ -140,12 +151,14 @@
 		Open:       opener(s.VM),
 		Peers:      points,
 		Proxies:    rows.Proxies,
+		Holding:    holders.Holding,
 		Now:        boottime.Now,
 		Log:        log,
 		Metrics:    m,
 		DrainLimit: s.DrainLimit,
 	})
 	server := relay.NewServer(f, relay.Unlimited{}, func(nc net.Conn) relay.Caller { return wire.NewCaller(nc) }, m, log)
+	server.ForwardReads(holders)
 	p, err := entry.New(s, f, server, log)
 	if err != nil {
 		return err
@@ -163,19 +176,28 @@
 			log.Error("entry: Stopped exchanging freshness points with other proxies.", "error", err)
 		}
 	}()
+	go func() {
+		if err := holders.Serve(work); err != nil {
+			log.Error("entry: Stopped running reads of other proxies.", "error", err)
+		}
+	}()
+	context.AfterFunc(ctx, holders.Stop)
 	go reload(ctx, path, hup, p, log)
 	err = p.Run(ctx)
-	leave(work, rows, log)
+	leave(work, holders, rows, log)
 	return err
 }
 
-// leaveTimeout bounds the call that removes a stopping proxy from the directory.
+// leaveTimeout bounds the last work for other proxies and the call that removes a
+// stopping proxy from the directory.
 const leaveTimeout = 300 * time.Millisecond
 
-// leave removes this proxy from the directory of proxies.
-func leave(ctx context.Context, rows *rowrelay.Relay, log *slog.Logger) {
+// leave ends the reads of other proxies and removes this proxy from the directory of
+// proxies.
+func leave(ctx context.Context, holders *forward.Forwarder, rows *rowrelay.Relay, log *slog.Logger) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
+	holders.Wait(ctx)
 	if err := rows.Leave(ctx); err != nil {
 		log.Info("entry: Failed to remove this proxy from the directory.", "error", err)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,7 +17,6 @@
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
 	"github.com/cranberrystage/cranberrystage/internal/systems/freshness"
-	"github.com/cranberrystage/cranberrystage/internal/systems/idle"
 	"github.com/cranberrystage/cranberrystage/internal/systems/pace"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"golang.org/x/sync/singleflight"
@@ -67,6 +66,10 @@
 	Peers      Peers
 	// Proxies returns the number of proxies that share the servers.
 	Proxies func() int
+	// Holding returns the number of proxies of this data centre, and whether this one
+	// holds their connections to a server; see package holder. nil means that reads are
+	// not forwarded.
+	Holding func(server tables.UpstreamID) (near int, holds bool)
 	Now     func() tables.Time
 	Log     *slog.Logger
 	Metrics *metrics.Metrics
@@ -282,16 +285,6 @@
 	return max(2, min(limits.Connections/2, 3*slots))
 }
 
-// idleConnectionShare returns how many idle connections to u this proxy may
-// keep: a fraction of one if there are more proxies than connections.
-func (f *Fleet) idleConnectionShare(u *Upstream) float64 {
-	r := f.routing.Load()
-	if r == nil || r.Groups[u.entry.Group].Connections <= 0 {
-		return 1
-	}
-	return idle.Share(r.Groups[u.entry.Group].Connections, f.Proxies())
-}
-
 // gateQueueLimit is how many statements may wait for one server.
 const gateQueueLimit = 256
 
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -117,11 +117,15 @@
 	if !ok || !sampleLatency {
 		return
 	}
-	took := now.Sub(s.at)
-	if u.latency == 0 {
-		u.latency = took
+	u.sampleLatency(now.Sub(s.at))
+}
+
+// sampleLatency adds a sample to the moving average of latency.
+func (h *health) sampleLatency(took time.Duration) {
+	if h.latency == 0 {
+		h.latency = took
 	}
-	u.latency += (took - u.latency) / latencySmoothing
+	h.latency += (took - h.latency) / latencySmoothing
 }
 
 // recordFailure records that a connection could not be opened or broke.
--- a/internal/metrics/document_test.go
+++ b/internal/metrics/document_test.go
@@ -12,7 +12,8 @@
 func TestDocumentNamesEveryMetric(t *testing.T) {
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
-	for _, name := range []string{RequestsTotal, RequestSeconds, ReadAgeSeconds, WriteGapSeconds, ConfigVersion, StoreEra, UnconfirmedGroups, CallerConnections, CallerErrorsTotal} {
+	for _, name := range []string{RequestsTotal, RequestSeconds, ReadAgeSeconds, WriteGapSeconds, ConfigVersion, StoreEra, UnconfirmedGroups, CallerConnections, CallerErrorsTotal,
+		ForwardableReadsTotal, ForwardHopSeconds, ForwardRefusalsTotal, ForwardMalformedTotal} {
 		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), name)
 	}
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -111,6 +111,7 @@
 	callerErrors  *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeSeconds  *prometheus.HistogramVec
+	forward       forwardMetrics
 }
 
 // New returns metrics whose collectors are registered with reg.
@@ -138,6 +139,7 @@
 			prometheus.CounterOpts{Name: StoreCallsTotal, Help: "Calls to the metadata store by result."},
 			[]string{LabelCall, LabelTable, LabelResult}),
 		storeSeconds: histogram(StoreCallSeconds, "Time that calls to the metadata store took.", latencyBuckets, LabelCall),
+		forward:      newForwardMetrics(reg),
 	}
 	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.storeEra, m.unconfirmed, m.callers, m.callerErrors,
 		m.storeCalls, m.storeSeconds)
--- a/internal/relay/read.go
+++ b/internal/relay/read.go
@@ -18,6 +18,8 @@
 	q *request
 	// tx is the transaction to begin; nil for a single read.
 	tx *transaction
+	// direct is the server that the read is tried at next without a holder, if not nil.
+	direct *fleet.Upstream
 }
 
 // read serves a read that replicas may answer.
@@ -40,13 +42,17 @@
 // Choose implements exec.Plan.
 func (p *readPlan) Choose(context.Context) (exec.Attempt, statement.Reply) {
 	q := p.q
+	if u := p.direct; u != nil {
+		p.direct, q.holder = nil, ""
+		return q.attemptAt(u, q.need), statement.Reply{}
+	}
 	for {
 		u, ok := q.s.fleet.Reader(q.route.Group, q.need, q.tried)
 		switch {
 		case ok && p.tx != nil:
 			return &beginAttempt{attempt: *q.attemptAt(u, q.need), tx: p.tx}, statement.Reply{}
 		case ok:
-			return q.attemptAt(u, q.need), statement.Reply{}
+			return q.singleReadAt(u, q.need), statement.Reply{}
 		case !q.waitToRetry():
 			return nil, q.refuse(q.noServerCode(), "no server can answer")
 		}
@@ -66,6 +72,10 @@
 	case ctx.Err() != nil:
 		return q.timeout(o), true
 	}
+	if f, ok := a.(*forwardedAttempt); ok && f.tryDirect {
+		p.direct = f.u
+		return statement.Reply{}, false
+	}
 	q.tried = append(q.tried, q.lastUpstream)
 	return statement.Reply{}, false
 }
@@ -147,7 +157,7 @@
 
 // timeout returns the reply to a read whose deadline has passed.
 func (q *request) timeout(o exec.Outcome) statement.Reply {
-	if o.Stage == retry.StageWaiting {
+	if e, ok := codes.From(o.Err); o.Stage == retry.StageWaiting || ok && e.Ran == codes.NotRun {
 		return q.refuse(codeOf(o.Err, codes.NoSlot), "no room in time")
 	}
 	return statement.Refuse(statement.Timeout, codes.DeadlinePassed, q.s.status, "no answer in time")
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -38,6 +38,8 @@
 	// lastUpstream is the server that was tried last; lastOutcome says how that ended.
 	lastUpstream tables.UpstreamID
 	lastOutcome  string
+	// holder is the proxy that the last attempt was forwarded to; empty if it was direct.
+	holder tables.VMID
 	// tries counts the attempts; behind is true if a server lacked the position.
 	tries  int
 	behind bool
--- a/internal/relay/requestlog.go
+++ b/internal/relay/requestlog.go
@@ -99,6 +99,9 @@
 	if q == nil {
 		return out
 	}
+	if q.holder != "" {
+		out = append(out, "holder", q.holder)
+	}
 	primary, record, provenAge := s.fleet.LeaderStatus(q.route.Group)
 	return append(out, "group", q.route.Group, "freshness", q.route.Freshness.String(), "need", q.need.String(),
 		"upstream", q.lastUpstream, "how", q.lastOutcome, "tries", q.tries, "primary", primary, "record", record, "provenAge", provenAge)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/forward"
 	"github.com/cranberrystage/cranberrystage/internal/logging"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
@@ -64,6 +65,7 @@
 type Server struct {
 	fleet      *fleet.Fleet
 	limiter    Limiter
+	forwarder  *forward.Forwarder
 	wrap       func(net.Conn) Caller
 	log        *slog.Logger
 	requestLog *requestLog
@@ -149,7 +151,7 @@
 		s.logReadError(err)
 		return
 	}
-	sess := &session{fleet: s.fleet, requestLog: s.requestLog, limiter: s.limiter, database: database, key: key}
+	sess := &session{fleet: s.fleet, requestLog: s.requestLog, limiter: s.limiter, forwarder: s.forwarder, database: database, key: key}
 	if r := s.admit(ctx, sess); r.Code != statement.OK {
 		s.requestLog.sessionRejected(database, r)
 		_ = c.Reject(r) // the connection is closed next
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/exec"
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/forward"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -20,6 +21,7 @@
 	fleet      *fleet.Fleet
 	requestLog *requestLog
 	limiter    Limiter
+	forwarder  *forward.Forwarder
 	database   string
 	// key is the caller's secret key.
 	key string
--- a/internal/systems/idle/idle.go
+++ b/internal/systems/idle/idle.go
@@ -36,6 +36,30 @@
 	return float64(connections) / 2 / float64(max(proxies, 1))
 }
 
+// Parts of a server's idle connections that holders keep for the other proxies of their
+// data centres (see package holder). Reads of replicas mostly go through holders, whereas
+// a primary also gets writes, transactions and reads of the newest data, which don't.
+const (
+	holderPartOfReplica = 0.75
+	holderPartOfPrimary = 0.25
+)
+
+// HolderShare returns a proxy's share of the idle connections at a server to which reads
+// are forwarded. share is the result of Share, near the number of proxies of its data
+// centre, and holds says whether it is their holder. The sum over all proxies is the same
+// as that of Share.
+func HolderShare(share float64, near int, holds, primary bool) float64 {
+	part := holderPartOfReplica
+	if primary {
+		part = holderPartOfPrimary
+	}
+	out := share * (1 - part)
+	if holds {
+		out += share * part * float64(max(near, 1))
+	}
+	return out
+}
+
 // Count returns how many connections a proxy keeps after a burst of requests, each
 // for up to Timeout; at least one.
 func Count(share float64) int { return max(1, int(share)) }
--- a/internal/systems/idle/idle_test.go
+++ b/internal/systems/idle/idle_test.go
@@ -1,6 +1,7 @@
 package idle
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -65,3 +66,24 @@
 	assert.Equal(t, Timeout(Share(66, 100), UseInterval(time.Minute)), MaxTimeout)
 	assert.Equal(t, Timeout(Share(66, 100), 0), MaxTimeout)
 }
+
+// Guards against holders that keep their connections in addition to the shares of all
+// proxies: together they must leave half of a server's connections free.
+func TestHoldersShareStaysWithinHalf(t *testing.T) {
+	for _, primary := range []bool{false, true} {
+		for _, centres := range [][]int{{14, 14, 14, 14, 14, 13}, {1, 80}, {30}} {
+			proxies := 0
+			for _, n := range centres {
+				proxies += n
+			}
+			sum := 0.0
+			for _, near := range centres {
+				for i := range near {
+					sum += HolderShare(Share(46, proxies), near, i == 0, primary)
+				}
+			}
+			assert.Assert(t, math.Abs(sum-23) < 1e-6, "%v: %f", centres, sum)
+		}
+	}
+	assert.Assert(t, HolderShare(Share(46, 83), 14, true, false) > 1, "the holder keeps no connection")
+}
--- a/internal/systems/preparation/preparation.go
+++ b/internal/systems/preparation/preparation.go
@@ -170,3 +170,20 @@
 // StatementMissing records that a prepared statement that was recorded for the
 // connection does not exist on the server.
 func (c *Connection) StatementMissing() { c.uncertain = true }
+
+// Values returns the session values by name. They must not be modified.
+func (s *Session) Values() map[string]string { return s.values }
+
+// Restore returns a session with values and, if name is not empty, one prepared
+// statement. It keeps values. ok is false if there are more values than a session may
+// have.
+func Restore(values map[string]string, name string, definition Definition) (s Session, ok bool) {
+	if len(values) > MaxValues {
+		return Session{}, false
+	}
+	s.values = values
+	if name != "" {
+		s.prepared = map[string]Definition{name: definition}
+	}
+	return s, true
+}
