--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/fleet"
+	"github.com/cranberrystage/cranberrystage/internal/forward"
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
@@ -69,8 +70,15 @@
 	startReadTime time.Duration
 	// idleTransactionTimeout is the configured limit for idle transactions.
 	idleTransactionTimeout time.Duration
-	orders                 []promotionOrder
-	peersMu                sync.Mutex
+	// connections is the configured number of connections of a server.
+	connections int
+	// teams are the configured teams, and keys the team of each key.
+	teams map[tables.TeamID]*tables.Team
+	keys  map[string]*tables.Team
+	// forwarding connects the proxies' forwarders, if set.
+	forwarding *forwarding
+	orders     []promotionOrder
+	peersMu    sync.Mutex
 	// fleets are the fleets of the proxies, by number.
 	fleets map[int]*fleet.Fleet
 	rng    *rand.Rand
@@ -89,6 +97,9 @@
 	vm         tables.VMID
 	fleet      *fleet.Fleet
 	requestLog *requestLog
+	forwarder  *forward.Forwarder
+	metrics    *metrics.Metrics
+	registry   *prometheus.Registry
 	stop       context.CancelFunc
 	store      *proxyStore
 }
@@ -186,14 +197,22 @@
 
 // newTestClusterOn returns a cluster whose proxies reach the store through wrap.
 func newTestClusterOn(t *testing.T, proxies int, wrap func(platform.Metadata) platform.Metadata) *testCluster {
+	t.Helper()
+	return newTestClusterWith(t, proxies, func(tc *testCluster) { tc.wrapStore = wrap })
+}
+
+// newTestClusterWith returns a cluster that prepare has changed before its proxies start.
+func newTestClusterWith(t *testing.T, proxies int, prepare func(*testCluster)) *testCluster {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	tc := &testCluster{
-		t: t, ctx: ctx, began: time.Now(), store: metadata.New(), size: proxies, wrapStore: wrap,
+		t: t, ctx: ctx, began: time.Now(), store: metadata.New(), size: proxies, connections: 22,
+		wrapStore: func(s platform.Metadata) platform.Metadata { return s },
 		pathsDown: make(map[string]bool), removed: make(map[tables.UpstreamID]bool),
 		leaving: make(map[tables.UpstreamID]bool), acked: make(map[string][]ackedValue),
 		fleets: make(map[int]*fleet.Fleet), rng: rand.New(rand.NewPCG(1, 1)),
 	}
+	prepare(tc)
 	var entries []tables.Entry
 	for i, id := range servers {
 		entries = append(entries, tables.Entry{
@@ -232,7 +251,9 @@
 		Routes: map[string]tables.Route{
 			newest: route(newest, tables.FreshNewest), bounded: route(bounded, tables.FreshBounded), own: route(own, tables.FreshSession),
 		},
-		Groups:                 map[tables.GroupID]tables.GroupLimits{"g": {Connections: 22, SyncReplicas: 1}},
+		Groups:                 map[tables.GroupID]tables.GroupLimits{"g": {Connections: tc.connections, SyncReplicas: 1}},
+		Teams:                  tc.teams,
+		Keys:                   tc.keys,
 		IdleTransactionTimeout: tc.idleTransactionTimeout,
 	})
 	assert.NilError(tc.t, err)
@@ -357,7 +378,10 @@
 	vm := tables.VMID(fmt.Sprintf("vm%d", i))
 	p := &proxyUnderTest{tc: tc, number: i, vm: vm, stop: cancel, store: &proxyStore{Store: tc.store, alter: tc.alter, down: tc.startWithoutStore, configReadTime: tc.startReadTime}}
 	log := slog.New(slog.NewTextHandler(tc.logTo(), nil)).With("vm", vm)
-	m := metrics.New(prometheus.NewRegistry())
+	p.registry = prometheus.NewRegistry()
+	m := metrics.New(p.registry)
+	p.metrics = m
+	tc.startForwarder(ctx, p, log)
 	p.fleet = fleet.New(fleet.Options{
 		VM: vm, DataCentre: tables.DataCentreID(fmt.Sprintf("dc%d", i%3)), Store: tc.wrapStore(p.store), Promoter: promoter{tc, vm},
 		Codec: fleet.Codec{
@@ -366,7 +390,8 @@
 		},
 		Peers:   peers{tc, i},
 		Proxies: func() int { return max(i+1, tc.size) },
-		Open: func(ctx context.Context, e tables.Entry, _ tables.TeamID) (links.Link, statement.Reply, error) {
+		Holding: p.holding(),
+		Open: func(ctx context.Context, e tables.Entry, team tables.TeamID) (links.Link, statement.Reply, error) {
 			if tc.pathDown(vm, e.ID) {
 				<-ctx.Done()
 				return nil, statement.Reply{}, os.ErrDeadlineExceeded
@@ -375,7 +400,7 @@
 			if s == nil {
 				return nil, r, err
 			}
-			return &pathLink{Session: s, tc: tc, vm: vm, id: e.ID}, r, err
+			return tc.forwarding.record(&pathLink{Session: s, tc: tc, vm: vm, id: e.ID}, team), r, err
 		},
 		Now:        func() tables.Time { return tables.Time(time.Since(tc.began) + time.Hour) },
 		Log:        log,
@@ -457,7 +482,7 @@
 
 // session opens a session of a database at the proxy.
 func (p *proxyUnderTest) session(database string) *session {
-	return &session{fleet: p.fleet, requestLog: p.requestLog, database: database}
+	return &session{fleet: p.fleet, requestLog: p.requestLog, forwarder: p.forwarder, database: database}
 }
 
 var lastID struct {
