--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -24,6 +24,8 @@
 	after  tables.Position
 	// tryDirect says that the holder alone is the reason why there is no reply.
 	tryDirect bool
+	// unanswered says that the holder's response did not arrive.
+	unanswered bool
 }
 
 var _ exec.Attempt = (*forwardedAttempt)(nil)
@@ -31,7 +33,6 @@
 // singleReadAt returns an attempt of a single read at u, through the holder if there is
 // one.
 func (q *request) singleReadAt(u *fleet.Upstream, after tables.Position) exec.Attempt {
-	q.holder = ""
 	h, ok := q.s.forwarder.Holder(u, q.s.teamID())
 	if !ok {
 		return q.attemptAt(u, after)
@@ -93,6 +94,7 @@
 func (a *forwardedAttempt) failed(err error) error {
 	var refusal *forward.Refusal
 	if !errors.As(err, &refusal) {
+		a.unanswered = true
 		return err
 	}
 	a.tryDirect = refusal.HolderOnly()
--- a/internal/relay/read.go
+++ b/internal/relay/read.go
@@ -20,6 +20,9 @@
 	tx *transaction
 	// direct is the server that the read is tried at next without a holder, if not nil.
 	direct *fleet.Upstream
+	// holderLost says that a holder did not respond. The read has lost much of its time,
+	// and must not lose more by another holder.
+	holderLost bool
 }
 
 // read serves a read that replicas may answer.
@@ -43,7 +46,7 @@
 func (p *readPlan) Choose(context.Context) (exec.Attempt, statement.Reply) {
 	q := p.q
 	if u := p.direct; u != nil {
-		p.direct, q.holder = nil, ""
+		p.direct = nil
 		return q.attemptAt(u, q.need), statement.Reply{}
 	}
 	for {
@@ -51,6 +54,8 @@
 		switch {
 		case ok && p.tx != nil:
 			return &beginAttempt{attempt: *q.attemptAt(u, q.need), tx: p.tx}, statement.Reply{}
+		case ok && p.holderLost:
+			return q.attemptAt(u, q.need), statement.Reply{}
 		case ok:
 			return q.singleReadAt(u, q.need), statement.Reply{}
 		case !q.waitToRetry():
@@ -72,9 +77,12 @@
 	case ctx.Err() != nil:
 		return q.timeout(o), true
 	}
-	if f, ok := a.(*forwardedAttempt); ok && f.tryDirect {
-		p.direct = f.u
-		return statement.Reply{}, false
+	if f, ok := a.(*forwardedAttempt); ok {
+		p.holderLost = p.holderLost || f.unanswered
+		if f.tryDirect {
+			p.direct = f.u
+			return statement.Reply{}, false
+		}
 	}
 	q.tried = append(q.tried, q.lastUpstream)
 	return statement.Reply{}, false
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -38,7 +38,7 @@
 	// lastUpstream is the server that was tried last; lastOutcome says how that ended.
 	lastUpstream tables.UpstreamID
 	lastOutcome  string
-	// holder is the proxy that the last attempt was forwarded to; empty if it was direct.
+	// holder is the proxy that the read was last forwarded to; empty if it never was.
 	holder tables.VMID
 	// tries counts the attempts; behind is true if a server lacked the position.
 	tries  int
