--- a/internal/fleet/forwarded.go
+++ b/internal/fleet/forwarded.go
@@ -89,5 +89,6 @@
 		return share
 	}
 	near, holds := f.Holding(u.entry.ID)
-	return idle.HolderShare(share, near, holds, f.group(group).Primary == u.entry.ID)
+	g, ok := f.groups[group]
+	return idle.HolderShare(share, near, holds, ok && g.Primary == u.entry.ID)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -129,16 +129,20 @@
 	defer f.mu.Unlock()
 	now := f.Now()
 	f.refresh(now)
-	i, ok := holder.Choose(f.proxies, f.VM, server, team, now)
-	if !ok || f.proxies[i].VM == f.VM {
-		return Holder{}, false
-	}
-	p := &f.proxies[i]
-	if f.failures[p.VM] > 0 {
-		// This read tries whether it responds again; until then, others use the next.
+	for {
+		i, ok := holder.Choose(f.proxies, f.VM, server, team, now)
+		if !ok || f.proxies[i].VM == f.VM {
+			return Holder{}, false
+		}
+		p := &f.proxies[i]
+		h := Holder{VM: p.VM, address: p.Address}
+		if f.failures[p.VM] == 0 {
+			return h, true
+		}
+		// It is asked whether it responds again; reads use the next one until it does.
 		p.SkippedUntil = now.Add(holder.SkipTime(1))
+		go f.probe(h)
 	}
-	return Holder{VM: p.VM, address: p.Address}, true
 }
 
 // refresh updates the list of nearby proxies if it is old. The lock must be held.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -154,7 +154,7 @@
 		assert.Assert(t, errors.As(err, &refusal))
 		assert.Equal(t, refusal.Reason, ServerUnknown)
 		assert.Assert(t, !refusal.Ran && refusal.HolderOnly())
-		assert.Assert(t, !b.held.has(heldKey{"a", 0}))
+		assert.Equal(t, len(b.held.running), 0)
 	})
 }
 
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -61,11 +61,18 @@
 	h.wg.Done()
 }
 
-func (h *held) has(k heldKey) bool {
+// status returns whether a request is running, and Stopping if further ones are refused.
+func (h *held) status(k heldKey) (result, Reason) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_, ok := h.running[k]
-	return ok
+	reason := ReasonNone
+	if h.stopping {
+		reason = Stopping
+	}
+	if _, ok := h.running[k]; ok {
+		return resultRunning, reason
+	}
+	return resultNotRunning, reason
 }
 
 // Stop makes the holder refuse further requests; it still answers those it has taken.
@@ -105,10 +112,8 @@
 func (f *Forwarder) receive(ctx context.Context, q *Request, reply func([]byte)) {
 	k := heldKey{q.From, q.Sequence}
 	if q.Running {
-		a := response{Result: resultNotRunning}
-		if f.held.has(k) {
-			a.Result = resultRunning
-		}
+		var a response
+		a.Result, a.Reason = f.held.status(k)
 		f.respond(q, a, reply)
 		return
 	}
@@ -143,7 +148,7 @@
 		f.log.Error("Failed to encode a response.", "request", q.ID, "error", err)
 		return
 	}
-	if a.Reason != ReasonNone {
+	if a.Reason != ReasonNone && !q.Running {
 		f.line("Refused a read of a proxy.", "request", q.ID, "from", q.From, "upstream", q.Server, "reason", a.Reason.String(), "why", a.Why)
 	}
 	reply(b)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -15,7 +15,7 @@
 	// still runs. Most statements take 8 to 40 ms.
 	askDelay = 50 * time.Millisecond
 	// askInterval is the pause until it is asked again.
-	askInterval = 50 * time.Millisecond
+	askInterval = 100 * time.Millisecond
 	// askTimeout bounds the wait for the answer. A proxy with a fifth of a core may stand
 	// still for 80 ms at a time.
 	askTimeout = 100 * time.Millisecond
@@ -150,6 +150,25 @@
 	return statement.Reply{}, &Refusal{Reason: a.Reason, Ran: a.Result != resultNotRun, Why: a.Why}
 }
 
+// probe asks a skipped holder whether it responds again. An answer to any question will
+// do.
+func (f *Forwarder) probe(h Holder) {
+	why := ErrHolderSilent.Error()
+	question, err := encode(&Request{From: f.VM, Running: true})
+	if err == nil {
+		var raw []byte
+		if raw, err = f.exchange.Call(context.Background(), askTimeout, question, h.address); err == nil {
+			var a *response
+			if a, err = decodeResponse(raw); err == nil && a.Reason == ReasonNone {
+				f.responded(h.VM)
+				return
+			}
+			why = "no usable answer, or stopping"
+		}
+	}
+	f.skip(h.VM, why)
+}
+
 // watch asks the holder from time to time whether a read still runs, until ctx ends. It
 // cancels the read if it does not.
 func (f *Forwarder) watch(ctx context.Context, cancel context.CancelCauseFunc, h Holder, sequence uint64) {
--- a/internal/relay/holder_faults_test.go
+++ b/internal/relay/holder_faults_test.go
@@ -343,3 +343,35 @@
 		}
 	})
 }
+
+// A holder that is gone costs no read more than the first ones: whether it responds again
+// is found out beside the reads, and it is used again once it does.
+func TestHolderThatIsGoneDelaysNoFurtherReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newForwardingCluster(t, 30, nil)
+		c.writeItems(1)
+		p, holders := c.sender("")
+		gone := make(map[tables.VMID]bool)
+		for _, h := range holders {
+			gone[h.vm] = true
+		}
+		c.forwarding.set(func() { c.forwarding.gone = gone })
+		s := p.session(bounded)
+		slow := 0
+		for range 3000 {
+			if s.timedRead(t, 0) > 20*time.Millisecond {
+				slow++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, slow >= 1 && slow <= len(gone), "%d slow reads", slow)
+		c.forwarding.set(func() { c.forwarding.gone = nil })
+		back := false
+		for range 2000 {
+			s.timedRead(t, 0)
+			back = back || gone[s.lastRequest.holder]
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, back)
+	})
+}
--- a/internal/systems/holder/holder.go
+++ b/internal/systems/holder/holder.go
@@ -80,8 +80,8 @@
 const (
 	// skipTime is how long a holder that did not respond is skipped.
 	skipTime = time.Second
-	// maxSkipDoublings bounds the skip time of a holder that keeps failing. A VM that was
-	// lost stays in the directory of proxies, and each trial of it delays a read.
+	// maxSkipDoublings bounds the skip time of a holder that keeps failing: a VM that was
+	// lost stays in the directory of proxies, where all others ask for it.
 	maxSkipDoublings = 4
 )
 
