--- a/internal/relay/holder_faults_test.go
+++ b/internal/relay/holder_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/codes"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -375,3 +377,33 @@
 		assert.Assert(t, back)
 	})
 }
+
+// TestRandomWalkWithHolders checks the guarantees of TestRandomWalk where reads go
+// through holders, and messages between proxies are lost, late, or cut off for a while.
+func TestRandomWalkWithHolders(t *testing.T) {
+	for seed := *walkFirst; seed < *walkFirst+uint64(*walkSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := newForwardingCluster(t, 6, nil)
+				f := c.forwarding
+				rng := rand.New(rand.NewPCG(seed, 2))
+				f.set(func() {
+					f.drop = func(tables.VMID, string) bool { return rng.IntN(300) == 0 }
+					f.delay = func(tables.VMID, string) time.Duration {
+						return time.Duration(rng.IntN(100)/99*rng.IntN(600)) * time.Millisecond
+					}
+				})
+				go func() {
+					for sleep.For(c.ctx, 3*time.Second) == nil {
+						f.set(func() { f.gone = map[tables.VMID]bool{c.proxies[rng.IntN(6)].vm: true} })
+					}
+				}()
+				walkCluster(t, c, seed, kindsWithoutDrills)
+				paths := c.paths()
+				t.Logf("%v", paths)
+				assert.Assert(t, paths[metrics.PathHeld] > 100)
+			})
+		})
+	}
+}
--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -153,7 +153,11 @@
 }
 
 func randomWalk(t *testing.T, seed uint64, kinds int) {
-	tc := newTestCluster(t, 3)
+	walkCluster(t, newTestCluster(t, 3), seed, kinds)
+}
+
+// walkCluster walks on a cluster and checks that it is served afterwards.
+func walkCluster(t *testing.T, tc *testCluster, seed uint64, kinds int) {
 	l := tc.walk(seed, kinds)
 	time.Sleep(walkRecoveryTime)
 	l.end()
@@ -229,6 +233,7 @@
 	defer p.tc.mu.Unlock()
 	next := p.tc.startProxy(p.number)
 	p.fleet, p.stop, p.store, p.requestLog = next.fleet, next.stop, next.store, next.requestLog
+	p.forwarder, p.metrics, p.registry = next.forwarder, next.metrics, next.registry
 }
 
 // restart starts a crashed server, unless it was removed.
