--- a/internal/relay/read.go
+++ b/internal/relay/read.go
@@ -18,6 +18,11 @@
 	q *request
 	// tx is the transaction to begin; nil for a single read.
 	tx *transaction
+	// direct is the server that the read is tried at next without a holder, if not nil.
+	direct *fleet.Upstream
+	// holderLost says that a holder did not respond. The read has lost much of its time,
+	// and must not lose more by another holder.
+	holderLost bool
 }
 
 // read serves a read that replicas may answer.
@@ -40,13 +45,19 @@
 // Choose implements exec.Plan.
 func (p *readPlan) Choose(context.Context) (exec.Attempt, statement.Reply) {
 	q := p.q
+	if u := p.direct; u != nil {
+		p.direct = nil
+		return q.attemptAt(u, q.need), statement.Reply{}
+	}
 	for {
 		u, ok := q.s.fleet.Reader(q.route.Group, q.need, q.tried)
 		switch {
 		case ok && p.tx != nil:
 			return &beginAttempt{attempt: *q.attemptAt(u, q.need), tx: p.tx}, statement.Reply{}
-		case ok:
+		case ok && p.holderLost:
 			return q.attemptAt(u, q.need), statement.Reply{}
+		case ok:
+			return q.singleReadAt(u, q.need), statement.Reply{}
 		case !q.waitToRetry():
 			return nil, q.refuse(q.noServerCode(), "no server can answer")
 		}
@@ -66,6 +77,13 @@
 	case ctx.Err() != nil:
 		return q.timeout(o), true
 	}
+	if f, ok := a.(*forwardedAttempt); ok {
+		p.holderLost = p.holderLost || f.unanswered
+		if f.tryDirect {
+			p.direct = f.u
+			return statement.Reply{}, false
+		}
+	}
 	q.tried = append(q.tried, q.lastUpstream)
 	return statement.Reply{}, false
 }
@@ -147,7 +165,7 @@
 
 // timeout returns the reply to a read whose deadline has passed.
 func (q *request) timeout(o exec.Outcome) statement.Reply {
-	if o.Stage == retry.StageWaiting {
+	if e, ok := codes.From(o.Err); o.Stage == retry.StageWaiting || ok && e.Ran == codes.NotRun {
 		return q.refuse(codeOf(o.Err, codes.NoSlot), "no room in time")
 	}
 	return statement.Refuse(statement.Timeout, codes.DeadlinePassed, q.s.status, "no answer in time")
