--- a/internal/relay/teams_test.go
+++ b/internal/relay/teams_test.go
@@ -264,3 +264,29 @@
 		assert.DeepEqual(t, runs(), map[string]int{"": 5})
 	})
 }
+
+// deadlineCaller counts the read deadlines that are set.
+type deadlineCaller struct {
+	Caller
+	set int
+}
+
+func (c *deadlineCaller) SetReadDeadline(time.Time) error {
+	c.set++
+	return nil
+}
+
+// Waking the sessions for a removed key must not set the deadline of a message that has
+// begun to arrive: it would end a session whose key is valid.
+func TestWakeLeavesArrivingMessageAlone(t *testing.T) {
+	caller := &deadlineCaller{}
+	c := &callerConn{caller: caller}
+	c.wake()
+	assert.Equal(t, caller.set, 0)
+	c.setIdle(true)
+	c.wake()
+	assert.Equal(t, caller.set, 1)
+	c.setIdle(false)
+	c.wake()
+	assert.Equal(t, caller.set, 1)
+}
