--- a/internal/quotarelay/quotarelay.go
+++ b/internal/quotarelay/quotarelay.go
@@ -200,13 +200,16 @@
 		if state == nil {
 			state = &team{counters: r.Metrics.TeamQuota(id)}
 		}
-		if state.limit.Rate != t.Rate || state.limit.Burst != t.Burst {
+		if r.routing.Load() != nil && (state.limit.Rate != t.Rate || state.limit.Burst != t.Burst) {
 			r.log.Info("A team's limit changed.", "team", id, "rate", t.Rate, "burst", t.Burst,
 				"rateBefore", state.limit.Rate, "burstBefore", state.limit.Burst, "config", routing.Version)
 		}
 		state.limit = *t
 		teams[id] = state
 	}
+	if r.routing.Load() == nil && len(teams) > 0 {
+		r.log.Info("Teams with a limit are configured.", "teams", len(teams), "config", routing.Version)
+	}
 	r.teams = teams
 	r.node.Configure(limits, r.Tolerance, r.Now())
 	r.routing.Store(routing)
@@ -215,13 +218,13 @@
 // Admit implements relay.Limiter.
 func (r *Relay) Admit(ctx context.Context, id tables.TeamID) (retryAfter time.Duration, ok bool) {
 	r.configure()
-	now := r.Now()
 	r.mu.Lock()
 	t := r.teams[id]
 	if t == nil {
 		r.mu.Unlock()
 		return 0, true
 	}
+	now := r.Now() // not before the lock: tokens may end during the wait
 	r.node.Count(id, now)
 	if r.node.Take(id, now) {
 		t.counters.Admitted.Inc()
@@ -229,7 +232,7 @@
 		return 0, true
 	}
 	r.mu.Unlock()
-	if r.admitByRequest(ctx, id, t, now) {
+	if r.admitByRequest(ctx, id, t) {
 		t.counters.Admitted.Inc()
 		return 0, true
 	}
@@ -237,7 +240,7 @@
 }
 
 // admitByRequest requests tokens and waits for the response.
-func (r *Relay) admitByRequest(ctx context.Context, id tables.TeamID, t *team, began tables.Time) bool {
+func (r *Relay) admitByRequest(ctx context.Context, id tables.TeamID, t *team) bool {
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
 	select {
--- a/internal/systems/quota/plan.go
+++ b/internal/systems/quota/plan.go
@@ -48,6 +48,11 @@
 	// minPoolShare is the least part of a window's operations that may be saved up. It
 	// equals half a second of 5 s: tokens are on the way for a part of it.
 	minPoolShare = 1.0 / 11
+	// minPool is the number of operations that are saved up for a team with a low limit,
+	// if they are not more than maxPoolShare. With less, the data centres' parts of the
+	// pool don't reach a whole token: a team of 16 operations a second without tolerance
+	// was hardly served with a pool of 7.
+	minPool, maxPoolShare = 12, 1.0 / 3
 	// maxGrantLife is the longest time for which a proxy keeps tokens, minGrantLife the
 	// shortest: batches cover batchTime.
 	maxGrantLife, minGrantLife = time.Second, 250 * time.Millisecond
@@ -88,8 +93,8 @@
 		p.reserve = r
 	}
 	total -= p.reserve
-	minPool := max(total*minPoolShare, min(4, total/4))
-	p.rate = min(l.Rate, (total-minPool)/window)
+	saved := max(total*minPoolShare, min(minPool, total*maxPoolShare))
+	p.rate = min(l.Rate, (total-saved)/window)
 	life := (total - p.rate*window) / p.rate // seconds of minting that are saved or at proxies
 	p.grantLife = clamp(time.Duration(life/10*float64(time.Second)), minGrantLife, maxGrantLife)
 	p.grantLife = min(p.grantLife, time.Duration(life/2*float64(time.Second)))
