--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -197,3 +197,15 @@
 		assert.Equal(t, n.Sent(), 0)
 	})
 }
+
+func BenchmarkMessages(b *testing.B) {
+	q := validRequest()
+	a := replyResponse(statement.Reply{Rows: []string{strings.Repeat("x", 100)}, Proof: strings.Repeat("p", 32)})
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := decodeRequest(encoded(b, &q))
+		assert.NilError(b, err)
+		_, err = decodeResponse(encoded(b, &a))
+		assert.NilError(b, err)
+	}
+}
