--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -41,6 +41,9 @@
 	// maxLinesPerSecond and maxLineBurst limit the log lines of this package.
 	maxLinesPerSecond = 10
 	maxLineBurst      = 50
+	// maxSilent is the number of holders in a row without a response from which this proxy
+	// counts as cut off: reads then go direct until any holder responds.
+	maxSilent = 3
 )
 
 // Options holds the dependencies and settings of a Forwarder.
@@ -74,6 +77,8 @@
 	proxies  []holder.Proxy
 	listedAt tables.Time
 	failures map[tables.VMID]int
+	// silent counts the holders in a row that did not respond.
+	silent int
 }
 
 // New returns a forwarder. Serve makes it run the reads of other proxies.
@@ -136,12 +141,16 @@
 		}
 		p := &f.proxies[i]
 		h := Holder{VM: p.VM, address: p.Address}
-		if f.failures[p.VM] == 0 {
+		cutOff := f.silent >= maxSilent
+		if f.failures[p.VM] == 0 && !cutOff {
 			return h, true
 		}
 		// It is asked whether it responds again; reads use the next one until it does.
 		p.SkippedUntil = now.Add(holder.SkipTime(1))
 		go f.probe(h)
+		if cutOff {
+			return Holder{}, false
+		}
 	}
 }
 
@@ -175,24 +184,28 @@
 	return len(f.proxies), ok && f.proxies[i].VM == f.VM
 }
 
-// skip skips a holder for a time.
-func (f *Forwarder) skip(vm tables.VMID, why string) {
+// skip skips a holder for a time, as it did not respond or is stopping.
+func (f *Forwarder) skip(vm tables.VMID, reason error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failures[vm]++
+	if reason == ErrHolderSilent {
+		f.silent++
+	}
 	d := holder.SkipTime(f.failures[vm])
 	for i := range f.proxies {
 		if f.proxies[i].VM == vm {
 			f.proxies[i].SkippedUntil = f.Now().Add(d)
 		}
 	}
-	f.line("Skipping a holder.", "holder", vm, "why", why, "duration", d)
+	f.line("Skipping a holder.", "holder", vm, "reason", reason, "duration", d)
 }
 
 // responded records that a holder responds.
 func (f *Forwarder) responded(vm tables.VMID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.silent = 0
 	if f.failures[vm] == 0 {
 		return
 	}
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -82,9 +82,10 @@
 	f.held.stopping = true
 }
 
-// Wait waits until the requests that the holder has taken are answered, or ctx ends. It
-// must be called after Stop.
+// Wait stops the holder and waits until the requests that it has taken are answered, or
+// ctx ends.
 func (f *Forwarder) Wait(ctx context.Context) {
+	f.Stop()
 	done := make(chan struct{})
 	go func() {
 		f.held.wg.Wait()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -28,13 +28,15 @@
 	maxMargin     = 10 * time.Millisecond
 )
 
-// Errors of Run besides a *Refusal.
+// Errors of Run besides a *Refusal, and a reason to skip a holder.
 var (
 	// ErrHolderSilent means that the holder did not respond. It is skipped for a time.
 	ErrHolderSilent = errors.New("the holder does not respond")
 	// ErrResponseLost means that the holder responds, but its response to the read did not
 	// arrive.
 	ErrResponseLost = errors.New("the holder's response was lost")
+	// errStopping means that a holder refuses reads because it shuts down.
+	errStopping = errors.New("the holder is stopping")
 )
 
 // Refusal is the holder's response that it has no reply of the server.
@@ -125,7 +127,7 @@
 	switch cause {
 	case ErrHolderSilent:
 		reason = "holder silent"
-		f.skip(h.VM, cause.Error())
+		f.skip(h.VM, cause)
 	case ErrResponseLost:
 		reason = "response lost"
 	}
@@ -143,7 +145,7 @@
 	f.Metrics.CountForwardRefusal(a.Reason.String())
 	f.line("A holder refused a read.", "request", q.ID, "holder", h.VM, "upstream", q.Server, "reason", a.Reason.String(), "why", a.Why)
 	if a.Reason == Stopping {
-		f.skip(h.VM, a.Reason.String())
+		f.skip(h.VM, errStopping)
 	} else {
 		f.responded(h.VM)
 	}
@@ -153,20 +155,25 @@
 // probe asks a skipped holder whether it responds again. An answer to any question will
 // do.
 func (f *Forwarder) probe(h Holder) {
-	why := ErrHolderSilent.Error()
 	question, err := encode(&Request{From: f.VM, Running: true})
-	if err == nil {
-		var raw []byte
-		if raw, err = f.exchange.Call(context.Background(), askTimeout, question, h.address); err == nil {
-			var a *response
-			if a, err = decodeResponse(raw); err == nil && a.Reason == ReasonNone {
-				f.responded(h.VM)
-				return
-			}
-			why = "no usable answer, or stopping"
-		}
+	if err != nil {
+		f.log.Error("Failed to encode a question.", "error", err)
+		return
+	}
+	raw, err := f.exchange.Call(context.Background(), askTimeout, question, h.address)
+	if err != nil {
+		f.skip(h.VM, ErrHolderSilent)
+		return
+	}
+	switch a, err := decodeResponse(raw); {
+	case err != nil:
+		f.malformed("response", err)
+		f.skip(h.VM, err)
+	case a.Reason == Stopping:
+		f.skip(h.VM, errStopping)
+	default:
+		f.responded(h.VM)
 	}
-	f.skip(h.VM, why)
 }
 
 // watch asks the holder from time to time whether a read still runs, until ctx ends. It
--- a/internal/relay/holder_faults_test.go
+++ b/internal/relay/holder_faults_test.go
@@ -378,6 +378,32 @@
 	})
 }
 
+// A proxy that is cut off from all others must not try each of them with a read.
+func TestProxyThatIsCutOffReadsDirectly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newForwardingCluster(t, 60, nil)
+		c.writeItems(1)
+		p, _ := c.sender("")
+		c.forwarding.set(func() { c.forwarding.gone = map[tables.VMID]bool{p.vm: true} })
+		s := p.session(bounded)
+		slow := 0
+		for range 1000 {
+			if s.timedRead(t, 0) > 20*time.Millisecond {
+				slow++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, slow <= 4, "%d slow reads", slow)
+		c.forwarding.set(func() { c.forwarding.gone = nil })
+		time.Sleep(2 * time.Second)
+		for range 100 {
+			s.timedRead(t, 0)
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, s.lastRequest.holder != "", "reads still go direct")
+	})
+}
+
 // TestRandomWalkWithHolders checks the guarantees of TestRandomWalk where reads go
 // through holders, and messages between proxies are lost, late, or cut off for a while.
 func TestRandomWalkWithHolders(t *testing.T) {
