--- a/internal/systems/quota/exchange.go
+++ b/internal/systems/quota/exchange.go
@@ -158,7 +158,7 @@
 func (n *Node) Accept(e Exchange, now tables.Time) {
 	n.updateOwn(now)
 	n.alloc.settle(now)
-	n.members.heard.learn(e.Proxies, now)
+	n.members.hear(e.Proxies, now)
 	p := n.peer(e.DataCentre)
 	if !p.isNew(e.Stamp, now) {
 		return
--- a/internal/systems/quota/membership.go
+++ b/internal/systems/quota/membership.go
@@ -39,7 +39,10 @@
 	// restarted means that the first reading of the directory contained this proxy, so
 	// that the others have counted it already.
 	restarted bool
-	listedAt  tables.Time
+	// expected means that others still counted this proxy when it came back after it had
+	// left the directory.
+	expected bool
+	listedAt tables.Time
 	// listed is the number of proxies in the directory, heard the number that other
 	// proxies have reported.
 	listed, heard count
@@ -58,6 +61,14 @@
 	}
 }
 
+// hear takes the number of proxies that another one has counted.
+func (m *membership) hear(n int, now tables.Time) {
+	m.heard.learn(n, now)
+	if m.directory.Proxies > 0 && m.listedAt == 0 && n > m.directory.Proxies {
+		m.expected = true
+	}
+}
+
 // setDirectory takes a reading of the directory.
 func (m *membership) setDirectory(d Directory, now tables.Time) {
 	first := m.directory.Proxies == 0
@@ -79,8 +90,10 @@
 
 // seatSize returns the reciprocal of this proxy's fraction of the limits; 0 if it owns
 // no seat. A proxy whose row is older than the process owns its seat as soon as any
-// other one reports as many proxies.
+// other one reports as many proxies, and one that left shortly before as soon as any
+// other one reports more than the directory has.
 func (m *membership) seatSize(now tables.Time) int {
+	m.owner = m.owner || m.expected
 	if !m.owner && m.listedAt != 0 {
 		confirmed := m.heard.n >= m.directory.Proxies || m.directory.Proxies == 1
 		listedFor := now.Sub(m.listedAt)
--- a/internal/systems/quota/node.go
+++ b/internal/systems/quota/node.go
@@ -175,7 +175,7 @@
 
 // Respond answers a request as an allocator.
 func (n *Node) Respond(q Request, now tables.Time) Response {
-	n.members.heard.learn(q.Proxies, now)
+	n.members.hear(q.Proxies, now)
 	n.updateOwn(now)
 	if q.Seat > 0 && q.Stamp.Process == n.process && q.VM != n.vm {
 		n.alloc.borrow(q.VM, 1/float64(q.Seat), q.Stamp.At.Add(lease-leaseMargin), now)
@@ -221,7 +221,7 @@
 // Receive takes the response of the allocator at an address to a request that was sent
 // at the given time.
 func (n *Node) Receive(address string, sentAt tables.Time, asks []Ask, r Response, now tables.Time) {
-	n.members.heard.learn(r.Proxies, now)
+	n.members.hear(r.Proxies, now)
 	if old, ok := n.stamps[address]; !ok || old.stamp.Process != r.Stamp.Process || r.Stamp.At > old.stamp.At {
 		n.stamps[address] = received{r.Stamp, now}
 	}
--- a/internal/systems/quota/quota_test.go
+++ b/internal/systems/quota/quota_test.go
@@ -125,6 +125,17 @@
 	assert.Equal(t, tokens(), had, "the stamp that the tokens depend on is too old")
 }
 
+// TestReturningProxyHasItsSeatAtOnce guards against limits that shrink while proxies are
+// stopped and started in turn: the others count a proxy for a minute after it has left.
+func TestReturningProxyHasItsSeatAtOnce(t *testing.T) {
+	var m membership
+	m.setDirectory(Directory{Proxies: 5}, start)
+	m.hear(5, start)
+	assert.Equal(t, m.seatSize(start), 0, "as many as the directory has without this proxy")
+	m.hear(6, start)
+	assert.Equal(t, m.seatSize(start), 6)
+}
+
 // TestJoiningProxyHasNoSeatUntilOthersKnowIt guards against seats that add up to more
 // than the limit while proxies have different directories. A proxy that no other one
 // has heard of waits until all have read the directory again.
