--- a/internal/quotarelay/cluster_test.go
+++ b/internal/quotarelay/cluster_test.go
@@ -292,12 +292,12 @@
 			var moveAt time.Duration
 			for c.now() < end {
 				time.Sleep(time.Duration(c.random().ExpFloat64() * float64(callers) / (l.rate * factor()) * float64(time.Second)))
+				c.mu.Lock()
 				if c.now() >= moveAt || at.process == nil {
-					c.mu.Lock()
 					at = c.vms[c.rng.IntN(len(c.vms))]
 					moveAt = c.now() + time.Duration(c.rng.ExpFloat64()*float64(3*time.Second))
-					c.mu.Unlock()
 				}
+				c.mu.Unlock()
 				go c.operate(l, at)
 			}
 		}()
@@ -336,6 +336,8 @@
 // those of the old limit until one window after the new one is in force everywhere. It
 // returns the fullest window's share of what is allowed.
 func (c *cluster) checkWindows(l *load) (fullest float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	slices.Sort(l.admitted)
 	first := 0
 	for i, at := range l.admitted {
