--- a/internal/fleet/entries_test.go
+++ b/internal/fleet/entries_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/systems/ramp"
 	"github.com/cranberrystage/cranberrystage/internal/systems/replace"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/prometheus/client_golang/prometheus"
@@ -157,3 +158,65 @@
 		assert.Assert(t, !ok, text)
 	}
 }
+
+// A proxy that starts, or loses news, must not ramp up servers that ran before; a server
+// that restarted, also behind the same address, must be ramped up.
+func TestWhichServersRampUp(t *testing.T) {
+	f := newFleetUnderTest()
+	f.Proxies = func() int { return 37 }
+	ramping := func(id tables.UpstreamID) bool { return f.upstreams[id].ramp.Active() }
+	warming := entryOf("s", 1, 1, false)
+	warming.WarmupLeft = 2 * time.Second
+	f.readEntries(t, 0, warming, entryOf("r", 1, 1, false))
+	assert.Assert(t, !ramping("s") && !ramping("r"), "their entries are older than the proxy")
+	f.readEntries(t, 0, entryOf("r", 1, 2, false))
+	f.readEntries(t, 0, entryOf("s", 1, 9, false), entryOf("r", 1, 2, false))
+	assert.Assert(t, !ramping("s"), "its entry was missing for a moment")
+	f.readEntries(t, 0, entryOf("s", 2, 1, false), entryOf("r", 1, 2, false))
+	assert.Assert(t, ramping("s"), "it restarted")
+	f.readEntries(t, 0, entryOf("s", 2, 1, false), entryOf("r", 1, 2, false), entryOf("n", 1, 1, false))
+	assert.Assert(t, ramping("n") && !ramping("r"), "another server took the address")
+	f.now = f.now.Add(5 * time.Second)
+	f.advanceRamps()
+	assert.Assert(t, !ramping("s") && !ramping("n"))
+	f.readEntries(t, 0, entryOf("s", 3, 1, false), entryOf("r", 1, 2, false), entryOf("n", 1, 1, false))
+	assert.Equal(t, f.upstreams["s"].ramp.Failures(), 1, "it restarted twice within a minute")
+}
+
+// A promoted server is ramped up, and the primary that a proxy finds at its start is not.
+func TestPromotedPrimaryRampsUp(t *testing.T) {
+	f := newFleetUnderTest()
+	f.Proxies = func() int { return 37 }
+	f.readEntries(t, 0, entryOf("s", 1, 1, false), entryOf("r", 1, 1, false))
+	record := func(version uint64, r tables.PrimaryRecord) {
+		value, err := json.Marshal(r)
+		assert.NilError(t, err)
+		row := platform.TableRow{Key: rowKey{kind: recordRow, group: "g"}.String(), Value: value, Version: version}
+		f.applyRecords(platform.Rows{Version: version, Rows: []platform.TableRow{row}}, true, f.now)
+	}
+	record(1, tables.PrimaryRecord{Primary: "s", Term: 1})
+	assert.Assert(t, !f.upstreams["s"].ramp.Active())
+	record(2, tables.PrimaryRecord{Primary: "s", Term: 1, Replacing: true})
+	record(3, tables.PrimaryRecord{Primary: "r", Term: 2})
+	assert.Equal(t, f.upstreams["r"].ramp.Reason(), ramp.Promoted)
+	assert.Assert(t, f.upstreams["r"].ramp.Active() && !f.upstreams["s"].ramp.Active())
+}
+
+// A server that was down ramps up; a broken connection is no reason to.
+func TestRecoveredServerRampsUp(t *testing.T) {
+	for _, c := range []struct {
+		outage time.Duration
+		dials  bool
+		want   bool
+	}{{time.Second, true, true}, {50 * time.Millisecond, true, false}, {time.Second, false, false}} {
+		f := newFleetUnderTest()
+		f.Proxies = func() int { return 37 }
+		f.readEntries(t, 0, entryOf("s", 1, 1, false))
+		u := f.upstreams["s"]
+		u.recordFailure(u.startStatement(false), io.EOF)
+		u.dialFailed = c.dials
+		f.now = f.now.Add(c.outage)
+		u.recordReply(u.startStatement(false), false)
+		assert.Equal(t, u.ramp.Active(), c.want, "%+v", c)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -138,6 +138,8 @@
 	nextReplaceAt tables.Time
 	// leaderChanged is closed when the primary changes.
 	leaderChanged chan struct{}
+	// lastPrimary is the last primary that this proxy knew.
+	lastPrimary tables.UpstreamID
 	// promoteTook is the time from the last promotion order until its server led.
 	promoteTook time.Duration
 	// members are the servers whose logs a replacement needs, as recorded in the
@@ -308,5 +310,7 @@
 		pool:  links.NewPool(e, connectionLimit(limits, e.Slots), f.Open, f.Now),
 		gate:  gate.New(e.Slots, gateQueueLimit, f.Now),
 		pace:  pace.New(e.Slots),
+
+		openings: gate.New(e.Slots, gateQueueLimit, f.Now),
 	}
 }
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -7,6 +7,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/place"
+	"github.com/cranberrystage/cranberrystage/internal/systems/ramp"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
@@ -20,6 +21,9 @@
 	lastReplyAt  tables.Time
 	// dialFailed says that the last attempt to connect failed.
 	dialFailed bool
+	// failingSince is when the first attempt that failed since the last reply began;
+	// 0 if none did.
+	failingSince tables.Time
 	// applied is the newest log position that the server reported as applied.
 	// Until behindUntil the server counts as lagging for reads that need a later
 	// one.
@@ -59,6 +63,7 @@
 		ID:          u.entry.ID,
 		Local:       u.local,
 		Excluded:    excluded || now < u.avoidUntil || u.behind(now, need),
+		Elsewhere:   u.ramp.Elsewhere(now, u.inFlight),
 		Slots:       u.entry.Slots,
 		Outstanding: u.inFlight,
 		Latency:     u.latency,
@@ -109,8 +114,11 @@
 	now := u.fleet.Now()
 	s, ok := u.unanswered[token]
 	delete(u.unanswered, token)
+	if u.failingSince != 0 && now.Sub(u.failingSince) >= minRampFailure && (u.dialFailed || u.timedOutSentAt() > u.lastReplyAt) {
+		u.beginRamp(ramp.Recovered, 0, 0)
+	}
 	u.lastReplyAt = now
-	u.refusedSince, u.dialFailed = 0, false
+	u.refusedSince, u.dialFailed, u.failingSince = 0, false, 0
 	if s.commit {
 		u.oldestLostCommitAt = 0
 	}
@@ -140,6 +148,12 @@
 		u.refusedSince = now
 	}
 	u.lastFailureAt = now
+	if u.failingSince == 0 {
+		u.failingSince = now
+		if ok {
+			u.failingSince = s.at
+		}
+	}
 	if s.commit {
 		u.lastCommitFailureAt = now
 		if u.oldestLostCommitAt == 0 {
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -53,6 +53,7 @@
 			break
 		}
 		f.removeTerminatedServers()
+		f.advanceRamps()
 		for _, id := range f.membersToUpdate() {
 			go f.updateMembers(ctx, id)
 		}
@@ -208,6 +209,9 @@
 		}
 		f.log.Info("Removed a terminated server.", "upstream", id, "group", u.entry.Group)
 		u.pool.Close()
+		u.mu.Lock()
+		u.endRamp(rampServerLeft)
+		u.mu.Unlock()
 		delete(f.upstreams, id)
 		f.ended[id] = endedServer{entry: u.newest, at: now}
 	}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -106,6 +106,7 @@
 		g.term = g.record.Term
 	}
 	g.SetPrimary(primary, g.version)
+	f.rampPromoted(g, primary)
 	g.notifyLeaderChanged()
 }
 
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
 	"github.com/cranberrystage/cranberrystage/internal/systems/pace"
+	"github.com/cranberrystage/cranberrystage/internal/systems/ramp"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
@@ -41,6 +42,9 @@
 	mu sync.Mutex
 	health
 	pace pace.Limit
+	ramp ramp.Ramp
+	// openings limits the connections that are opened for callers during a ramp.
+	openings *gate.Limiter
 }
 
 // ID returns the id in the server's entry.
@@ -50,6 +54,9 @@
 func (u *Upstream) AcquireSlot(ctx context.Context, r admit.Request) (gate.Slot, error) {
 	u.mu.Lock()
 	u.inFlight++
+	if u.ramp.Active() {
+		u.ramp.Sent(u.fleet.Now(), !u.pool.HasIdle())
+	}
 	u.mu.Unlock()
 	slot, err := u.gate.Acquire(ctx, r)
 	if err != nil {
@@ -77,10 +84,13 @@
 	switch r.Code {
 	case statement.Busy:
 		u.pace.Refused(u.fleet.Now())
+		u.ramp.Refused(u.fleet.Now())
 	case statement.OK:
 		u.pace.Answered(u.fleet.Now(), took, target)
+		u.ramp.Answered(u.fleet.Now(), took, target)
 	}
-	u.gate.SetSlots(u.pace.Slots())
+	u.advanceRamp()
+	u.setGate()
 }
 
 // setSlots changes the number of statements that the server can run at once.
@@ -88,12 +98,12 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.pace.SetSlots(n)
-	u.gate.SetSlots(u.pace.Slots())
+	u.setGate()
 }
 
 // Connect returns a connection of a team to the server.
 func (u *Upstream) Connect(ctx context.Context, team tables.TeamID) (*links.Conn, error) {
-	return u.connectFrom(ctx, func(ctx context.Context) (*links.Conn, error) { return u.pool.Get(ctx, team, false) })
+	return u.connectFrom(ctx, func(ctx context.Context) (*links.Conn, error) { return u.pool.GetPaced(ctx, team, u.delayOpening) })
 }
 
 // connSource returns a connection from the pool or a new one.
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -213,6 +213,7 @@
 // applyEntry applies a server's entry. The lock must be held.
 func (f *Fleet) applyEntry(e tables.Entry) {
 	u, ok := f.upstreams[e.ID]
+	before := u
 	if ok && (u.entry.Address != e.Address || u.entry.Group != e.Group || u.entry.StartedAt != e.StartedAt) {
 		f.log.Info("A server restarted.", "upstream", e.ID, "group", e.Group, "address", e.Address)
 		u.pool.Close()
@@ -221,6 +222,7 @@
 	if !ok {
 		u = f.newUpstream(e)
 		f.upstreams[e.ID] = u
+		f.rampStarted(u, before)
 		delete(f.ended, e.ID)
 		f.group(e.Group)
 		f.log.Info("Added a server.", "upstream", e.ID, "group", e.Group, "dataCentre", e.DataCentre,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -119,7 +119,27 @@
 func (l *Limiter) SetSlots(slots int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.notifyAll(l.queue.SetSlots(l.now(), slots))
+	l.setSlots(slots, 0)
+}
+
+// SetPace changes the number of slots, and how many requests beyond them may run
+// that would otherwise be refused.
+func (l *Limiter) SetPace(slots, reserve int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setSlots(slots, reserve)
+}
+
+func (l *Limiter) setSlots(slots, reserve int) {
+	now := l.now()
+	l.queue.SetReserve(reserve)
+	for _, id := range l.queue.StartUrgent(now) {
+		l.notify(id, nil)
+	}
+	l.notifyAll(l.queue.SetSlots(now, slots))
+	if reserve > 0 {
+		l.schedule() // requests are due earlier
+	}
 }
 
 // expire refuses the requests that have expired in the queue. It is called by the
@@ -128,6 +148,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.timerAt = 0
+	for _, id := range l.queue.StartUrgent(l.now()) {
+		l.notify(id, nil)
+	}
 	for _, r := range l.queue.Expire(l.now()) {
 		l.refuse(r)
 	}
--- a/internal/metrics/document_test.go
+++ b/internal/metrics/document_test.go
@@ -12,7 +12,7 @@
 func TestDocumentNamesEveryMetric(t *testing.T) {
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
-	for _, name := range []string{RequestsTotal, RequestSeconds, ReadAgeSeconds, WriteGapSeconds, ConfigVersion, StoreEra, UnconfirmedGroups, CallerConnections, CallerErrorsTotal} {
+	for _, name := range []string{RequestsTotal, RequestSeconds, ReadAgeSeconds, WriteGapSeconds, ConfigVersion, StoreEra, UnconfirmedGroups, CallerConnections, CallerErrorsTotal, RampsTotal, RampSeconds} {
 		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), name)
 	}
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -40,6 +40,10 @@
 	// StoreCallSeconds is the duration of calls to the metadata store, by call; that
 	// of a watch includes its wait for a change.
 	StoreCallSeconds = "cranberrystage_store_call_seconds"
+	// RampsTotal counts the ramps of servers that began, by group and reason.
+	RampsTotal = "cranberrystage_ramps_total"
+	// RampSeconds is how long ramps took, by group and result.
+	RampSeconds = "cranberrystage_ramp_seconds"
 )
 
 // Names of the labels.
@@ -54,6 +58,7 @@
 	LabelCall     = "call"
 	LabelTable    = "table"
 	LabelResult   = "result"
+	LabelReason   = "reason"
 )
 
 // Kind is the kind of a request: read or write.
@@ -95,6 +100,7 @@
 var (
 	latencyBuckets = []float64{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10}
 	ageBuckets     = []float64{0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5, 10, 30, 60, 300}
+	rampBuckets    = []float64{0.1, 0.2, 0.5, 1, 1.5, 2, 3, 5, 10}
 	gapBuckets     = []float64{0.1, 0.2, 0.5, 1, 2, 3, 5, 10, 20, 30, 60, 300}
 )
 
@@ -111,6 +117,8 @@
 	callerErrors  *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeSeconds  *prometheus.HistogramVec
+	ramps         *prometheus.CounterVec
+	rampSeconds   *prometheus.HistogramVec
 }
 
 // New returns metrics whose collectors are registered with reg.
@@ -138,9 +146,13 @@
 			prometheus.CounterOpts{Name: StoreCallsTotal, Help: "Calls to the metadata store by result."},
 			[]string{LabelCall, LabelTable, LabelResult}),
 		storeSeconds: histogram(StoreCallSeconds, "Time that calls to the metadata store took.", latencyBuckets, LabelCall),
+		ramps: prometheus.NewCounterVec(
+			prometheus.CounterOpts{Name: RampsTotal, Help: "Ramps of servers that started, recovered or were promoted."},
+			[]string{LabelGroup, LabelReason}),
+		rampSeconds: histogram(RampSeconds, "Time from the begin of a server's ramp to its end.", rampBuckets, LabelGroup, LabelResult),
 	}
 	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.storeEra, m.unconfirmed, m.callers, m.callerErrors,
-		m.storeCalls, m.storeSeconds)
+		m.storeCalls, m.storeSeconds, m.ramps, m.rampSeconds)
 	return m
 }
 
@@ -185,6 +197,16 @@
 	m.writeGap.WithLabelValues(string(group)).Observe(gap.Seconds())
 }
 
+// CountRamp records the begin of a server's ramp.
+func (m *Metrics) CountRamp(group tables.GroupID, reason string) {
+	m.ramps.WithLabelValues(string(group), reason).Inc()
+}
+
+// ObserveRamp records the end of a server's ramp.
+func (m *Metrics) ObserveRamp(group tables.GroupID, result string, took time.Duration) {
+	m.rampSeconds.WithLabelValues(string(group), result).Observe(took.Seconds())
+}
+
 // CountCallerError records that a caller's connection was refused or closed.
 func (m *Metrics) CountCallerError(c codes.Code) {
 	m.callerErrors.WithLabelValues(strconv.Itoa(int(c))).Inc()
--- a/internal/systems/admit/admit.go
+++ b/internal/systems/admit/admit.go
@@ -108,6 +108,7 @@
 // Queue distributes the slots of one upstream. It is not safe for concurrent use.
 type Queue struct {
 	slots         int
+	reserve       int // slots beyond slots for requests that would otherwise be refused
 	running       int
 	limit         int
 	length        int
@@ -150,10 +151,16 @@
 		return Verdict{Kind: Run}
 	}
 	if r.Deadline != 0 && now.Add(q.waitOfNewest(now)+q.serviceTime) > r.Deadline {
+		if q.runInReserve(r) {
+			return Verdict{Kind: Run}
+		}
 		return q.refuse(codes.DeadlineTooShort)
 	}
 	var evicted *Refusal
 	if q.length >= q.limit {
+		if q.runInReserve(r) {
+			return Verdict{Kind: Run}
+		}
 		if evicted = q.evictFor(r); evicted == nil {
 			return q.refuse(codes.QueueFull)
 		}
@@ -176,6 +183,64 @@
 	return q.startWaiting(now)
 }
 
+// SetReserve sets how many requests may run in addition to the slots if they would
+// otherwise be refused. The slots are then a pace at which the upstream is used and
+// not its capacity, and no request is to be refused for the pace alone.
+func (q *Queue) SetReserve(n int) { q.reserve = n }
+
+// runInReserve starts r in the reserve and reports whether there is room.
+func (q *Queue) runInReserve(r Request) bool {
+	if q.running >= q.slots+q.reserve {
+		return false
+	}
+	q.running++
+	q.charge(q.serviceQueue(r))
+	return true
+}
+
+// StartUrgent starts the waiting requests that would soon be refused, as far as the
+// reserve has room. It is called before Expire.
+func (q *Queue) StartUrgent(now tables.Time) []ID {
+	var out []ID
+	for q.reserve > 0 && q.length > 0 && q.running < q.slots+q.reserve {
+		l, i := q.mostUrgent(now)
+		if l == nil {
+			break
+		}
+		w := q.remove(l, i)
+		q.running++
+		q.charge(l)
+		out = append(out, w.ID)
+	}
+	return out
+}
+
+// mostUrgent returns the request with the highest priority, and the oldest of them,
+// that would be refused within one service time; nil if there is none.
+func (q *Queue) mostUrgent(now tables.Time) (list *serviceQueue, index int) {
+	for _, l := range q.serviceQueues {
+		for i, w := range l.queue {
+			tooLate := w.Deadline != 0 && w.Deadline <= now
+			if tooLate || q.refusalCode(now.Add(q.urgentMargin()), w) == codes.OK {
+				continue
+			}
+			if list == nil || w.Priority > list.queue[index].Priority ||
+				w.Priority == list.queue[index].Priority && w.queuedAt < list.queue[index].queuedAt {
+				list, index = l, i
+			}
+		}
+	}
+	return list, index
+}
+
+// urgentMargin is how long before its refusal a request may use the reserve.
+func (q *Queue) urgentMargin() time.Duration {
+	if q.reserve == 0 {
+		return 0
+	}
+	return q.serviceTime
+}
+
 // Cancel removes a waiting request whose caller has stopped waiting. It reports
 // whether the request was in the queue.
 func (q *Queue) Cancel(id ID) bool {
@@ -218,9 +283,9 @@
 	}
 	for _, l := range q.serviceQueues {
 		for _, w := range l.queue {
-			consider(max(w.queuedAt.Add(q.maxWait(w)), q.nonEmptySince.Add(OverloadAfter)))
+			consider(max(w.queuedAt.Add(q.maxWait(w)), q.nonEmptySince.Add(OverloadAfter)).Add(-q.urgentMargin()))
 			if w.Deadline != 0 {
-				consider(w.Deadline.Add(-q.serviceTime))
+				consider(w.Deadline.Add(-q.serviceTime - q.urgentMargin()))
 			}
 		}
 	}
--- a/internal/systems/admit/admit_test.go
+++ b/internal/systems/admit/admit_test.go
@@ -188,3 +188,39 @@
 		}
 	})
 }
+
+// A request must not be refused because of the pace while the reserve has room, and
+// without a reserve the queue must refuse it as before.
+func TestReserveRunsRequestsInsteadOfRefusingThem(t *testing.T) {
+	for _, reserve := range []int{0, 2} {
+		q := NewQueue(1, 1)
+		q.SetReserve(reserve)
+		assert.Equal(t, q.Offer(0, Request{ID: 1}).Kind, Run)
+		assert.Equal(t, q.Offer(0, Request{ID: 2, Deadline: 20 * ms}).Kind, Wait)
+		full := q.Offer(0, Request{ID: 3, Deadline: 8 * ms})
+		if reserve == 0 {
+			assert.Equal(t, full.Kind, Refuse)
+			assert.Equal(t, len(q.StartUrgent(16*ms)), 0)
+			assert.Equal(t, len(q.Expire(16*ms)), 1)
+			continue
+		}
+		assert.Equal(t, full.Kind, Run)
+		assert.Equal(t, len(q.StartUrgent(5*ms)), 0, "it can wait for a slot")
+		next, ok := q.NextExpiry()
+		assert.Assert(t, ok && next <= 10*ms)
+		assert.DeepEqual(t, q.StartUrgent(11*ms), []ID{2})
+		assert.Equal(t, q.Running(), 3)
+		assert.Equal(t, q.Offer(11*ms, Request{ID: 4, Deadline: 12 * ms}).Kind, Refuse, "the reserve is full")
+	}
+}
+
+// Under overload the reserve runs the request of the highest priority first.
+func TestReserveRunsHighestPriorityFirst(t *testing.T) {
+	q := NewQueue(1, 9)
+	q.SetReserve(1)
+	q.Offer(0, Request{ID: 1})
+	for id := ID(2); id < 5; id++ {
+		q.Offer(0, Request{ID: id, Priority: int(id) % 4, MaxWait: 50 * time.Millisecond})
+	}
+	assert.DeepEqual(t, q.StartUrgent(200*ms), []ID{3})
+}
--- a/internal/systems/place/place.go
+++ b/internal/systems/place/place.go
@@ -32,6 +32,9 @@
 	// Excluded reports whether it must not get the request: it is leaving, failing,
 	// or was already tried.
 	Excluded bool
+	// Elsewhere reports whether this proxy has used its part of a server that is
+	// ramping up. It gets the request only if no other candidate can.
+	Elsewhere bool
 	// Slots is how many statements it runs concurrently, for all proxies together.
 	Slots int
 	// Outstanding is the number of this proxy's statements that run or wait there.
@@ -40,8 +43,9 @@
 	Latency time.Duration
 }
 
-// Choose returns the index of the candidate with the lowest expected cost; ok is
-// false if all are excluded. random breaks ties.
+// Choose returns the index of the candidate with the lowest expected cost, of those
+// that are to go elsewhere only if there is no other; ok is false if all are excluded.
+// random breaks ties.
 func Choose(list []Candidate, random uint32) (best int, ok bool) {
 	var lowest time.Duration
 	n := len(list)
@@ -50,7 +54,9 @@
 		if list[i].Excluded {
 			continue
 		}
-		if cost := expectedCost(&list[i]); !ok || cost < lowest {
+		cost := expectedCost(&list[i])
+		preferred := !ok || list[best].Elsewhere && !list[i].Elsewhere
+		if preferred || cost < lowest && list[best].Elsewhere == list[i].Elsewhere {
 			best, lowest, ok = i, cost, true
 		}
 	}
--- a/internal/systems/place/place_test.go
+++ b/internal/systems/place/place_test.go
@@ -20,6 +20,9 @@
 		"the remote if the local is full": {[]Candidate{{Latency: 20 * ms, Slots: 3}, {Latency: 20 * ms, Slots: 3, Local: true, Outstanding: 6}}, 0},
 		"not an excluded one":             {[]Candidate{{Latency: 20 * ms, Excluded: true}, {Latency: 900 * ms}}, 1},
 		"one without a measurement":       {[]Candidate{{Latency: 80 * ms, Slots: 3}, {Slots: 3}}, 1},
+		"not one that is to go elsewhere": {[]Candidate{{Latency: 20 * ms, Elsewhere: true}, {Latency: 900 * ms}}, 1},
+		"one that is to go elsewhere if it is the only one": {[]Candidate{{Latency: 20 * ms, Excluded: true},
+			{Latency: 900 * ms, Elsewhere: true}, {Latency: 800 * ms, Elsewhere: true}}, 2},
 	} {
 		for random := range uint32(4) {
 			i, ok := Choose(c.list, random)
--- a/internal/tables/directory.go
+++ b/internal/tables/directory.go
@@ -24,6 +24,9 @@
 	StartedAt int64
 	// Sequence grows with each entry of one run of the server; 0 if unknown.
 	Sequence uint64
+	// WarmupLeft is how much longer the server stays slow after its start, as it
+	// states itself. It is a hint: it may be missing or wrong.
+	WarmupLeft time.Duration
 }
 
 // Outdates reports whether e is a later entry than other of the same run of the
