--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -310,7 +310,5 @@
 		pool:  links.NewPool(e, connectionLimit(limits, e.Slots), f.Open, f.Now),
 		gate:  gate.New(e.Slots, gateQueueLimit, f.Now),
 		pace:  pace.New(e.Slots),
-
-		openings: gate.New(e.Slots, gateQueueLimit, f.Now),
 	}
 }
--- a/internal/fleet/ramps.go
+++ b/internal/fleet/ramps.go
@@ -1,25 +1,17 @@
 package fleet
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
-	"github.com/cranberrystage/cranberrystage/internal/sleep"
-	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ramp"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
-const (
-	// minRampFailure is how long a server must have failed to ramp up again. A shorter
-	// failure is that of a connection, as after a lost packet or when a server closes
-	// idle ones.
-	minRampFailure = failureAvoidTime
-	// openingDelay is how long the opening of a connection waits for others during a
-	// ramp. It then begins in any case.
-	openingDelay = 50 * time.Millisecond
-)
+// minRampFailure is how long a server must have failed to ramp up again. A shorter
+// failure is that of a connection, as after a lost packet or when a server closes
+// idle ones.
+const minRampFailure = failureAvoidTime
 
 // Results of a ramp besides those of package ramp.
 const (
@@ -156,27 +148,5 @@
 // setGate applies the limits to the gate. The lock must be held.
 func (u *Upstream) setGate() {
 	limit := u.pace.Slots()
-	u.gate.SetPace(u.ramp.Slots(limit), u.ramp.Reserve(u.fleet.Now(), limit))
-	if u.ramp.Active() {
-		u.openings.SetSlots(u.ramp.Slots(u.entry.Slots))
-	}
-}
-
-// delayOpening waits until this proxy may open a connection for a caller, and returns
-// the function to call when it is open. During a ramp the first openings of the
-// proxies are spread and each proxy opens few at once; else it returns at once.
-func (u *Upstream) delayOpening(ctx context.Context) (done func()) {
-	u.mu.Lock()
-	active, spread := u.ramp.Active(), u.ramp.Spread(u.fleet.Now())
-	u.mu.Unlock()
-	if !active || sleep.For(ctx, spread) != nil {
-		return func() {} // the opening itself fails if ctx is done
-	}
-	ctx, cancel := context.WithTimeout(ctx, openingDelay)
-	defer cancel()
-	slot, err := u.openings.Acquire(ctx, admit.Request{Weight: 1, MaxWait: openingDelay})
-	if err != nil {
-		return func() {} // nothing is refused for the pace alone
-	}
-	return slot.Release
+	u.gate.SetPace(u.ramp.Slots(limit), u.ramp.Reserve(limit))
 }
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -43,8 +43,6 @@
 	health
 	pace pace.Limit
 	ramp ramp.Ramp
-	// openings limits the connections that are opened for callers during a ramp.
-	openings *gate.Limiter
 }
 
 // ID returns the id in the server's entry.
@@ -103,7 +101,7 @@
 
 // Connect returns a connection of a team to the server.
 func (u *Upstream) Connect(ctx context.Context, team tables.TeamID) (*links.Conn, error) {
-	return u.connectFrom(ctx, func(ctx context.Context) (*links.Conn, error) { return u.pool.GetPaced(ctx, team, u.delayOpening) })
+	return u.connectFrom(ctx, func(ctx context.Context) (*links.Conn, error) { return u.pool.Get(ctx, team, false) })
 }
 
 // connSource returns a connection from the pool or a new one.
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -132,17 +132,6 @@
 // idle connection of another team, or waits for at most waitTimeout for a connection
 // that is returned. fresh requests a new connection.
 func (p *Pool) Get(ctx context.Context, team tables.TeamID, fresh bool) (*Conn, error) {
-	return p.get(ctx, team, fresh, nil)
-}
-
-// GetPaced is Get of a connection that need not be new. Before it opens one it calls
-// delay, which returns once that may begin, and afterwards the function that delay
-// returned.
-func (p *Pool) GetPaced(ctx context.Context, team tables.TeamID, delay func(context.Context) (done func())) (*Conn, error) {
-	return p.get(ctx, team, false, delay)
-}
-
-func (p *Pool) get(ctx context.Context, team tables.TeamID, fresh bool, delay func(context.Context) (done func())) (*Conn, error) {
 	p.recordUse()
 	waitCtx, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
@@ -151,9 +140,6 @@
 		if c != nil || err != nil {
 			return c, err
 		}
-		if wait == nil && delay != nil {
-			defer delay(ctx)()
-		}
 		if wait == nil {
 			return p.dial(ctx, team)
 		}
--- a/internal/systems/ramp/ramp.go
+++ b/internal/systems/ramp/ramp.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	// FullWithin bounds a ramp whose answers are good, and LongestRamp every ramp.
+	// FullWithin bounds a ramp whose answers are good and that of a promoted server, and
+	// LongestRamp every ramp.
 	FullWithin  = 3 * time.Second
 	LongestRamp = 10 * time.Second
 	// flapWindow is the time within which a server that starts or recovers again
@@ -35,13 +36,14 @@
 	stepsWithin     = 1500 * time.Millisecond
 	warmStepsWithin = 2500 * time.Millisecond
 	flapStepsWithin = 8 * time.Second
+	// promotedStepsWithin is the same for a promoted server. It was in use as a replica
+	// before, so its steps need no answers: a write has no other server to go to.
+	promotedStepsWithin = 2500 * time.Millisecond
 	// longestStep bounds one step of a ramp with few steps; a server that fails
 	// repeatedly has no such bound, as a few proxies suffice to keep it down.
 	longestStep = 400 * time.Millisecond
 	// badAnswerHold is how long a ramp lasts beyond FullWithin after an answer that was not good.
 	badAnswerHold = 500 * time.Millisecond
-	// refusalHold is how long a refusal shows that the server has no free slot.
-	refusalHold = 100 * time.Millisecond
 	// targetPart is the part of its target latency that a good answer may take.
 	targetPart = 0.5
 	// A server is slow if its average answer takes slowFactor times as long as those of
@@ -53,10 +55,8 @@
 	smoothing = 4
 	// defaultAnswerTime is assumed while no server of the group has a measurement.
 	defaultAnswerTime = 25 * time.Millisecond
-	// HandshakeTime is how long the opening of a connection occupies a slot.
-	HandshakeTime = 12 * time.Millisecond
-	// LongestSpread bounds the random delay of a proxy's first opening.
-	LongestSpread = 100 * time.Millisecond
+	// handshakeTime is how long the opening of a connection occupies a slot.
+	handshakeTime = 12 * time.Millisecond
 )
 
 // Reason is why a ramp began.
@@ -103,14 +103,10 @@
 	part, initial, slots float64
 	step                 time.Duration
 	steppedAt            tables.Time
-	spread               time.Duration
 	// good reports whether a good answer arrived since steppedAt.
-	good   bool
-	badAt  tables.Time
-	hasBad bool
-	// refusedAt is when the server last refused a statement; valid with refused.
-	refusedAt tables.Time
-	refused   bool
+	good      bool
+	badAt     tables.Time
+	hasBad    bool
 	answers   int
 	average   time.Duration
 	others    time.Duration
@@ -139,7 +135,6 @@
 	}
 	r.step = r.stepTime(math.Ceil(math.Log2(proxies)), s.WarmupLeft > 0)
 	r.nextAt = now.Add(time.Duration(random * float64(r.spacing(true))))
-	r.spread = time.Duration(random * float64(min(LongestSpread, time.Duration(proxies/slots*float64(HandshakeTime)))))
 	return true
 }
 
@@ -163,6 +158,8 @@
 
 func (r *Ramp) stepTime(steps float64, warming bool) time.Duration {
 	switch {
+	case r.reason == Promoted:
+		return time.Duration(float64(promotedStepsWithin) / steps)
 	case r.flapping():
 		return time.Duration(float64(flapStepsWithin) / steps)
 	case warming:
@@ -191,7 +188,8 @@
 func (r *Ramp) SetOthers(latency time.Duration) { r.others = latency }
 
 // Slots returns how many statements this proxy may run at the server, at most limit.
-// It also bounds the connections that it may open at once. It is at least one.
+// A connection is opened for a statement that runs, so this also bounds the openings.
+// It is at least one.
 func (r *Ramp) Slots(limit int) int {
 	if !r.active {
 		return limit
@@ -201,23 +199,8 @@
 
 // Reserve returns how many statements beyond Slots may run at the server, up to limit
 // in sum, if they would otherwise be refused: the proxy's part is only a guess of what
-// the server can take. There is none shortly after the server refused a statement,
-// as it had no free slot.
-func (r *Ramp) Reserve(now tables.Time, limit int) int {
-	if r.refused && now.Sub(r.refusedAt) < refusalHold {
-		return 0
-	}
-	return limit - r.Slots(limit)
-}
-
-// Spread returns how long this proxy's first opening of a connection still has to
-// wait, so that those of many proxies do not arrive together.
-func (r *Ramp) Spread(now tables.Time) time.Duration {
-	if !r.active {
-		return 0
-	}
-	return max(0, min(r.spread, r.startedAt.Add(r.spread).Sub(now)))
-}
+// the server can take.
+func (r *Ramp) Reserve(limit int) int { return limit - r.Slots(limit) }
 
 // Elsewhere reports whether a read that another server can answer should go there,
 // because this proxy's part is in use.
@@ -250,7 +233,7 @@
 	}
 	took = max(took, r.average)
 	if handshake {
-		took += HandshakeTime
+		took += handshakeTime
 	}
 	return time.Duration(float64(took) / r.part)
 }
@@ -275,7 +258,6 @@
 // Refused records that the server refused a statement because its queue was full.
 func (r *Ramp) Refused(now tables.Time) {
 	if r.active {
-		r.refusedAt, r.refused = now, true
 		r.bad(now)
 	}
 }
@@ -300,7 +282,7 @@
 		// A clock that went back must not make the ramp longer.
 		r.startedAt, r.steppedAt = now, now
 	}
-	if r.good && now.Sub(r.steppedAt) >= r.step {
+	if (r.good || r.reason == Promoted) && now.Sub(r.steppedAt) >= r.step {
 		r.part, r.steppedAt, r.good = 2*r.part, now, false
 	}
 	switch {
@@ -319,6 +301,9 @@
 
 // longest returns how long the ramp may last as of now.
 func (r *Ramp) longest(now tables.Time) time.Duration {
+	if r.reason == Promoted {
+		return FullWithin
+	}
 	if r.flapping() || r.hasBad && now.Sub(r.badAt) < badAnswerHold {
 		return LongestRamp
 	}
