--- a/internal/systems/ramp/played_test.go
+++ b/internal/systems/ramp/played_test.go
@@ -81,7 +81,6 @@
 	arrived, sentAt tables.Time
 	admittedAt      tables.Time
 	tried           [3]bool
-	over            bool
 }
 
 type event struct {
