--- a/cmd/cranberrystage-ctl/main.go
+++ b/cmd/cranberrystage-ctl/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/ctl"
+	"github.com/cranberrystage/cranberrystage/platform/routes"
 )
 
 func main() {
@@ -29,5 +30,7 @@
 		Random:  rand.Reader,
 		Connect: ctl.ConnectPlatform,
 		Status:  ctl.FetchStatus,
+
+		CheckPlatform: routes.Check,
 	})
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cranberrystage/cranberrystage/internal/confcheck"
 	"github.com/cranberrystage/cranberrystage/internal/plan"
 	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/statusapi"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -31,6 +33,9 @@
 	Random io.Reader
 	// Connect opens the store that the settings name.
 	Connect func(settings.Control) (plan.Store, error)
+	// CheckPlatform checks a configuration of the platform and, unless against is nil,
+	// compares it with that version; an error means that one is not readable.
+	CheckPlatform func(value, against []byte) (*confcheck.Report, error)
 	// Status reads the status of the proxy at an admin address.
 	Status func(ctx context.Context, address string) (statusapi.Status, error)
 }
@@ -49,6 +54,8 @@
 	userName     string
 	files        []string
 	group        string
+	against      string
+	platform     bool
 }
 
 // Run parses args, runs the command and returns the exit code.
@@ -71,7 +78,9 @@
 		return ExitUsage
 	}
 	if err := actions[name](ctx); err != nil {
-		fmt.Fprintln(env.Stderr, describe(err))
+		if !errors.Is(err, errFindings) {
+			fmt.Fprintln(env.Stderr, describe(err))
+		}
 		return exitCode(err)
 	}
 	return ExitOK
@@ -94,6 +103,10 @@
 		return cmd
 	}
 	dirs(add(app.Command("validate", "Check declarations."), c.validate))
+	check := add(app.Command("check", "Check declarations, or the platform's configuration, and compare two versions."), c.check)
+	check.Arg("file", "File or directory of declarations, or the platform's configuration.").Required().StringVar(&c.id)
+	check.Flag("against", "The other version.").StringVar(&c.against)
+	check.Flag("platform", "The files are the platform's configuration.").BoolVar(&c.platform)
 	dirs(add(app.Command("plan", "Show and store what declarations would change."), c.plan))
 	dirs(add(app.Command("diff", "Show the drift between declarations and the configuration in force."), c.diff))
 	add(app.Command("confirm", "Put a plan in force."), c.confirm).
--- a/internal/declare/declare.go
+++ b/internal/declare/declare.go
@@ -73,8 +73,12 @@
 	return files, problems
 }
 
-// list returns the declaration files of dir in name order.
+// list returns the declaration files of dir in name order, or dir itself if it is a
+// file.
 func list(dir string) ([]string, jsonc.Problems) {
+	if info, err := os.Stat(dir); err == nil && info.Mode().IsRegular() {
+		return []string{dir}, nil
+	}
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, jsonc.Problems{{File: dir, Message: err.Error()}}
--- a/internal/jsonc/problem.go
+++ b/internal/jsonc/problem.go
@@ -21,17 +21,18 @@
 }
 
 // String returns "file:line:column: field: message".
-func (p Problem) String() string {
+func (p Problem) String() string { return p.Place() + ": " + p.Message }
+
+// Place returns "file:line:column: field".
+func (p Problem) Place() string {
 	var b strings.Builder
 	b.WriteString(p.File)
 	if p.Line > 0 {
 		fmt.Fprintf(&b, ":%d:%d", p.Line, p.Column)
 	}
-	b.WriteString(": ")
 	if p.Field != "" {
-		b.WriteString(p.Field + ": ")
+		b.WriteString(": " + p.Field)
 	}
-	b.WriteString(p.Message)
 	return b.String()
 }
 
