--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -86,3 +86,25 @@
 		assert.Equal(t, len(l.waiters), 0)
 	})
 }
+
+// A paced gate must run a waiting request, and one that arrives too late to wait,
+// instead of refusing them; without a reserve both are refused.
+func TestPaceAloneRefusesNothing(t *testing.T) {
+	for _, reserve := range []int{0, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			now := clock()
+			l := New(3, 100, now)
+			l.SetPace(1, reserve)
+			_, err := l.Acquire(context.Background(), request(time.Second, now()))
+			assert.NilError(t, err)
+			began := now()
+			_, err = l.Acquire(context.Background(), request(100*time.Millisecond, now()))
+			assert.Equal(t, err == nil, reserve > 0)
+			assert.Assert(t, now().Sub(began) > 80*time.Millisecond, "it waits for the slot first")
+			_, err = l.Acquire(context.Background(), request(2*time.Millisecond, now()))
+			assert.Equal(t, err == nil, reserve > 0)
+			_, err = l.Acquire(context.Background(), request(2*time.Millisecond, now()))
+			assert.Assert(t, err != nil, "the reserve is full")
+		})
+	}
+}
