--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -146,6 +146,8 @@
 	failedAttempts int
 	// leaderChanged is closed when the primary changes.
 	leaderChanged chan struct{}
+	// lastPrimary is the last primary that this proxy knew.
+	lastPrimary tables.UpstreamID
 	// promoteTook is the time from the last promotion order until its server led.
 	promoteTook time.Duration
 	// members are the servers whose logs a replacement needs, as recorded in the
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -245,6 +245,13 @@
 	}
 }
 
+// HasIdle reports whether any connection is idle.
+func (p *Pool) HasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 func (p *Pool) recordUse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/metrics/forward.go
+++ b/internal/metrics/forward.go
@@ -19,11 +19,8 @@
 	ForwardMalformedTotal = "cranberrystage_forward_malformed_total"
 )
 
-// LabelPath and LabelReason are labels of these metrics.
-const (
-	LabelPath   = "path"
-	LabelReason = "reason"
-)
+// LabelPath is a label of these metrics.
+const LabelPath = "path"
 
 // Path is the path of a read that may be forwarded.
 type Path string
