--- a/internal/quotarelay/cluster_test.go
+++ b/internal/quotarelay/cluster_test.go
@@ -41,6 +41,8 @@
 	// duplicates makes the bus send some messages twice, as it may after a failure.
 	duplicates bool
 	teams      []*load
+	// version is that of the newest configuration.
+	version uint64
 }
 
 // vm is one proxy; process is nil while it is stopped.
@@ -109,7 +111,7 @@
 
 // routing returns the newest configuration.
 func (c *cluster) routing() *tables.Routing {
-	r := &tables.Routing{Teams: make(map[tables.TeamID]*tables.Team)}
+	r := &tables.Routing{Version: c.version, Teams: make(map[tables.TeamID]*tables.Team)}
 	for _, l := range c.teams {
 		team := l.limits[len(l.limits)-1].team
 		r.Teams[l.id] = &team
@@ -354,7 +356,7 @@
 		}
 		n := float64(i - first + 1)
 		if n > allowed {
-			c.t.Errorf("%s ran %v operations within 5 s up to %v; %.1f are allowed", l.id, n, at, allowed)
+			c.t.Errorf("%s ran %v operations within 5 s up to %v; %.1f are allowed; limits %v", l.id, n, at, allowed, l.limits)
 			return n / allowed
 		}
 		fullest = max(fullest, n/allowed)
--- a/internal/quotarelay/limits_test.go
+++ b/internal/quotarelay/limits_test.go
@@ -162,13 +162,14 @@
 	team := last.team
 	team.Rate, team.Burst = l.limits[0].team.Rate*factor, l.limits[0].team.Burst*factor
 	l.limits = append(l.limits, limitAt{c.now(), team})
+	c.version++
 	routing := c.routing()
 	for _, v := range c.vms {
 		p := v.process
 		time.AfterFunc(time.Duration(rng.Int64N(int64(configApply))), func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			if p != nil {
+			if p != nil && routing.Version > p.routing.Version { // versions don't go back
 				p.routing = routing
 			}
 		})
