--- a/internal/peer/peertest/peertest.go
+++ b/internal/peer/peertest/peertest.go
@@ -40,6 +40,8 @@
 	// Link limits the bandwidth unless nil. Several routes may share it.
 	Link    *slowlink.Link
 	Latency time.Duration
+	// Down drops all messages.
+	Down bool
 }
 
 // SetRoutes sets the paths of messages.
@@ -58,6 +60,9 @@
 
 // deliverOver passes the message to its receiver over a route.
 func (d delivery) deliverOver(r Route) {
+	if r.Down {
+		return
+	}
 	if r.Link != nil {
 		r.Link.Transfer(len(d.message.Payload))
 	}
--- a/internal/rowrelay/read.go
+++ b/internal/rowrelay/read.go
@@ -104,7 +104,7 @@
 	// The call may outlive this one's ctx, so that its outcome shows whether the
 	// store responds.
 	call, age := r.callStore(ctx, q)
-	done := async(func() (platform.Rows, error) { return call.wait(age) })
+	done := async(func() (platform.Rows, error) { return call.wait(q, age) })
 	timer := time.NewTimer(wait + r.hedgeDelayFor(q))
 	defer timer.Stop()
 	for {
@@ -296,19 +296,20 @@
 }
 
 // pickPeers returns up to n peers in random order, one of this data centre
-// first. With several regions, one of this region comes before those of others.
+// first.
 func (r *Relay) pickPeers(n int) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.regional {
+		return r.pickRegionalPeers(n)
+	}
 	now := r.Now()
-	var near, regional, far []Peer
+	var near, far []Peer
 	for _, p := range r.shuffledPeers() {
 		switch {
 		case now < r.avoidUntil[p.VM]:
 		case p.DataCentre == r.Self.DataCentre:
 			near = append(near, p)
-		case r.regional && r.inOwnRegion(p):
-			regional = append(regional, p)
 		default:
 			far = append(far, p)
 		}
@@ -316,10 +317,7 @@
 	if len(near) > 1 {
 		near = near[:1]
 	}
-	if len(near) > 0 || len(regional) > 1 {
-		regional = regional[:min(1-len(near), len(regional))]
-	}
-	all := slices.Concat(near, regional, far)
+	all := append(near, far...)
 	return all[:min(n, len(all))]
 }
 
@@ -394,6 +392,9 @@
 		}
 		return errors.Wrapf(platform.ErrUnavailable, "the store's response arrives slowly at %s", p.VM)
 	default:
+		if r.regional {
+			return errNoStore
+		}
 		r.backOffFrom(p, q, "it does not reach the store")
 		return errors.Wrapf(platform.ErrUnavailable, "%s does not reach the store either", p.VM)
 	}
@@ -420,12 +421,12 @@
 		return r.respondPart(q)
 	}
 	out := response{Failure: failureUnavailable}
-	if r.refuses(q) {
-		return out
-	}
 	if q.Check {
 		return response{}
 	}
+	if r.refuses(q) {
+		return out
+	}
 	rows, err := r.rowsFor(ctx, q)
 	switch {
 	case err == nil:
@@ -525,7 +526,7 @@
 	for {
 		select {
 		case <-call.done:
-			return call.wait(age)
+			return call.wait(q, age)
 		case <-begun:
 			begun, overdueAt = nil, nil
 			if !r.regional {
--- a/internal/rowrelay/region.go
+++ b/internal/rowrelay/region.go
@@ -16,7 +16,7 @@
 // stopped reader, and does not make further proxies call the store.
 const (
 	// readersTried is how many readers of one level are tried for a request.
-	readersTried = 2
+	readersTried = freeRank
 	// freeRank is the number of proxies of a region that may call the store without a
 	// budget: the first ones, of which one takes over from the other.
 	freeRank = 3
@@ -148,6 +148,26 @@
 	return r.Self, false
 }
 
+// pickRegionalPeers returns up to n peers: the first reader of this region besides this
+// proxy, so that only few proxies of a region fetch large rows, and random ones of other
+// regions. The lock must be held.
+func (r *Relay) pickRegionalPeers(n int) []Peer {
+	now := r.Now()
+	var out []Peer
+	for _, p := range r.regionOrder {
+		if p.VM != r.Self.VM && now >= r.avoidUntil[p.VM] {
+			out = append(out, p)
+			break
+		}
+	}
+	for _, p := range r.shuffledPeers() {
+		if !r.inOwnRegion(p) && now >= r.avoidUntil[p.VM] && len(out) < n {
+			out = append(out, p)
+		}
+	}
+	return out[:min(n, len(out))]
+}
+
 func (r *Relay) inOwnDataCentre(p Peer) bool { return p.DataCentre == r.Self.DataCentre }
 
 // isRegionReader reports whether this proxy reads the store for its region.
--- a/internal/rowrelay/region_test.go
+++ b/internal/rowrelay/region_test.go
@@ -61,6 +61,8 @@
 	storeDelay        atomic.Int64
 	// farCut cuts the far region off from the store.
 	farCut atomic.Bool
+	// regionsCut drops messages between the regions.
+	regionsCut atomic.Bool
 	// nearConfig is the configuration version in force in the near region; in the far
 	// one it is 6.
 	nearConfig atomic.Uint64
@@ -100,6 +102,7 @@
 	f.store.Put("servers", "s", []byte("entry"))
 	f.store.Put(shared, "g", make([]byte, 2000))
 	f.putRoutes("1", 1000)
+	go f.writeOthers()
 	for i := range n {
 		for _, dc := range []tables.DataCentreID{"fa", "fb", "fc", "na", "nb"} {
 			f.proxies = append(f.proxies, f.start(dc, fmt.Sprintf("vm-%s-%02d", dc, i)))
@@ -117,6 +120,15 @@
 	return f
 }
 
+// writeOthers changes rows that no proxy watches, so that the store's version grows and
+// proxies watch from different versions.
+func (f *regionalFleet) writeOthers() {
+	for f.t.Context().Err() == nil {
+		f.store.Put("others", "k", nil)
+		time.Sleep(70 * time.Millisecond)
+	}
+}
+
 // isFar reports whether the proxy at an address is in the region without the store.
 func isFar(address string) bool { return address[3] == 'f' }
 
@@ -125,9 +137,9 @@
 	case isFar(from) == isFar(to):
 		return peertest.Route{Latency: time.Millisecond}
 	case isFar(to):
-		return peertest.Route{Link: f.intoFar, Latency: regionLatency}
+		return peertest.Route{Link: f.intoFar, Latency: regionLatency, Down: f.regionsCut.Load()}
 	default:
-		return peertest.Route{Link: f.intoNear, Latency: regionLatency}
+		return peertest.Route{Link: f.intoNear, Latency: regionLatency, Down: f.regionsCut.Load()}
 	}
 }
 
@@ -373,6 +385,42 @@
 	})
 }
 
+// After a partition of the regions, what proxies did to reach the store must not outlast
+// it.
+func TestRegionsRecoverFromPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t, 9)
+		f.farCut.Store(true)
+		f.regionsCut.Store(true)
+		calls := f.store.Calls()
+		f.reset()
+		time.Sleep(10 * time.Second)
+		for _, p := range f.proxies {
+			p.mu.Lock()
+			assert.Check(t, isFar(string(p.relay.Self.VM)) || p.failed == 0, "%s: %d of %d failed: %v", p.relay.Self.VM, p.failed, p.read, p.lastError)
+			p.mu.Unlock()
+		}
+		t.Logf("%d calls of the near region", f.store.Calls()-calls)
+		at := f.putRoutes("2", largeConfigBytes)
+		before := f.intoFar.Bytes()
+		f.farCut.Store(false)
+		f.regionsCut.Store(false)
+		time.Sleep(regionalApplyLimit)
+		f.checkConfig(t, "2", at)
+		crossed := f.intoFar.Bytes() - before
+		t.Logf("%d bytes crossed the link", crossed)
+		// A copy for each data centre at most; the store encodes rows as base64.
+		const otherMessages = 200_000
+		assert.Assert(t, crossed < 3*largeConfigBytes*4/3+otherMessages, "%d bytes", crossed)
+		f.reset()
+		calls = f.store.Calls()
+		time.Sleep(10 * time.Second)
+		f.checkReads(t, 0.02)
+		calls = f.store.Calls() - calls
+		assert.Assert(t, calls <= 10*2*(4+2), "%d calls", calls)
+	})
+}
+
 // In the incident a whole region was behind, so its proxies could not tell from each
 // other.
 func TestRegionKnowsOfNewerConfiguration(t *testing.T) {
--- a/internal/rowrelay/regionread.go
+++ b/internal/rowrelay/regionread.go
@@ -1,11 +1,12 @@
 package rowrelay
 
 import (
-	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
@@ -32,6 +33,9 @@
 	errLate = errors.Wrap(platform.ErrUnavailable, "a reader's rows are late")
 	// errIsReader means that this proxy is the reader itself.
 	errIsReader = errors.New("rowrelay: this proxy is the reader")
+	// errNoStore means that a reader responds but has lost the store. The first proxies
+	// of the region look for the store on behalf of all.
+	errNoStore = errors.Wrap(platform.ErrUnavailable, "a reader does not reach the store")
 	// errNoReader means that no reader responded.
 	errNoReader = errors.Wrap(platform.ErrUnavailable, "no reader responds")
 	// errNoBudget means that this proxy may not call the store now.
@@ -46,7 +50,7 @@
 	switch {
 	case errors.Is(err, errIsReader):
 		return r.readAsReader(ctx, q)
-	case err == nil || errors.Is(err, platform.ErrHistoryLost) || errors.Is(err, errLate):
+	case !errors.Is(err, errNoReader):
 		return rows, err
 	}
 	q.Direct = true
@@ -70,10 +74,15 @@
 // awaitCall returns the outcome of a call, without the requests to further peers of
 // read: they would multiply the load of a slow store.
 func (r *Relay) awaitCall(ctx context.Context, q request) (platform.Rows, error) {
+	if !q.Watch {
+		if rows, ok, err := r.readCopy(ctx, q); ok {
+			return rows, err
+		}
+	}
 	call, age := r.callStore(ctx, q)
 	select {
 	case <-call.done:
-		return call.wait(age)
+		return call.wait(q, age)
 	case <-ctx.Done():
 		return platform.Rows{}, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
 	}
@@ -89,67 +98,91 @@
 }
 
 // readThrough requests rows from the first readers of a level. The error is errLate if
-// one responds but none has the rows in time, and errIsReader if this proxy is the
-// first. The second reader of a region calls the store instead of the first.
+// one responds but none has the rows in time, errNoStore if those that respond have
+// lost the store, and errIsReader if it is this proxy's turn. All but the first reader of
+// a region call the store instead of another reader.
 func (r *Relay) readThrough(ctx context.Context, l level, q request) (platform.Rows, error) {
 	if r.isShared(q) {
 		return r.readSharedThrough(ctx, l, q)
 	}
 	var tried []tables.VMID
-	var late error
+	var last error = errNoReader
 	for range readersTried {
 		p, ok := r.nextReader(l, tried...)
 		if !ok {
-			return platform.Rows{}, cmp.Or(late, errIsReader)
+			if errors.Is(last, errLate) {
+				return platform.Rows{}, errLate
+			}
+			return platform.Rows{}, errIsReader
 		}
 		q.Direct = l == levelRegion && len(tried) > 0
 		rows, err := r.readFromPeer(ctx, p, q, q.timeout()+peerTimeout, nil)
 		if err == nil || errors.Is(err, platform.ErrHistoryLost) || ctx.Err() != nil {
 			return rows, err
 		}
-		if errors.Is(err, errLate) {
-			late = err
-		}
+		last = worse(last, err)
 		tried = append(tried, p.VM)
 	}
-	return platform.Rows{}, cmp.Or(late, errNoReader)
+	return platform.Rows{}, last
 }
 
-// readSharedThrough requests the shared rows from the first reader, and also from the
-// second if the first takes longer than readers usually do.
-func (r *Relay) readSharedThrough(ctx context.Context, l level, q request) (platform.Rows, error) {
-	first, ok := r.nextReader(l)
-	if !ok {
-		return platform.Rows{}, errIsReader
+// worse returns the outcome of two failed requests to readers: a reader that responds
+// says more than one that does not.
+func worse(a, b error) error {
+	for _, err := range []error{errLate, errNoStore} {
+		if errors.Is(a, err) || errors.Is(b, err) {
+			return err
+		}
 	}
+	return errNoReader
+}
+
+// readSharedThrough requests the shared rows from the first reader, and from the next
+// one if that fails, or takes longer than readers usually do.
+func (r *Relay) readSharedThrough(ctx context.Context, l level, q request) (platform.Rows, error) {
 	q.TimeoutMillis = (sharedTimeout - lateMargin).Milliseconds()
-	fromFirst := async(func() (platform.Rows, error) { return r.readSharedFrom(ctx, first, q) })
+	results := make(chan result, readersTried)
+	var tried []tables.VMID
+	var last error = errNoReader
+	pending, isReader := 0, false
+	ask := func() {
+		p, ok := r.nextReader(l, tried...)
+		if !ok || len(tried) == readersTried {
+			isReader = !ok
+			return
+		}
+		q := q
+		q.Direct = l == levelRegion && len(tried) > 0
+		tried = append(tried, p.VM)
+		pending++
+		go func() {
+			rows, err := r.readSharedFrom(ctx, p, q)
+			results <- result{rows, err}
+		}()
+	}
+	ask()
 	hedge := time.NewTimer(r.readerAllowance() + readerTimeout)
 	defer hedge.Stop()
-	var failed result
-	select {
-	case failed = <-fromFirst:
-		if failed.err == nil || errors.Is(failed.err, errLate) {
-			return failed.rows, failed.err
+	for pending > 0 {
+		select {
+		case res := <-results:
+			if res.err == nil {
+				return res.rows, nil
+			}
+			pending--
+			last = worse(last, res.err)
+			// The rows of a further reader would be as late.
+			if !errors.Is(last, errLate) {
+				ask()
+			}
+		case <-hedge.C:
+			ask()
 		}
-		fromFirst = nil
-	case <-hedge.C:
 	}
-	second, ok := r.nextReader(l, first.VM)
-	switch {
-	case !ok && fromFirst == nil:
+	if isReader && !errors.Is(last, errLate) {
 		return platform.Rows{}, errIsReader
-	case !ok:
-		failed = <-fromFirst
-		return failed.rows, failed.err
-	}
-	q.Direct = l == levelRegion
-	fromSecond := async(func() (platform.Rows, error) { return r.readSharedFrom(ctx, second, q) })
-	if fromFirst == nil {
-		failed = <-fromSecond
-		return failed.rows, failed.err
 	}
-	return firstSuccess(ctx, fromSecond, fromFirst)
+	return platform.Rows{}, last
 }
 
 // readSharedFrom requests the shared rows from one reader.
@@ -176,10 +209,20 @@
 	q := c.request
 	if !c.direct {
 		rows, err := r.readThroughRegion(ctx, q)
-		if err == nil || errors.Is(err, platform.ErrHistoryLost) || errors.Is(err, errLate) {
+		if !errors.Is(err, errNoReader) && !errors.Is(err, errIsReader) {
 			return rows, err
 		}
 	}
+	if wait := r.deference(); wait > 0 && r.UrgentTables[q.Table] && q.Watch && !q.Direct && !q.starting && sleep.For(ctx, wait) == nil {
+		rows, err := r.readThroughRegion(ctx, q)
+		if !errors.Is(err, errNoReader) && !errors.Is(err, errIsReader) {
+			return rows, err
+		}
+	}
+	if other := r.turnDirect(c); other != nil {
+		<-other.done
+		return other.rows, other.err
+	}
 	if !r.allowStoreCall(q) {
 		return platform.Rows{}, errNoBudget
 	}
@@ -189,12 +232,45 @@
 	return r.readStoreNow(ctx, c)
 }
 
+// deference returns how long this proxy waits before it calls the store for large rows in
+// place of the readers before it: after an outage all of them reach the store again at
+// about the same time, and one should fetch the rows for all. It holds for watches only: a
+// proxy that starts needs the rows now.
+func (r *Relay) deference() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rank := slices.IndexFunc(r.regionOrder, func(p Peer) bool { return p.VM == r.Self.VM })
+	return time.Duration(min(max(rank, 0), freeRank)) * storeRetryInterval
+}
+
+// turnDirect makes a call one to the store, unless a call to the store that serves its
+// request is under way, which it returns.
+func (r *Relay) turnDirect(c *storeCall) *storeCall {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.direct {
+		return nil
+	}
+	for _, o := range r.calls {
+		if o != c && o.direct && r.serves(o, c.request) {
+			return o
+		}
+	}
+	c.direct = true
+	return nil
+}
+
 // readLost reads through peers while the store is lost, also through those of other
 // regions: a region may be cut off from the store alone. Meanwhile it checks whether
 // the store responds again.
 func (r *Relay) readLost(ctx context.Context, q request) (platform.Rows, error) {
 	r.checkLostStore(ctx, storeRetryInterval)
-	return r.readFromPeers(ctx, q, q.wait())
+	if r.UrgentTables[q.Table] && !r.isRegionReader() {
+		// The reader of the region requests large rows for all.
+		return platform.Rows{}, errNoStore
+	}
+	// A longer wait would outlast the store's return.
+	return r.readFromPeers(ctx, q, min(q.wait(), storeRetryInterval))
 }
 
 // readSharedInRegion reads the shared table through the reader of this region, or from
@@ -203,7 +279,7 @@
 	q := request{Table: r.SharedTable, Direct: direct}
 	if !direct {
 		rows, err := r.readThroughRegion(ctx, q)
-		if err == nil || errors.Is(err, errLate) {
+		if !errors.Is(err, errNoReader) && !errors.Is(err, errIsReader) {
 			return rows, err
 		}
 		*asOf = r.Now()
--- a/internal/rowrelay/rowrelay.go
+++ b/internal/rowrelay/rowrelay.go
@@ -104,6 +104,8 @@
 	Offset  int    `msgpack:"o,omitempty"`
 	// Direct requests that the rows are read from the store, not through a reader.
 	Direct bool `msgpack:"d,omitempty"`
+	// starting says that a starting proxy waits for the rows; it is not sent.
+	starting bool
 	// Check asks whether the peer reaches the store.
 	Check bool `msgpack:"h,omitempty"`
 	// Config is the newest configuration version that the requester knows; 0 with one
@@ -236,6 +238,8 @@
 	directory     platform.Rows
 	directoryAsOf tables.Time
 	known         knownConfig
+	// copies are the copies of tables with large rows, with several regions.
+	copies map[string]*tableCopy
 	// across says that this proxy last read through a peer of another region.
 	across bool
 	// storeCalls and largeCalls are the budgets of calls to the store of a proxy that
@@ -260,6 +264,7 @@
 		failures:   make(map[tables.VMID]int),
 		eraBegan:   make(chan struct{}, 1),
 
+		copies:        make(map[string]*tableCopy),
 		storeCalls:    budget{interval: storeCallInterval, burst: storeCallBurst},
 		largeCalls:    budget{interval: largeCallInterval, burst: largeCallBurst},
 		regional:      hasRegions(o.Regions),
--- a/internal/rowrelay/storecall.go
+++ b/internal/rowrelay/storecall.go
@@ -35,18 +35,22 @@
 	}
 }
 
-// wait returns the outcome of the call. age is that of callStore.
-func (c *storeCall) wait(age time.Duration) (platform.Rows, error) {
+// wait returns the outcome of the call for the request q. age is that of callStore.
+func (c *storeCall) wait(q request, age time.Duration) (platform.Rows, error) {
 	<-c.done
 	rows := c.rows
 	rows.Age += age
+	if q.Watch && c.err == nil && c.request.after() != q.after() && rows.At().Compare(q.after()) < 0 {
+		// The call from an earlier version had its response before q was made.
+		return platform.Rows{Era: q.Era, Version: q.After, Age: rows.Age + readerWatchTimeout}, nil
+	}
 	return rows, c.err
 }
 
 // readStore reads the store itself.
 func (r *Relay) readStore(ctx context.Context, q request) (platform.Rows, error) {
 	call, age := r.callStore(ctx, q)
-	return call.wait(age)
+	return call.wait(q, age)
 }
 
 // callStore returns a running call that serves q, or starts one. A second call for
@@ -58,6 +62,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
+	rows, ok, q := r.changesFromCopy(q)
+	if ok {
+		return finishedCall(q, rows, now), 0
+	}
 	for _, c := range r.calls {
 		if !r.serves(c, q) {
 			continue
@@ -76,6 +84,14 @@
 	return call, 0
 }
 
+// finishedCall returns a call that has ended with rows.
+func finishedCall(q request, rows platform.Rows, now tables.Time) *storeCall {
+	c := &storeCall{request: q, startedAt: now, overdueAt: now, begun: make(chan struct{}), done: make(chan struct{}), rows: rows}
+	close(c.begun)
+	close(c.done)
+	return c
+}
+
 // serves reports whether the response of a running call is one to q. A watch is
 // served by a call for the same changes that waits as long, or whose response is
 // arriving. A read is served only if its table is large, or with several regions.
@@ -86,13 +102,27 @@
 	if !q.Watch {
 		return r.regional || r.UrgentTables[q.Table]
 	}
+	if r.regional {
+		return c.servesInRegion(q)
+	}
 	return c.request.after() == q.after() && (c.request.WaitMillis == q.WaitMillis || c.arriving())
 }
 
+// servesInRegion reports whether the response to a watch is one to q, with several
+// regions. Another call would return a second copy of the same change, so a call from an
+// earlier version serves, whose changes include those that q needs, and a call with a
+// shorter wait, after which q is repeated.
+func (c *storeCall) servesInRegion(q request) bool {
+	return c.request.Era == q.Era && c.request.After <= q.After && (c.request.WaitMillis <= q.WaitMillis || c.arriving())
+}
+
 // runCall makes the call.
 func (r *Relay) runCall(ctx context.Context, c *storeCall) {
 	if r.regional {
 		c.rows, c.err = r.readForRegion(ctx, c)
+		if c.err == nil {
+			r.updateCopy(c.request, c.rows, c.startedAt)
+		}
 	} else {
 		c.rows, c.err = r.readStoreNow(ctx, c)
 	}
