--- a/cmd/cranberrystage-entry/main_test.go
+++ b/cmd/cranberrystage-entry/main_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 
+	"github.com/cranberrystage/cranberrystage/internal/rowrelay"
+	"github.com/cranberrystage/cranberrystage/internal/settings"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/cranberrystage/cranberrystage/platform/wire"
 	"gotest.tools/v3/assert"
@@ -41,3 +43,18 @@
 		assert.NilError(t, link.Close())
 	}
 }
+
+// In a data centre that is cut off from the store, each proxy chose another allocator
+// within seconds, and most operations were refused. All must choose the same one.
+func TestProxiesChooseOneAllocator(t *testing.T) {
+	near := []rowrelay.Peer{{VM: "vm-3", Address: "3"}, {VM: "vm-1", Address: "1"}, {VM: "vm-2", Address: "2"}}
+	for _, c := range []struct {
+		self         tables.VMID
+		unresponsive string
+		want         string
+	}{{"vm-1", "", ""}, {"vm-2", "", "1"}, {"vm-3", "", "1"}, {"vm-3", "1", "2"}, {"vm-2", "1", ""}} {
+		address, ok := allocator(settings.Entry{VM: c.self}, near, func(a string) bool { return a == c.unresponsive })
+		assert.Equal(t, address, c.want, "%+v", c)
+		assert.Equal(t, ok, c.want != "")
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,7 +8,7 @@
 // refuse a read or delay it, but not make its result older.
 //
 // A request that is lost, or whose response is, counts as a read with an unknown outcome.
-// While a response is late, the sender asks the holder whether the read still runs: a
+// While a response is late, the sender queries the holder whether the read still runs: a
 // slow server is told apart from a holder that is gone or has lost the request.
 package forward
 
@@ -145,7 +145,7 @@
 		if f.failures[p.VM] == 0 && !cutOff {
 			return h, true
 		}
-		// It is asked whether it responds again; reads use the next one until it does.
+		// It is probed in the background; reads use the next one until it does.
 		p.SkippedUntil = now.Add(holder.SkipTime(1))
 		go f.probe(h)
 		if cutOff {
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -25,12 +25,12 @@
 // errMalformed means that a message between proxies can't be used.
 var errMalformed = errors.New("malformed message")
 
-// Request is a read for the holder to run, or a question whether one is still running.
+// Request is a read for the holder to run, or a query whether one is still running.
 type Request struct {
 	// From and Sequence identify the request: the VM that sent it, and its number there.
 	From     tables.VMID `msgpack:"f"`
 	Sequence uint64      `msgpack:"q"`
-	// Running asks whether the request Sequence of From is still running; the fields that
+	// Running queries whether the request Sequence of From is still running; the fields that
 	// follow are then empty.
 	Running bool              `msgpack:"z,omitempty"`
 	Server  tables.UpstreamID `msgpack:"u,omitempty"`
@@ -78,7 +78,7 @@
 	resultNotRun
 	// resultLost means that the holder has no reply, though the statement may have run.
 	resultLost
-	// resultRunning and resultNotRunning answer the question whether a request runs.
+	// resultRunning and resultNotRunning are the responses to a query whether a request runs.
 	resultRunning
 	resultNotRunning
 	resultCount
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// askDelay is how long a response may take until the holder is asked whether the read
+	// queryDelay is how long a response may take until the holder is queried whether the read
 	// still runs. Most statements take 8 to 40 ms.
-	askDelay = 50 * time.Millisecond
-	// askInterval is the pause until it is asked again.
-	askInterval = 100 * time.Millisecond
+	queryDelay = 50 * time.Millisecond
+	// queryInterval is the pause until it is queried again.
+	queryInterval = 100 * time.Millisecond
 	// askTimeout bounds the wait for the answer. A proxy with a fifth of a core may stand
 	// still for 80 ms at a time.
 	askTimeout = 100 * time.Millisecond
@@ -82,7 +82,7 @@
 	f.Metrics.CountForwardableRead(metrics.PathForwarded)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := time.AfterFunc(askDelay, func() { f.watch(ctx, cancel, h, q.Sequence) })
+	watch := time.AfterFunc(queryDelay, func() { f.watch(ctx, cancel, h, q.Sequence) })
 	defer watch.Stop()
 	began := f.Now()
 	raw, err := f.exchange.Call(ctx, maxTimeLeft, body, h.address)
@@ -152,7 +152,7 @@
 	return statement.Reply{}, &Refusal{Reason: a.Reason, Ran: a.Result != resultNotRun, Why: a.Why}
 }
 
-// probe asks a skipped holder whether it responds again. An answer to any question will
+// probe queries a skipped holder whether it responds again. A response to any query will
 // do.
 func (f *Forwarder) probe(h Holder) {
 	question, err := encode(&Request{From: f.VM, Running: true})
@@ -176,7 +176,7 @@
 	}
 }
 
-// watch asks the holder from time to time whether a read still runs, until ctx ends. It
+// watch queries the holder at intervals whether a read still runs, until ctx ends. It
 // cancels the read if it does not.
 func (f *Forwarder) watch(ctx context.Context, cancel context.CancelCauseFunc, h Holder, sequence uint64) {
 	question, err := encode(&Request{From: f.VM, Sequence: sequence, Running: true})
@@ -196,6 +196,6 @@
 			}
 			return
 		}
-		_ = sleep.For(ctx, askInterval) // the loop checks ctx
+		_ = sleep.For(ctx, queryInterval) // the loop checks ctx
 	}
 }
--- a/internal/quotarelay/quotarelay.go
+++ b/internal/quotarelay/quotarelay.go
@@ -24,7 +24,7 @@
 const (
 	// admitTimeout bounds the wait in Admit.
 	admitTimeout = 50 * time.Millisecond
-	// hedgeDelay is how long the allocator may take before another one is asked too. A
+	// hedgeDelay is how long the allocator may take before another one is queried too. A
 	// round trip within a data centre takes 0.4 ms.
 	hedgeDelay = 15 * time.Millisecond
 	// unresponsiveTime is how long a proxy is not made the allocator after it did not
@@ -33,15 +33,15 @@
 	// lostTime is how long an allocator that did not respond is not waited for. The next
 	// renewal finds out whether it responds again.
 	lostTime = time.Second
-	// renewInterval is how often the seat is lent again. A lease takes 1.1 s, so that one
+	// renewInterval is how often the share is lent again. A lease takes 1.1 s, so that one
 	// lost message does not end it.
 	renewInterval = 350 * time.Millisecond
 	// startInterval is the same until the directory was read.
 	startInterval = 20 * time.Millisecond
 	// exchangeInterval is how often data centres exchange their demand.
 	exchangeInterval = 500 * time.Millisecond
-	// formerTime is how long the allocator before the present one is still asked: it
-	// keeps seats for the length of a lease.
+	// formerTime is how long the previous allocator is still queried: it
+	// keeps shares for the length of a lease.
 	formerTime = 2 * time.Second
 	// minRetryAfter is the shortest retry time given to a refused caller; a random time
 	// of up to retrySpread is added, so that callers don't return at once.
@@ -113,7 +113,7 @@
 	limit tables.Team
 	// call is the request that is under way, next the one to be sent after it.
 	call, next *call
-	// admitted and refused count operations, asked and granted tokens.
+	// admitted and refused count operations, requested and granted count tokens.
 	counters metrics.TeamQuota
 	// refusals were not logged since loggedAt.
 	refusals int
@@ -129,8 +129,8 @@
 // peerState is what is known of an allocator in this data centre.
 type peerState struct {
 	address string
-	// askedAt is when it was last sent a request, respondedAt when it last responded.
-	askedAt, respondedAt tables.Time
+	// requestedAt is when it was last sent a request, respondedAt when it last responded.
+	requestedAt, respondedAt tables.Time
 	// lostAt is when it last did not respond; 0 if it responded since.
 	lostAt tables.Time
 }
@@ -336,7 +336,7 @@
 // refusalLogInterval is the shortest time between two lines about refusals of a team.
 const refusalLogInterval = 10 * time.Second
 
-// renew lends this proxy's seat to the allocator again and again, until ctx ends.
+// renew lends this proxy's share to the allocator again and again, until ctx ends.
 func (r *Relay) renew(ctx context.Context) {
 	for {
 		known := r.readDirectory()
--- a/internal/quotarelay/request.go
+++ b/internal/quotarelay/request.go
@@ -11,7 +11,7 @@
 )
 
 // request requests tokens of a team: from the allocator of this data centre and, if it
-// does not respond or has few seats, from another one.
+// does not respond or has few shares, from another one.
 func (r *Relay) request(id tables.TeamID, t *team, waiting int) {
 	r.mu.Lock()
 	asks := []quota.Ask{r.node.Asks(id, waiting, r.Now())}
@@ -73,7 +73,7 @@
 }
 
 // requestFrom requests tokens from the allocator of this data centre, and lends it this
-// proxy's seat.
+// proxy's share.
 func (r *Relay) requestFrom(t *team, address string, asks []quota.Ask) hint {
 	resp, err := r.call(context.Background(), address, true, asks, admitTimeout)
 	if err != nil {
@@ -107,7 +107,7 @@
 }
 
 const (
-	// maxElsewhere bounds how many other allocators are asked for one operation.
+	// maxElsewhere bounds how many other allocators are queried for one operation.
 	maxElsewhere = 3
 	// elsewhereTimeout bounds the wait for one of them. A round trip between the data
 	// centres of a region takes 1.8 ms.
@@ -146,7 +146,7 @@
 	q := r.node.Request(address, lend, asks, sentAt)
 	if lend {
 		r.setAllocator(address)
-		r.allocator.askedAt = sentAt
+		r.allocator.requestedAt = sentAt
 	}
 	r.mu.Unlock()
 	resp, err := r.exchange.Call(ctx, timeout, q, address)
@@ -224,13 +224,13 @@
 	return r.allocator.address == address && r.allocator.lostAt != 0 && r.Now().Sub(r.allocator.lostAt) < lostTime
 }
 
-// renewAt lends this proxy's seat if no request did so recently. The first response
-// brings the stamp that the seat is lent with.
+// renewAt lends this proxy's share if no request did so recently. The first response
+// brings the stamp that the share is lent with.
 func (r *Relay) renewAt(ctx context.Context, address string) {
 	for range 2 {
 		r.mu.Lock()
 		first := r.allocator.address != address || r.allocator.respondedAt == 0
-		due := first || r.Now().Sub(r.allocator.askedAt) >= renewInterval/2
+		due := first || r.Now().Sub(r.allocator.requestedAt) >= renewInterval/2
 		r.mu.Unlock()
 		if !due {
 			return
--- a/internal/systems/quota/allocator.go
+++ b/internal/systems/quota/allocator.go
@@ -7,41 +7,41 @@
 )
 
 const (
-	// lease is how long a lent seat is valid after the allocator's stamp. A new allocator
-	// gets the seats of its predecessor after this time. It is not below transferLife:
-	// a seat then changes hands at most once while transferred tokens are in use.
+	// lease is how long a lent share is valid after the allocator's stamp. A new allocator
+	// gets the shares of its predecessor after this time. It is not below transferLife:
+	// a share then changes hands at most once while transferred tokens are in use.
 	lease = transferLife
 	// leaseMargin covers the difference of the speeds of two clocks.
 	leaseMargin = 20 * time.Millisecond
 )
 
-// seat is a fraction of the limits that a proxy has lent.
-type seat struct {
+// share is a fraction of the limits that a proxy has lent.
+type share struct {
 	fraction     float64
 	since, until tables.Time
 }
 
-// allocator holds the buckets that are filled from a proxy's own seat and from those
+// allocator holds the buckets that are filled from a proxy's own share and from those
 // lent to it.
 type allocator struct {
-	// own is this proxy's seat, without end; its fraction is 0 while it is lent.
-	own     seat
-	seats   map[tables.VMID]seat
+	// own is this proxy's share, without end; its fraction is 0 while it is lent.
+	own     share
+	shares  map[tables.VMID]share
 	part    part
 	buckets map[tables.TeamID]*bucket
-	// nextChange is when a lease ends or a seat gets its full part of the pool; 0 if
+	// nextChange is when a lease ends or a share gets its full part of the pool; 0 if
 	// no such time is known.
 	nextChange tables.Time
 }
 
-// settle applies the changes of seats up to now.
+// settle applies the changes of shares up to now.
 func (a *allocator) settle(now tables.Time) {
 	for a.nextChange != 0 && a.nextChange <= now {
 		at := a.nextChange
 		a.fillAll(at)
-		for vm, s := range a.seats {
+		for vm, s := range a.shares {
 			if s.until <= at {
-				delete(a.seats, vm)
+				delete(a.shares, vm)
 			}
 		}
 		a.sum(at)
@@ -55,19 +55,19 @@
 	}
 }
 
-// sum adds up the seats and cuts the buckets to them.
+// sum adds up the shares and cuts the buckets to them.
 func (a *allocator) sum(now tables.Time) {
 	a.part, a.nextChange = part{}, 0
 	a.count(a.own, now)
-	for _, s := range a.seats {
+	for _, s := range a.shares {
 		a.count(s, now)
 		a.changeAt(s.until)
 	}
 	a.fillAll(now)
 }
 
-// count adds a seat.
-func (a *allocator) count(s seat, now tables.Time) {
+// count adds a share.
+func (a *allocator) count(s share, now tables.Time) {
 	a.part.rate += s.fraction
 	full := s.since.Add(transferLife)
 	if now >= full {
@@ -84,7 +84,7 @@
 	}
 }
 
-// setOwn changes this proxy's own seat.
+// setOwn changes this proxy's own share.
 func (a *allocator) setOwn(fraction float64, now tables.Time) {
 	a.settle(now)
 	if fraction == a.own.fraction {
@@ -98,23 +98,23 @@
 	a.sum(now)
 }
 
-// borrow adds or renews the seat of a proxy.
+// borrow adds or renews the share of a proxy.
 func (a *allocator) borrow(vm tables.VMID, fraction float64, until, now tables.Time) {
 	a.settle(now)
-	old, ok := a.seats[vm]
+	old, ok := a.shares[vm]
 	if until <= now || ok && until <= old.until {
 		return
 	}
 	if ok && old.fraction == fraction {
 		old.until = until // nextChange is early at worst
-		a.seats[vm] = old
+		a.shares[vm] = old
 		return
 	}
 	if !ok {
 		old.since = now
 	}
 	a.fillAll(now)
-	a.seats[vm] = seat{fraction: fraction, since: old.since, until: until}
+	a.shares[vm] = share{fraction: fraction, since: old.since, until: until}
 	a.sum(now)
 }
 
--- a/internal/systems/quota/membership.go
+++ b/internal/systems/quota/membership.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// joinTime is how long a proxy that is new in the directory has no seat if no other
+	// joinTime is how long a proxy that is new in the directory has no share if no other
 	// proxy reports as many. The others read the directory every 30 s.
 	joinTime = 45 * time.Second
 	// spreadTime is the same if another one does: proxies tell each other the largest
@@ -30,8 +30,8 @@
 	Listed bool
 }
 
-// membership decides whether this proxy owns a seat, and how large one is. The sum of
-// all seats is at most one if no proxy believes in fewer proxies than others do. A
+// membership decides whether this proxy owns a share, and how large one is. The sum of
+// all shares is at most one if no proxy believes in fewer proxies than others do. A
 // proxy that is new in the directory therefore waits until the others know it, also when
 // all proxies of a deployment are new.
 type membership struct {
@@ -88,11 +88,11 @@
 // proxies returns the number of proxies. It does not decrease within countMemory.
 func (m *membership) proxies() int { return max(m.listed.n, m.heard.n) }
 
-// seatSize returns the reciprocal of this proxy's fraction of the limits; 0 if it owns
-// no seat. A proxy whose row is older than the process owns its seat as soon as any
+// shareSize returns the reciprocal of this proxy's fraction of the limits; 0 if it owns
+// no share. A proxy whose row is older than the process owns its share as soon as any
 // other one reports as many proxies, and one that left shortly before as soon as any
 // other one reports more than the directory has.
-func (m *membership) seatSize(now tables.Time) int {
+func (m *membership) shareSize(now tables.Time) int {
 	m.owner = m.owner || m.expected
 	if !m.owner && m.listedAt != 0 {
 		confirmed := m.heard.n >= m.directory.Proxies || m.directory.Proxies == 1
--- a/internal/systems/quota/messages.go
+++ b/internal/systems/quota/messages.go
@@ -26,9 +26,9 @@
 	VM tables.VMID `msgpack:"v"`
 	// Proxies is the number of proxies as the sender knows it.
 	Proxies int `msgpack:"n"`
-	// Seat is the reciprocal of the fraction of the limits that the sender lends until a
+	// Share is the reciprocal of the fraction of the limits that the sender lends until a
 	// lease after Stamp, a stamp of the receiver; 0 if it lends none.
-	Seat  int   `msgpack:"s,omitempty"`
+	Share int   `msgpack:"s,omitempty"`
 	Stamp Stamp `msgpack:"m"`
 	Asks  []Ask `msgpack:"a,omitempty"`
 }
@@ -48,7 +48,7 @@
 	Stamp   Stamp   `msgpack:"m"`
 	Proxies int     `msgpack:"n"`
 	Grants  []Grant `msgpack:"g,omitempty"`
-	// Partial means that the allocator has few of the seats of its data centre, as
+	// Partial means that the allocator has few of the shares of its data centre, as
 	// after its start, so that another may have tokens.
 	Partial bool `msgpack:"p,omitempty"`
 }
--- a/internal/systems/quota/node.go
+++ b/internal/systems/quota/node.go
@@ -11,7 +11,7 @@
 	batchTime = 200 * time.Millisecond
 	// maxDenialTime is how long a denial holds without another request.
 	maxDenialTime = 50 * time.Millisecond
-	// partialShare is the share of its data centre's seats below which an allocator
+	// partialShare is the share of its data centre's shares below which an allocator
 	// reports that it has few, and warmTime how long it still reports so afterwards,
 	// while its buckets fill.
 	partialShare = 0.5
@@ -28,7 +28,7 @@
 	members    membership
 	alloc      allocator
 	users      map[tables.TeamID]*user
-	// lentTo is the process that has this proxy's seat until lentUntil, lentAddress its
+	// lentTo is the process that has this proxy's share until lentUntil, lentAddress its
 	// address.
 	lentTo      uint64
 	lentAddress string
@@ -36,7 +36,7 @@
 	// stamps are the newest stamps of allocators by address.
 	stamps map[string]received
 	peers  map[tables.DataCentreID]*peer
-	// partialAt is when this proxy last had few of the seats of its data centre.
+	// partialAt is when this proxy last had few of the shares of its data centre.
 	partialAt tables.Time
 }
 
@@ -64,10 +64,10 @@
 func NewNode(vm tables.VMID, dataCentre tables.DataCentreID, process uint64, now tables.Time) *Node {
 	return &Node{
 		vm: vm, dataCentre: dataCentre, process: process,
-		// An earlier process of this VM may have lent the seat. An allocator counts the seat
+		// An earlier process of this VM may have lent the share. An allocator counts the share
 		// of a VM once, so it may be lent again, but not used by this proxy itself.
 		lentUntil: now.Add(lease),
-		alloc:     allocator{seats: make(map[tables.VMID]seat)},
+		alloc:     allocator{shares: make(map[tables.VMID]share)},
 		users:     make(map[tables.TeamID]*user),
 		stamps:    make(map[string]received),
 		peers:     make(map[tables.DataCentreID]*peer),
@@ -100,9 +100,9 @@
 	n.updateOwn(now)
 }
 
-// updateOwn sets the seat that this proxy uses itself: its own, unless it is lent.
+// updateOwn sets the share that this proxy uses itself: its own, unless it is lent.
 func (n *Node) updateOwn(now tables.Time) {
-	size := n.members.seatSize(now)
+	size := n.members.shareSize(now)
 	if size == 0 || now < n.lentUntil {
 		n.alloc.setOwn(0, now)
 		return
@@ -152,23 +152,23 @@
 }
 
 // Request returns the message to the allocator at an address. If lend is true, this is
-// the allocator of this proxy's data centre, and gets its seat.
+// the allocator of this proxy's data centre, and gets its share.
 func (n *Node) Request(address string, lend bool, asks []Ask, now tables.Time) Request {
 	q := Request{VM: n.vm, Proxies: n.members.listed.n, Asks: asks}
 	s, ok := n.stamps[address]
-	size := n.members.seatSize(now)
+	size := n.members.shareSize(now)
 	until := s.at.Add(lease)
 	if !lend || !ok || size == 0 || until <= now || n.lentElsewhere(address, s.stamp.Process, now) {
 		return q
 	}
-	q.Seat, q.Stamp = size, s.stamp
+	q.Share, q.Stamp = size, s.stamp
 	n.lentTo, n.lentAddress, n.lentUntil = s.stamp.Process, address, max(n.lentUntil, until)
 	n.updateOwn(now)
 	return q
 }
 
 // lentElsewhere reports whether another process than the given one may have this proxy's
-// seat. An earlier process at the same address has ended, and its tokens with it.
+// share. An earlier process at the same address has ended, and its tokens with it.
 func (n *Node) lentElsewhere(address string, process uint64, now tables.Time) bool {
 	return now < n.lentUntil && n.lentTo != 0 && n.lentTo != process && n.lentAddress != address
 }
@@ -177,15 +177,15 @@
 func (n *Node) Respond(q Request, now tables.Time) Response {
 	n.members.hear(q.Proxies, now)
 	n.updateOwn(now)
-	if q.Seat > 0 && q.Stamp.Process == n.process && q.VM != n.vm {
-		n.alloc.borrow(q.VM, 1/float64(q.Seat), q.Stamp.At.Add(lease-leaseMargin), now)
+	if q.Share > 0 && q.Stamp.Process == n.process && q.VM != n.vm {
+		n.alloc.borrow(q.VM, 1/float64(q.Share), q.Stamp.At.Add(lease-leaseMargin), now)
 	}
 	r := Response{Stamp: Stamp{n.process, now}, Proxies: n.members.listed.n}
 	r.Grants, r.Partial = n.Allocate(q.Asks, now)
 	return r
 }
 
-// partial reports whether this proxy has, or had shortly before, few of the seats of its
+// partial reports whether this proxy has, or had shortly before, few of the shares of its
 // data centre.
 func (n *Node) partial(now tables.Time) bool {
 	d := n.members.directory
@@ -196,7 +196,7 @@
 }
 
 // Allocate grants tokens from this proxy's buckets. partial means that it has, or had
-// shortly before, few of the seats of its data centre.
+// shortly before, few of the shares of its data centre.
 func (n *Node) Allocate(asks []Ask, now tables.Time) (grants []Grant, partial bool) {
 	n.updateOwn(now)
 	n.alloc.settle(now)
@@ -250,7 +250,7 @@
 	}
 }
 
-// Fallback admits an operation without the allocator: from this proxy's seat while it
+// Fallback admits an operation without the allocator: from this proxy's share while it
 // is not lent, or from its part of the reserve.
 func (n *Node) Fallback(team tables.TeamID, now tables.Time) bool {
 	if grants, _ := n.Allocate([]Ask{{Team: team, Need: 1}}, now); grants[0].Tokens > 0 {
@@ -267,7 +267,7 @@
 // of the reserve, half of it saved up. It starts with none, so that a restart gives
 // nothing twice.
 func (n *Node) takeReserve(u *user, now tables.Time) bool {
-	if n.members.seatSize(now) == 0 {
+	if n.members.shareSize(now) == 0 {
 		u.reserveAt = now
 		return false
 	}
--- a/internal/systems/quota/plan.go
+++ b/internal/systems/quota/plan.go
@@ -2,10 +2,10 @@
 // answers the load of a team that sends several times its usual load through many
 // proxies which may be cut off from each other, restart or be suspended.
 //
-// Each proxy owns a seat, a fraction of every limit; the fractions of all proxies add
-// up to one. A proxy lends its seat to the allocator of its data centre, for a short
-// time, and runs on the seat alone while there is no allocator. Tokens are minted from
-// seats only, and are moved, never copied, so that the sum holds over any partition.
+// Each proxy owns a share, a fraction of every limit; the fractions of all proxies add
+// up to one. A proxy lends its share to the allocator of its data centre, for a short
+// time, and runs on the share alone while there is no allocator. Tokens are minted from
+// shares only, and are moved, never copied, so that the sum holds over any partition.
 package quota
 
 import (
@@ -61,12 +61,12 @@
 	// 500 ms, and the time up to the next message.
 	transferLife = 1100 * time.Millisecond
 	// maxSentShare is the largest part of a pool that is given to other data centres at
-	// a time. A seat that has just changed hands saves up only the rest of its part of
+	// a time. A share that has just changed hands saves up only the rest of its part of
 	// the pool, because tokens given away at its last allocator may still be in use.
 	maxSentShare = 0.5
 )
 
-// plan divides what a window may contain. Over all seats, a window contains at most
+// plan divides what a window may contain. Over all shares, a window contains at most
 // rate x (window + grantLife) + pool + reserve operations.
 type plan struct {
 	// rate is the rate at which tokens are minted, per second.
--- a/internal/systems/quota/quota_test.go
+++ b/internal/systems/quota/quota_test.go
@@ -16,7 +16,7 @@
 // start is the time at which the processes of the tests start.
 const start = tables.Time(time.Hour)
 
-// newTestNode returns a proxy that is known to all others and owns its seat.
+// newTestNode returns a proxy that is known to all others and owns its share.
 func newTestNode(vm tables.VMID, dc tables.DataCentreID, process uint64, proxies int) *Node {
 	n := NewNode(vm, dc, process, start)
 	n.Configure(map[tables.TeamID]Limit{team: {Rate: 10, Burst: 10}}, tolerance, start)
@@ -25,7 +25,7 @@
 	return n
 }
 
-// lend makes p lend its seat to a, and returns the time after that.
+// lend makes p lend its share to a, and returns the time after that.
 func lend(p, a *Node, now tables.Time) {
 	p.Receive(string(a.vm), now, nil, a.Respond(p.Request(string(a.vm), true, nil, now), now), now)
 	a.Respond(p.Request(string(a.vm), true, nil, now), now)
@@ -53,26 +53,26 @@
 	}
 }
 
-// TestLentSeatIsUsedOnce guards against a proxy and its allocators using one seat at
+// TestLentShareIsUsedOnce guards against a proxy and its allocators using one share at
 // the same time.
-func TestLentSeatIsUsedOnce(t *testing.T) {
+func TestLentShareIsUsedOnce(t *testing.T) {
 	p, a, b := newTestNode("p", "dc", 1, 3), newTestNode("a", "dc", 2, 3), newTestNode("b", "dc", 3, 3)
 	now := start.Add(2 * time.Second)
 	lend(p, a, now)
 	lend(p, b, now)
 	p.updateOwn(now)
 	assert.Equal(t, p.alloc.part.rate, 0.0)
-	assert.Equal(t, len(a.alloc.seats), 1)
-	assert.Equal(t, len(b.alloc.seats), 0)
+	assert.Equal(t, len(a.alloc.shares), 1)
+	assert.Equal(t, len(b.alloc.shares), 0)
 	a.alloc.settle(now.Add(lease))
-	assert.Equal(t, len(a.alloc.seats), 0, "the lease has ended")
+	assert.Equal(t, len(a.alloc.shares), 0, "the lease has ended")
 	lend(p, b, now.Add(lease+time.Millisecond))
-	assert.Equal(t, len(b.alloc.seats), 1)
+	assert.Equal(t, len(b.alloc.shares), 1)
 }
 
-// TestNewProcessDoesNotUseSeatOfItsPredecessor guards against the seat of a restarted
+// TestNewProcessDoesNotUseShareOfItsPredecessor guards against the share of a restarted
 // proxy being used by the process and by the allocator that its predecessor lent it to.
-func TestNewProcessDoesNotUseSeatOfItsPredecessor(t *testing.T) {
+func TestNewProcessDoesNotUseShareOfItsPredecessor(t *testing.T) {
 	p := newTestNode("p", "dc", 1, 3)
 	p.updateOwn(start.Add(lease - 1))
 	assert.Equal(t, p.alloc.part.rate, 0.0)
@@ -125,21 +125,21 @@
 	assert.Equal(t, tokens(), had, "the stamp that the tokens depend on is too old")
 }
 
-// TestReturningProxyHasItsSeatAtOnce guards against limits that shrink while proxies are
+// TestReturningProxyHasItsShareAtOnce guards against limits that shrink while proxies are
 // stopped and started in turn: the others count a proxy for a minute after it has left.
-func TestReturningProxyHasItsSeatAtOnce(t *testing.T) {
+func TestReturningProxyHasItsShareAtOnce(t *testing.T) {
 	var m membership
 	m.setDirectory(Directory{Proxies: 5}, start)
 	m.hear(5, start)
-	assert.Equal(t, m.seatSize(start), 0, "as many as the directory has without this proxy")
+	assert.Equal(t, m.shareSize(start), 0, "as many as the directory has without this proxy")
 	m.hear(6, start)
-	assert.Equal(t, m.seatSize(start), 6)
+	assert.Equal(t, m.shareSize(start), 6)
 }
 
-// TestJoiningProxyHasNoSeatUntilOthersKnowIt guards against seats that add up to more
+// TestJoiningProxyHasNoShareUntilOthersKnowIt guards against shares that add up to more
 // than the limit while proxies have different directories. A proxy that no other one
 // has heard of waits until all have read the directory again.
-func TestJoiningProxyHasNoSeatUntilOthersKnowIt(t *testing.T) {
+func TestJoiningProxyHasNoShareUntilOthersKnowIt(t *testing.T) {
 	for _, c := range []struct {
 		reported int
 		wait     time.Duration
@@ -149,10 +149,10 @@
 		listedAt := start.Add(time.Second)
 		m.setDirectory(Directory{Proxies: 6, Listed: true}, listedAt)
 		m.heard.learn(c.reported, listedAt)
-		assert.Equal(t, m.seatSize(listedAt.Add(c.wait-time.Millisecond)), 0, "%d reported", c.reported)
+		assert.Equal(t, m.shareSize(listedAt.Add(c.wait-time.Millisecond)), 0, "%d reported", c.reported)
 		later := listedAt.Add(c.wait)
-		assert.Equal(t, m.seatSize(later), 6, "%d reported", c.reported)
+		assert.Equal(t, m.shareSize(later), 6, "%d reported", c.reported)
 		m.setDirectory(Directory{Proxies: 3, Listed: true}, later)
-		assert.Equal(t, m.seatSize(later), 6, "a directory that lost rows")
+		assert.Equal(t, m.shareSize(later), 6, "a directory that lost rows")
 	}
 }
