--- a/internal/quotarelay/quotarelay.go
+++ b/internal/quotarelay/quotarelay.go
@@ -353,19 +353,23 @@
 	}
 }
 
-// readDirectory takes a reading of the directory. It returns false until it was read.
+// readDirectory takes a reading of the directory. It returns false until it was read. An
+// empty directory is one that the store has lost: the last one stays in use.
 func (r *Relay) readDirectory() bool {
 	r.configure()
 	d := r.Directory()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first := r.directory.Proxies == 0
+	if d.Proxies == 0 {
+		return !first
+	}
 	r.directory = d
 	r.node.SetDirectory(d.Directory, r.Now())
-	if first && d.Proxies > 0 {
+	if first {
 		close(r.ready)
 	}
-	return d.Proxies > 0
+	return true
 }
 
 // limited reports whether any team has a limit.
