--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -16,9 +16,9 @@
 	queryDelay = 50 * time.Millisecond
 	// queryInterval is the pause until it is queried again.
 	queryInterval = 100 * time.Millisecond
-	// askTimeout bounds the wait for the answer. A proxy with a fifth of a core may stand
+	// queryTimeout bounds the wait for the response. A proxy with a fifth of a core may stand
 	// still for 80 ms at a time.
-	askTimeout = 100 * time.Millisecond
+	queryTimeout = 100 * time.Millisecond
 	// lateResponseTime is how long a response may follow after the answer that the read has
 	// ended: the two arrive on different topics.
 	lateResponseTime = 10 * time.Millisecond
@@ -155,12 +155,12 @@
 // probe queries a skipped holder whether it responds again. A response to any query will
 // do.
 func (f *Forwarder) probe(h Holder) {
-	question, err := encode(&Request{From: f.VM, Running: true})
+	query, err := encode(&Request{From: f.VM, Running: true})
 	if err != nil {
-		f.log.Error("Failed to encode a question.", "error", err)
+		f.log.Error("Failed to encode a query.", "error", err)
 		return
 	}
-	raw, err := f.exchange.Call(context.Background(), askTimeout, question, h.address)
+	raw, err := f.exchange.Call(context.Background(), queryTimeout, query, h.address)
 	if err != nil {
 		f.skip(h.VM, ErrHolderSilent)
 		return
@@ -179,9 +179,9 @@
 // watch queries the holder at intervals whether a read still runs, until ctx ends. It
 // cancels the read if it does not.
 func (f *Forwarder) watch(ctx context.Context, cancel context.CancelCauseFunc, h Holder, sequence uint64) {
-	question, err := encode(&Request{From: f.VM, Sequence: sequence, Running: true})
+	query, err := encode(&Request{From: f.VM, Sequence: sequence, Running: true})
 	for err == nil && ctx.Err() == nil {
-		raw, callErr := f.exchange.Call(ctx, askTimeout, question, h.address)
+		raw, callErr := f.exchange.Call(ctx, queryTimeout, query, h.address)
 		if callErr != nil {
 			cancel(ErrHolderSilent) // no effect if ctx has ended
 			return
