Keep the primary of a group whose entries appear late

A group whose first entry appeared was taken for one whose primary is gone: with two regions 0.11 s after a replica's entry a replacement was announced, 0.1 s before the primary's entry. The record named no primary, so neither 'still leads' nor a cancellation could apply; each attempt failed because the primary led, and every proxy queried the servers before the next.

A primary that was never seen counts as gone 5 s after the newest entry of its group; an attempt without a known primary identifies it from the servers' own status and cancels the replacement if it leads; an order that was recorded and not sent is removed; once a replacement is announced, only the holder of the coordinator lease queries the replicas.

--- a/internal/fleet/coordinator.go
+++ b/internal/fleet/coordinator.go
@@ -124,10 +124,7 @@
 	if a.failedLeader.Upstream != nil && a.recordVersion != a.failedLeader.record {
 		return lease, errors.Errorf("the record changed to version %s since the primary of version %s failed", a.recordVersion, a.failedLeader.record)
 	}
-	if lost, ok := f.lostMember(f.group(a.id)); ok {
-		return lease, errLostMember(lost)
-	}
-	return lease, nil
+	return lease, f.checkMembers(f.group(a.id))
 }
 
 // writeAnnouncement writes the announcement; at is when the rows were read.
--- a/internal/fleet/entries_test.go
+++ b/internal/fleet/entries_test.go
@@ -166,17 +166,19 @@
 	f := &Fleet{Options: Options{SeveralRegions: true}}
 	g := &group{}
 	silent := silentReplica{id: "a", err: errors.New("i/o timeout")}
-	assert.Equal(t, f.retryDelay(g, silent), replaceRetryDelay)
-	assert.Equal(t, f.retryDelay(g, silent), 2*replaceRetryDelay)
+	assert.Equal(t, f.retryDelay(g, replace.CauseGone, silent), replaceRetryDelay)
+	assert.Equal(t, f.retryDelay(g, replace.CauseGone, silent), 2*replaceRetryDelay)
 	for range 5 {
-		f.retryDelay(g, silent)
+		f.retryDelay(g, replace.CauseGone, silent)
 	}
-	assert.Equal(t, f.retryDelay(g, silent), 8*replaceRetryDelay)
-	assert.Equal(t, f.retryDelay(g, errNotCoordinator), replaceRetryDelay)
-	assert.Equal(t, f.retryDelay(g, silent), replaceRetryDelay)
+	assert.Equal(t, f.retryDelay(g, replace.CauseGone, silent), 8*replaceRetryDelay)
+	assert.Equal(t, f.retryDelay(g, replace.CauseGone, errNotCoordinator), replaceRetryDelay)
+	assert.Equal(t, f.retryDelay(g, replace.CauseGone, silent), replaceRetryDelay)
 	f.SeveralRegions = false
-	f.retryDelay(g, silent)
-	assert.Equal(t, f.retryDelay(g, silent), replaceRetryDelay)
+	f.retryDelay(g, replace.CauseGone, silent)
+	assert.Equal(t, f.retryDelay(g, replace.CauseGone, silent), replaceRetryDelay)
+	f.retryDelay(g, replace.CauseUnfinished, silent)
+	assert.Equal(t, f.retryDelay(g, replace.CauseUnfinished, silent), 2*replaceRetryDelay)
 }
 
 // A proxy that starts, or loses news, must not ramp up servers that ran before; a server
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -301,12 +301,13 @@
 		limits = r.Groups[e.Group]
 	}
 	return &Upstream{
-		fleet: f,
-		entry: e,
-		local: e.DataCentre == f.DataCentre,
-		slots: e.Slots,
-		pool:  links.NewPool(e, connectionLimit(limits, e.Slots), f.Open, f.Now),
-		gate:  gate.New(e.Slots, gateQueueLimit, f.Now),
-		pace:  pace.New(e.Slots),
+		fleet:    f,
+		entry:    e,
+		local:    e.DataCentre == f.DataCentre,
+		slots:    e.Slots,
+		joinedAt: f.Now(),
+		pool:     links.NewPool(e, connectionLimit(limits, e.Slots), f.Open, f.Now),
+		gate:     gate.New(e.Slots, gateQueueLimit, f.Now),
+		pace:     pace.New(e.Slots),
 	}
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -60,18 +60,26 @@
 	return out
 }
 
-// lostMember returns a terminated member whose log a replacement needs. The
-// lock must be held.
-func (f *Fleet) lostMember(g *group) (tables.UpstreamID, bool) {
+// checkMembers returns an error if a terminated member's log is needed to replace the
+// group's primary. Without a known primary the terminated member may be the primary; see
+// identifyPrimary. The lock must be held.
+func (f *Fleet) checkMembers(g *group) error {
 	primary := g.record.Primary
 	if g.version.IsZero() {
 		primary = g.Primary
 	}
-	terminated := replace.Stopped(g.members, f.possiblyRunning(g.id), primary)
-	if len(terminated) == 0 {
-		return "", false
+	if primary == "" {
+		return nil
 	}
-	return terminated[0], true
+	return f.checkMembersBeside(g, primary)
+}
+
+// checkMembersBeside does the same for a given primary. The lock must be held.
+func (f *Fleet) checkMembersBeside(g *group, primary tables.UpstreamID) error {
+	if terminated := replace.Stopped(g.members, f.possiblyRunning(g.id), primary); len(terminated) > 0 {
+		return errLostMember(terminated[0])
+	}
+	return nil
 }
 
 // membersToUpdate returns the groups whose list of members has to change, and
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -143,12 +143,9 @@
 		case g.record.Replacing:
 			check.cause = replace.CauseUnfinished
 		case !ok:
-			if !f.entriesSettled(now) || !f.hasServers(id) {
-				continue
-			}
 			// The primary's entry is missing and its server was removed, or no server
 			// ever led.
-			check.cause = replace.CauseGone
+			check.cause = replace.JudgeAbsent(f.absentView(g, now))
 		default:
 			check.leader = Leader{Upstream: u, group: g, record: g.version}
 			unanswered, commit, refused := u.unansweredSince()
@@ -170,10 +167,22 @@
 	return out
 }
 
-// entriesSettled reports whether the store has responded for long enough that
-// a missing entry means a terminated server. The lock must be held.
-func (f *Fleet) entriesSettled(now tables.Time) bool {
-	return f.entriesReadAt != 0 && now.Sub(max(f.entriesReadAt, f.storeRegainedAt)) >= replace.MissingTimeout
+// absentView returns the view of a group without a known primary. The lock must be
+// held.
+func (f *Fleet) absentView(g *group, now tables.Time) replace.AbsentView {
+	v := replace.AbsentView{Now: now, Led: g.lastPrimary != "" || g.record.Primary != ""}
+	if f.entriesReadAt != 0 {
+		v.EntriesSince = max(f.entriesReadAt, f.storeRegainedAt)
+	}
+	for _, u := range f.upstreams {
+		if u.entry.Group == g.id {
+			v.JoinedAt = max(v.JoinedAt, u.joinedAt)
+		}
+	}
+	if len(replace.Stopped(g.members, f.withEntry(g.id), "")) > 0 {
+		v.Led = true
+	}
+	return v
 }
 
 // serversKnown reports whether every server that may count for commits has an
--- a/internal/fleet/promotion.go
+++ b/internal/fleet/promotion.go
@@ -11,36 +11,33 @@
 	"github.com/pkg/errors"
 )
 
-// promoteBest demotes the old primary if it is reachable, waits until a
-// promotion may be ordered, orders it and waits until it takes effect. A server
-// that joins meanwhile may receive commits of the old primary, so it is held
-// too.
-func (a *attempt) promoteBest(ctx context.Context, held holds) error {
+// chooseReplica demotes the old primary if it is reachable, records which replica is to
+// be promoted, and waits until the promotion may be ordered. A server that joins
+// meanwhile may receive commits of the old primary, so it is held too.
+func (a *attempt) chooseReplica(ctx context.Context, held holds) (replace.Held, error) {
 	f := a.f
 	a.demotePrimary(ctx)
-	var best replace.Held
 	for {
 		if err := a.holdAll(ctx, held); err != nil {
-			return err
+			return replace.Held{}, err
 		}
 		heldAt, heldCount := f.Now(), len(held)
-		var ok bool
-		if best, ok = replace.Candidate(held.list()); !ok {
-			return errors.New("no replica is held")
+		best, ok := replace.Candidate(held.list())
+		if !ok {
+			return replace.Held{}, errors.New("no replica is held")
 		}
 		if err := a.recordOrder(ctx, best); err != nil {
-			return err
+			return replace.Held{}, err
 		}
 		if err := sleep.For(ctx, replace.OrderAt(a.announcedAt, heldAt).Sub(f.Now())); err != nil {
-			return err
+			return replace.Held{}, err
 		}
 		a.dropLostHolds(ctx, held)
 		if missing, err := a.holdRemaining(ctx, held); err == nil && missing == 0 && len(held) == heldCount && a.candidateUnchanged(held, best) {
 			a.heldAt = heldAt
-			break
+			return best, nil
 		}
 	}
-	return a.orderPromotion(ctx, best, len(held))
 }
 
 // recordOrder records which server is to be promoted.
@@ -161,7 +158,7 @@
 	if !f.beginAttempt(id) {
 		return
 	}
-	defer f.endAttempt(id, nil)
+	defer f.endAttempt(id, replace.CauseNone, nil)
 	f.mu.Lock()
 	g := f.group(id)
 	a := &attempt{f: f, id: id, era: g.version.Era, record: g.record, recordVersion: g.version}
--- a/internal/fleet/replacement.go
+++ b/internal/fleet/replacement.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/confirm"
 	"github.com/cranberrystage/cranberrystage/internal/systems/replace"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/google/uuid"
@@ -46,7 +47,7 @@
 	defer cancel()
 	log := f.log.With("group", id, "cause", cause.String())
 	err := f.tryReplacePrimary(ctx, id, cause, l)
-	f.endAttempt(id, err)
+	f.endAttempt(id, cause, err)
 	if err != nil {
 		log.Warn("Did not replace a primary.", "error", err, "took", f.Now().Sub(startedAt))
 		return
@@ -67,7 +68,7 @@
 	return true
 }
 
-func (f *Fleet) endAttempt(id tables.GroupID, err error) {
+func (f *Fleet) endAttempt(id tables.GroupID, cause replace.Cause, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(id)
@@ -76,7 +77,7 @@
 	if err == nil {
 		g.failedAttempts = 0
 	} else {
-		g.nextReplaceAt = f.Now().Add(f.retryDelay(g, err) + randomDelay())
+		g.nextReplaceAt = f.Now().Add(f.retryDelay(g, cause, err) + randomDelay())
 	}
 }
 
@@ -97,13 +98,15 @@
 // maxRetryDoublings bounds the doublings of the pause between attempts that fail.
 const maxRetryDoublings = 3
 
-// retryDelay returns the pause after a failed attempt. With several regions it doubles
-// with each attempt in a row that failed because a replica did not answer: while the
-// link between regions is full, every proxy of a region finds the same, and its
-// queries use that link. The lock must be held.
-func (f *Fleet) retryDelay(g *group, err error) time.Duration {
+// retryDelay returns the pause after a failed attempt. It doubles with each attempt in a
+// row that failed because a replica did not answer, if there are several regions or
+// another proxy may finish the replacement: while the link between regions is full, every
+// proxy of a region finds the same, and its queries use that link; and a proxy that
+// can't reach a replica must leave the coordinator lease to one that can. The lock must
+// be held.
+func (f *Fleet) retryDelay(g *group, cause replace.Cause, err error) time.Duration {
 	var silent silentReplica
-	if !f.SeveralRegions || !errors.As(err, &silent) {
+	if !f.SeveralRegions && cause != replace.CauseUnfinished || !errors.As(err, &silent) {
 		g.failedAttempts = 0
 		return replaceRetryDelay
 	}
@@ -140,11 +143,17 @@
 	if err := sleep.For(ctx, f.attemptDelay()); err != nil {
 		return err
 	}
-	if cause != replace.CauseUnfinished && f.replacing(id) {
-		return errors.New("another proxy has announced the replacement")
-	}
-	if err := f.checkReplicas(ctx, id, cause, l); err != nil {
-		return err
+	// Once a replacement is announced, only the holder of the coordinator lease queries
+	// the replicas: queries of all proxies would take the slots and connections that the
+	// replacement needs.
+	announced := cause == replace.CauseUnfinished
+	if !announced {
+		if f.replacing(id) {
+			return errors.New("another proxy has announced the replacement")
+		}
+		if err := f.checkReplicas(ctx, id, cause, l); err != nil {
+			return err
+		}
 	}
 	a := &attempt{f: f, id: id, era: f.currentEra(), claimID: string(f.VM) + "/" + uuid.NewString(), failedLeader: l}
 	if err := a.announce(ctx); err != nil {
@@ -156,23 +165,86 @@
 			return err
 		}
 	}
-	if cause == replace.CauseUnfinished && a.primaryStillLeads(ctx) {
+	if a.record.Primary == "" {
+		if err := a.identifyPrimary(ctx); err != nil {
+			return err
+		}
+	}
+	// Without a failed primary there may be one that appeared meanwhile.
+	if (announced || l.Upstream == nil) && a.primaryStillLeads(ctx) {
 		a.cancelReplacement(ctx)
-		return errors.New("the primary still leads, so the replacement was cancelled")
+		return errors.Errorf("%s still leads, so the replacement was cancelled", a.record.Primary)
+	}
+	if announced {
+		if err := f.checkReplicas(ctx, id, cause, l); err != nil {
+			return err
+		}
 	}
 	held := make(holds)
 	err := a.holdAll(ctx, held)
 	if err == nil && replace.AllLeaving(held.list()) && cause == replace.CauseLeaving {
 		err = errors.New("all replicas are leaving too")
 	}
+	var best replace.Held
+	if err == nil {
+		best, err = a.chooseReplica(ctx, held)
+	}
 	if err != nil {
-		// A primary that no longer leads can't be kept.
-		if _, leads := f.queryLeads(ctx, a.record.Primary); leads {
-			a.cancelReplacement(ctx)
+		a.withdraw(ctx)
+		return err
+	}
+	return a.orderPromotion(ctx, best, len(held))
+}
+
+// withdraw ends an attempt that has ordered no promotion. It cancels the replacement if
+// the primary leads, and otherwise leaves it to the next attempt, which need not wait for
+// an order that was recorded and not sent.
+func (a *attempt) withdraw(ctx context.Context) {
+	if a.primaryLeads(ctx) {
+		a.cancelReplacement(ctx)
+		return
+	}
+	if a.record.Ordered == "" {
+		return
+	}
+	if err := a.updateRecord(ctx, a.record.WithoutOrder()); err != nil {
+		a.f.log.Info("Could not remove an order that was not sent from the record.", "group", a.id, "error", err)
+	}
+}
+
+// primaryLeads reports whether the primary leads. One that was not known before may have
+// appeared since.
+func (a *attempt) primaryLeads(ctx context.Context) bool {
+	if a.record.Primary == "" {
+		if err := a.identifyPrimary(ctx); err != nil {
+			a.f.log.Info("Could not identify the primary of a group.", "group", a.id, "error", err)
+			return false
 		}
+	}
+	_, leads := a.f.queryLeads(ctx, a.record.Primary)
+	return leads
+}
+
+// identifyPrimary determines the primary of a group whose record names none, from the
+// servers' own status: the one that leads or, if none does, the only one without an
+// answer, which has ended. Orders of earlier attempts must have lapsed.
+func (a *attempt) identifyPrimary(ctx context.Context) error {
+	f := a.f
+	record, err := confirm.Decide(confirm.View{Known: a.record, Servers: f.queryServers(ctx, a.id)})
+	if err != nil {
+		return errors.Wrap(err, "identify the primary")
+	}
+	f.mu.Lock()
+	err = f.checkMembersBeside(f.group(a.id), record.Primary)
+	f.mu.Unlock()
+	if err != nil {
 		return err
 	}
-	return a.promoteBest(ctx, held)
+	if record.Primary != "" {
+		f.log.Info("Identified the primary of a group.", "group", a.id, "upstream", record.Primary, "term", record.Term)
+	}
+	a.record.Primary, a.record.Term = record.Primary, record.Term
+	return nil
 }
 
 // attemptDelay returns a random delay before an attempt. Without a primary, callers
@@ -196,10 +268,10 @@
 func (f *Fleet) checkReplicas(ctx context.Context, id tables.GroupID, cause replace.Cause, l Leader) error {
 	f.mu.Lock()
 	replicas := f.serversWhere(id, func(u *Upstream) bool { return u != l.Upstream && !f.hasTerminated(u) })
-	lostID, ok := f.lostMember(f.group(id))
+	lost := f.checkMembers(f.group(id))
 	f.mu.Unlock()
-	if ok {
-		return errLostMember(lostID)
+	if lost != nil {
+		return lost
 	}
 	if len(replicas) == 0 {
 		return errors.New("no replica is known")
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -38,6 +38,8 @@
 	leavingSince          tables.Time
 	// newest is that entry.
 	newest tables.Entry
+	// joinedAt is when this proxy first saw an entry of this run of the server.
+	joinedAt tables.Time
 
 	mu sync.Mutex
 	health
--- a/internal/systems/replace/replace.go
+++ b/internal/systems/replace/replace.go
@@ -26,6 +26,9 @@
 	// is reachable, before the server counts as stopped. Entries that expire during
 	// an outage of the store are back about two seconds after it.
 	MissingTimeout = 2500 * time.Millisecond
+	// FirstEntryTimeout is how long after the newest of a group's entries appeared the
+	// entry of a primary that was never seen may still appear.
+	FirstEntryTimeout = 5 * time.Second
 	// OrderTimeout is how long a promotion order without a visible effect may still
 	// take effect; servers take up to a second.
 	OrderTimeout = 3 * time.Second
@@ -131,6 +134,35 @@
 	}
 }
 
+// AbsentView is one proxy's view of a group in which no server is known to lead.
+type AbsentView struct {
+	// Now is when the view was taken.
+	Now tables.Time
+	// EntriesSince is since when entries have been read without an interruption of the
+	// store; 0 if they were never read.
+	EntriesSince tables.Time
+	// JoinedAt is when the newest of the group's servers appeared; 0 if there is none.
+	JoinedAt tables.Time
+	// Led reports whether the group is known to have had a primary.
+	Led bool
+}
+
+// JudgeAbsent returns CauseGone if the primary of v has surely ended, and otherwise
+// CauseNone. The entries of a group that starts appear one after the other, and that of
+// its primary may be the last one.
+func JudgeAbsent(v AbsentView) Cause {
+	switch {
+	case v.EntriesSince == 0 || v.JoinedAt == 0:
+		return CauseNone
+	case v.Now.Sub(v.EntriesSince) < MissingTimeout:
+		return CauseNone
+	case !v.Led && v.Now.Sub(v.JoinedAt) < FirstEntryTimeout:
+		return CauseNone
+	default:
+		return CauseGone
+	}
+}
+
 // Replicates reports whether a primary is alive and replicates to a replica, given
 // two successive status reports of the replica.
 func Replicates(first, second statement.ServerStatus) bool {
