Query all replicas before an unfinished promotion order is given up

TestRandomWalk/10 ended without a primary: an order had taken effect at a server that did not answer when the next attempt removed the order.

--- a/internal/fleet/replacement.go
+++ b/internal/fleet/replacement.go
@@ -161,6 +161,10 @@
 	}
 	defer a.releaseCoordinator(ctx)
 	if a.record.Ordered != "" {
+		// An order may have taken effect at a server that does not answer.
+		if err := f.checkReplicas(ctx, id, cause, l); err != nil {
+			return err
+		}
 		if done, err := a.finishOrder(ctx); done || err != nil {
 			return err
 		}
