--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -161,6 +161,7 @@
 	// announcedAt is when this proxy saw the announcement of the replacement
 	// under way.
 	announcedAt tables.Time
+	leaderless  leaderless
 }
 
 // New returns a fleet without configuration, servers or groups; Run fills it.
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -54,6 +54,7 @@
 		}
 		f.removeTerminatedServers()
 		f.advanceRamps()
+		f.reportLeaderless()
 		for _, id := range f.membersToUpdate() {
 			go f.updateMembers(ctx, id)
 		}
--- a/internal/fleet/replacement.go
+++ b/internal/fleet/replacement.go
@@ -77,6 +77,7 @@
 	if err == nil {
 		g.failedAttempts = 0
 	} else {
+		g.leaderless.reason = err.Error()
 		g.nextReplaceAt = f.Now().Add(f.retryDelay(g, cause, err) + randomDelay())
 	}
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -30,6 +30,9 @@
 	// UnconfirmedGroups is the number of groups whose primary is not confirmed in the
 	// store's present era.
 	UnconfirmedGroups = "cranberrystage_unconfirmed_groups"
+	// LeaderlessSeconds is how long the group that has been without a primary for longest
+	// has been without one; 0 if all have one.
+	LeaderlessSeconds = "cranberrystage_leaderless_seconds"
 	// ConfigVersion is the configuration version in force.
 	ConfigVersion = "cranberrystage_config_version"
 	// ConfigVersionKnown is the newest configuration version that this proxy knows of,
@@ -118,6 +121,7 @@
 	configKnown   prometheus.Gauge
 	storeEra      prometheus.Gauge
 	unconfirmed   prometheus.Gauge
+	leaderless    prometheus.Gauge
 	callers       prometheus.Gauge
 	callerErrors  *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
@@ -145,6 +149,8 @@
 			prometheus.GaugeOpts{Name: StoreEra, Help: "Times that the platform's store came back from an older copy."}),
 		unconfirmed: prometheus.NewGauge(
 			prometheus.GaugeOpts{Name: UnconfirmedGroups, Help: "Groups whose primary is not confirmed since the store came back from an older copy."}),
+		leaderless: prometheus.NewGauge(
+			prometheus.GaugeOpts{Name: LeaderlessSeconds, Help: "Longest time that a group has been without a primary."}),
 		configVersion: prometheus.NewGauge(
 			prometheus.GaugeOpts{Name: ConfigVersion, Help: "Configuration version in force."}),
 		configKnown: prometheus.NewGauge(
@@ -164,7 +170,7 @@
 		rampSeconds: histogram(RampSeconds, "Time from the begin of a server's ramp to its end.", rampBuckets, LabelGroup, LabelResult),
 		forward:     newForwardMetrics(reg),
 	}
-	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.configKnown, m.storeEra, m.unconfirmed, m.callers, m.callerErrors,
+	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.configKnown, m.storeEra, m.unconfirmed, m.leaderless, m.callers, m.callerErrors,
 		m.storeCalls, m.storeSeconds, m.ramps, m.rampSeconds)
 	m.quota = newQuotaMetrics(reg)
 	return m
@@ -233,6 +239,9 @@
 // store's present era.
 func (m *Metrics) SetUnconfirmedGroups(n int) { m.unconfirmed.Set(float64(n)) }
 
+// SetLeaderlessTime records how long a group has been without a primary.
+func (m *Metrics) SetLeaderlessTime(d time.Duration) { m.leaderless.Set(d.Seconds()) }
+
 // SetConfigVersion records the configuration version in force.
 func (m *Metrics) SetConfigVersion(v uint64) {
 	m.configVersion.Set(float64(v))
