Forward reads wherever a proxy's share of connections is below the server's slots

Below a share of 1 only, reads went through holders. With 28 connections and 27 proxies (1.04) a proxy kept one connection and opened a second one whenever two of its statements coincided: 0.30 to 0.36 new connections a request, each 12 ms of a slot of two.

TestNothingIsForwardedWithEnoughConnections had a connection for each proxy; enough is now one for each proxy and slot, so the test has these, and still allows no message.

--- a/internal/fleet/forwarded.go
+++ b/internal/fleet/forwarded.go
@@ -34,6 +34,9 @@
 // Group returns the id of the server's group.
 func (u *Upstream) Group() tables.GroupID { return u.entry.Group }
 
+// Slots returns how many statements the server runs at the same time, as of its start.
+func (u *Upstream) Slots() int { return u.entry.Slots }
+
 // StartForwarded records that a statement for the server was sent to another proxy.
 func (u *Upstream) StartForwarded() {
 	u.mu.Lock()
@@ -80,7 +83,7 @@
 		return 1
 	}
 	share := idle.Share(r.Groups[group].Connections, f.Proxies())
-	if f.Holding == nil || !holder.Needed(f.ConnectionShare(group)) {
+	if f.Holding == nil || !holder.Needed(f.ConnectionShare(group), u.Slots()) {
 		return share
 	}
 	if len(r.Teams) > 0 {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -114,7 +114,7 @@
 // Holder returns the proxy that a read of a team at server u is to be forwarded to; ok is
 // false if this proxy runs it.
 func (f *Forwarder) Holder(u *fleet.Upstream, team tables.TeamID) (h Holder, ok bool) {
-	if f == nil || !holder.Needed(f.Fleet().ConnectionShare(u.Group())) {
+	if f == nil || !holder.Needed(f.Fleet().ConnectionShare(u.Group()), u.Slots()) {
 		return Holder{}, false
 	}
 	if h, ok = f.choose(u.ID(), team); !ok {
--- a/internal/relay/forwarded_test.go
+++ b/internal/relay/forwarded_test.go
@@ -237,10 +237,10 @@
 	})
 }
 
-// Deployments with a connection for each proxy send no message and hold nothing.
+// Deployments with a connection for each proxy and slot send no message and hold nothing.
 func TestNothingIsForwardedWithEnoughConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tc := newForwardingCluster(t, 6, func(tc *testCluster) { tc.connections = 6 })
+		tc := newForwardingCluster(t, 6, func(tc *testCluster) { tc.connections = 18 })
 		l := tc.startLoad()
 		time.Sleep(5 * time.Second)
 		l.end()
--- a/internal/systems/holder/holder.go
+++ b/internal/systems/holder/holder.go
@@ -21,9 +21,10 @@
 	return float64(connections) / float64(max(proxies, 1)) / float64(max(teams, 1))
 }
 
-// Needed reports whether reads are forwarded at a given share: a proxy then can't keep
-// one connection for each team.
-func Needed(share float64) bool { return share < 1 }
+// Needed reports whether reads of a server are forwarded at a given share: a proxy then
+// can't keep as many connections as the server runs statements at the same time, so it
+// would open one and close it again whenever some of its own statements coincide.
+func Needed(share float64, slots int) bool { return share < float64(max(slots, 1)) }
 
 // Proxy is a proxy of the own data centre.
 type Proxy struct {
--- a/internal/systems/holder/holder_test.go
+++ b/internal/systems/holder/holder_test.go
@@ -10,23 +10,25 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against forwarding in deployments with enough connections for each proxy.
-func TestForwardingIsNeededBelowOneConnection(t *testing.T) {
+// Guards against forwarding in deployments with enough connections for each proxy, and
+// against connections that are opened for every other statement where there are not.
+func TestWhenForwardingIsNeeded(t *testing.T) {
 	for _, tc := range []struct {
-		connections, proxies, teams int
-		needed                      bool
+		connections, proxies, teams, slots int
+		needed                             bool
 	}{
-		{46, 83, 0, true},
-		{82, 37, 0, false},
-		{82, 37, 88, true},
-		{75, 26, 0, false},
-		{46, 46, 0, false},
-		{46, 46, 1, false},
-		{46, 47, 0, true},
-		{0, 1000, 100, false},
-		{2, 0, 0, false},
+		{46, 83, 0, 4, true},
+		{28, 27, 0, 2, true},
+		{66, 36, 0, 5, true},
+		{82, 37, 88, 5, true},
+		{180, 26, 0, 3, false},
+		{16, 5, 0, 2, false},
+		{46, 46, 0, 1, false},
+		{46, 47, 0, 1, true},
+		{0, 1000, 100, 8, false},
+		{2, 0, 0, 0, false},
 	} {
-		assert.Equal(t, Needed(Share(tc.connections, tc.proxies, tc.teams)), tc.needed, "%+v", tc)
+		assert.Equal(t, Needed(Share(tc.connections, tc.proxies, tc.teams), tc.slots), tc.needed, "%+v", tc)
 	}
 }
 
