Estimate when a lagging replica has applied a position

Package catchup estimates from the replica's own replies when it reaches a position, within 60 to 400 ms; the servers still check.

--- a/internal/fleet/forwarded.go
+++ b/internal/fleet/forwarded.go
@@ -51,16 +51,16 @@
 	u.inFlight--
 }
 
-// RecordForwarded records the server's reply to a statement that another proxy ran, and
-// the time until it arrived here. It says nothing about this proxy's own path to the
+// RecordForwarded records the server's reply to a statement that another proxy ran and
+// that needed the position after, and the time until it arrived here. It says nothing about this proxy's own path to the
 // server, on which Unreachable and the checks of primaries rely.
-func (u *Upstream) RecordForwarded(r statement.Reply, took time.Duration) {
+func (u *Upstream) RecordForwarded(r statement.Reply, after tables.Position, took time.Duration) {
 	u.mu.Lock()
 	if r.Code == statement.OK {
 		u.sampleLatency(took)
 	}
 	u.mu.Unlock()
-	u.recordState(r, false)
+	u.recordState(r, after, false)
 }
 
 // AvoidForwarded keeps reads away from the server for a time, after another proxy got no
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -6,6 +6,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/sockopt"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
+	"github.com/cranberrystage/cranberrystage/internal/systems/catchup"
 	"github.com/cranberrystage/cranberrystage/internal/systems/place"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ramp"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -24,11 +25,7 @@
 	// failingSince is when the first attempt that failed since the last reply began;
 	// 0 if none did.
 	failingSince tables.Time
-	// applied is the newest log position that the server reported as applied.
-	// Until behindUntil the server counts as lagging for reads that need a later
-	// one.
-	applied     tables.Position
-	behindUntil tables.Time
+	progress     catchup.Replica
 	// lastFailureAt is when an attempt last failed, lastCommitFailureAt the same
 	// for commits.
 	lastFailureAt       tables.Time
@@ -62,7 +59,7 @@
 	return place.Candidate{
 		ID:          u.entry.ID,
 		Local:       u.local,
-		Excluded:    excluded || now < u.avoidUntil || u.behind(now, need),
+		Excluded:    excluded || now < u.avoidUntil || u.progress.Lacks(now, need),
 		Elsewhere:   u.ramp.Elsewhere(now, u.inFlight),
 		Slots:       u.entry.Slots,
 		Outstanding: u.inFlight,
@@ -70,16 +67,6 @@
 	}
 }
 
-// behindRetryDelay is how long a server that lacked a position gets no reads
-// that need it. Replicas apply in steps, and a failed try costs a round trip.
-const behindRetryDelay = 60 * time.Millisecond
-
-// behind reports whether the server recently replied that it has not applied
-// need.
-func (h *health) behind(now tables.Time, need tables.Position) bool {
-	return now < h.behindUntil && !h.applied.AtLeast(need)
-}
-
 // Unreachable reports whether the server has neither replied nor accepted a
 // connection since the last attempt. One broken connection is not enough: new
 // ones may work.
@@ -212,12 +199,14 @@
 }
 
 // recordState records how far the server has applied its log, and whether the
-// reply shows that it leads.
-func (u *Upstream) recordState(r statement.Reply, leads bool) {
+// reply shows that it leads. after is the position that the statement needed.
+func (u *Upstream) recordState(r statement.Reply, after tables.Position, leads bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if r.Position != (tables.Position{}) {
-		u.applied = r.Position
+	if r.Code == statement.Behind {
+		u.progress.Lacked(u.fleet.Now(), r.Position, after)
+	} else {
+		u.progress.Reported(u.fleet.Now(), r.Position)
 	}
 	switch {
 	case r.Code == statement.ReadOnly:
@@ -228,9 +217,6 @@
 	case leads:
 		u.deposedFirstAt = 0
 	}
-	if r.Code == statement.Behind {
-		u.behindUntil = u.fleet.Now().Add(behindRetryDelay)
-	}
 }
 
 // recordProbeFailure records that a probe with a new connection failed. It
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -149,7 +149,7 @@
 		return r, err
 	}
 	u.recordReply(token, st.ID != "" && !commit && r.Code == statement.OK)
-	u.recordState(r, r.Code == statement.OK && (commit || st.Kind == statement.Begin))
+	u.recordState(r, st.After, r.Code == statement.OK && (commit || st.Kind == statement.Begin))
 	return r, nil
 }
 
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return r, a.failed(err)
 	}
-	a.u.RecordForwarded(r, a.q.s.fleet.Now().Sub(began))
+	a.u.RecordForwarded(r, a.after, a.q.s.fleet.Now().Sub(began))
 	return r, nil
 }
 
--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -97,6 +97,25 @@
 	})
 }
 
+// Both replicas of a group are 10 s behind. Reads of bounded age must be served by the
+// primary, and few may be tried at replicas that can't answer them.
+func TestReadsAvoidLaggingReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const target = 400 * time.Millisecond
+		tc := newTestCluster(t, 6)
+		tc.delayReplicas()
+		stop := tc.keepWriting()
+		defer stop()
+		time.Sleep(4 * time.Second)
+		before := tc.group.Behind()
+		o := tc.offerReads(bounded, 100, 8*time.Second, target)
+		tried := tc.group.Behind() - before
+		t.Logf("%+v, %d tried at replicas", o, tried)
+		assert.Equal(t, o.inTime, o.requests)
+		assert.Assert(t, tried < o.requests/3, "%d of %d tried at replicas", tried, o.requests)
+	})
+}
+
 // Only the primary can serve, and many proxies share it. Of 120 operations a
 // second one in five is a transaction of four reads and a commit; together they
 // exceed the primary's capacity by more than half. The primary must spend its time
--- a/internal/standin/dbgroup/dbgroup.go
+++ b/internal/standin/dbgroup/dbgroup.go
@@ -50,8 +50,9 @@
 	lost         []string
 	promotions   int
 	ignoreHolds  bool
-	// opened counts the sessions that servers accepted.
-	opened int
+	// opened counts the sessions that servers accepted, and behind the statements to
+	// which a server replied that it lacks their position.
+	opened, behind int
 	// observe receives the statements that servers run, if set.
 	observe func(Run)
 }
@@ -226,6 +227,13 @@
 	return g.opened
 }
 
+// Behind returns how many statements a server refused because it lacked their position.
+func (g *Group) Behind() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.behind
+}
+
 // Acknowledged returns how many commits were acknowledged to sessions.
 func (g *Group) Acknowledged() int {
 	g.mu.Lock()
--- a/internal/standin/dbgroup/session.go
+++ b/internal/standin/dbgroup/session.go
@@ -182,6 +182,7 @@
 	r := statement.Reply{State: c.state, Position: s.appliedAt()}
 	if s.isBehind(st.After) {
 		r.Code = statement.Behind
+		s.g.behind++
 		return r, true
 	}
 	switch st.Kind {
