--- a/internal/fleet/entries_test.go
+++ b/internal/fleet/entries_test.go
@@ -1,14 +1,18 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"log/slog"
+	"os"
 	"testing"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/metrics"
 	"github.com/cranberrystage/cranberrystage/internal/platform"
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ramp"
 	"github.com/cranberrystage/cranberrystage/internal/systems/replace"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -242,3 +246,35 @@
 		assert.Equal(t, u.ramp.Active(), c.want, "%+v", c)
 	}
 }
+
+// A primary whose connections were all in use was replaced on a calm day: one opening
+// had no answer for 400 ms, and the refusals of later ones did not count as answers.
+func TestServerThatRefusesForLackOfRoomResponds(t *testing.T) {
+	f := newFleetUnderTest()
+	silent := true
+	f.Open = func(ctx context.Context, _ tables.Entry, _ tables.TeamID) (links.Link, statement.Reply, error) {
+		if silent {
+			return nil, statement.Reply{}, os.ErrDeadlineExceeded
+		}
+		return nil, statement.Reply{Code: statement.TooMany}, nil
+	}
+	u := f.newUpstream(entryOf("s", 1, 1, false))
+	_, err := u.Connect(t.Context(), "")
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	f.now = f.now.Add(100 * time.Millisecond)
+	oldest, _, _ := u.unansweredSince()
+	assert.Assert(t, oldest != 0 && u.Unreachable())
+	silent = false
+	_, err = u.Connect(t.Context(), "")
+	assert.ErrorIs(t, err, links.ErrFull)
+	oldest, _, refused := u.unansweredSince()
+	assert.Assert(t, oldest == 0 && refused == 0 && !u.Unreachable())
+	// Within the pause after a refusal the server is not asked, so nothing is learnt.
+	f.now = f.now.Add(time.Millisecond)
+	token := u.startStatement(false)
+	_, err = u.Connect(t.Context(), "")
+	assert.ErrorIs(t, err, links.ErrFull)
+	oldest, _, _ = u.unansweredSince()
+	assert.Equal(t, oldest, f.now)
+	u.cancelStatement(token)
+}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -219,15 +219,18 @@
 	}
 }
 
-// recordProbeFailure records that a probe with a new connection failed. It
-// doesn't count links.ErrFull as a failure, because a server that refuses
-// connections for lack of capacity is alive.
-func (u *Upstream) recordProbeFailure(token uint64, err error) {
-	if err == links.ErrFull || err == links.ErrClosed {
+// recordProbeFailure records that a probe with a new connection, begun at startedAt,
+// failed. It doesn't count links.ErrFull as a failure; a server that refuses connections
+// for lack of capacity is alive.
+func (u *Upstream) recordProbeFailure(token uint64, startedAt tables.Time, err error) {
+	switch {
+	case err == links.ErrFull && u.pool.RefusedSince(startedAt):
+		u.recordReply(token, false)
+	case err == links.ErrFull, err == links.ErrClosed:
 		u.cancelStatement(token)
-		return
+	default:
+		u.recordFailure(token, err)
 	}
-	u.recordFailure(token, err)
 }
 
 // deposedSince returns since when the server has replied that it does not lead,
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -251,10 +251,10 @@
 func (u *Upstream) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	token := u.startStatement(false)
+	token, startedAt := u.startStatement(false), u.fleet.Now()
 	c, err := u.pool.Get(ctx, "", true)
 	if err != nil {
-		u.recordProbeFailure(token, err)
+		u.recordProbeFailure(token, startedAt, err)
 		return
 	}
 	u.recordReply(token, false)
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -119,6 +119,9 @@
 	switch {
 	case err == nil:
 		u.cancelStatement(token)
+	case err == links.ErrFull && u.pool.RefusedSince(startedAt):
+		u.recordReply(token, false)
+		u.avoidReads(failureAvoidTime / 4)
 	case err == links.ErrFull, err == links.ErrMisrouted, err == links.ErrClosed:
 		u.cancelStatement(token)
 		u.avoidReads(failureAvoidTime / 4)
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -110,7 +110,10 @@
 	// have scarceLimit connections.
 	scarceUntil tables.Time
 	scarceLimit int
-	closed      bool
+	// refusedAttemptAt is when the last attempt began to which the server replied that
+	// it has no room.
+	refusedAttemptAt tables.Time
+	closed           bool
 }
 
 // waiter is a call of Get that waits for a connection of its team.
@@ -252,6 +255,14 @@
 	return len(p.idle) > 0
 }
 
+// RefusedSince reports whether the server replied that it has no room to an attempt that
+// began at t or later, which shows that it works.
+func (p *Pool) RefusedSince(t tables.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refusedAttemptAt != 0 && p.refusedAttemptAt >= t
+}
+
 func (p *Pool) recordUse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -392,6 +403,7 @@
 	p.total--
 	if reply.Code == statement.TooMany || reply.Code == statement.Busy {
 		now := p.now()
+		p.refusedAttemptAt = max(p.refusedAttemptAt, startedAt)
 		p.noDialUntil, p.scarceUntil, p.scarceLimit = now.Add(fullBackoff), now.Add(scarcityTime), p.total
 	}
 	p.wakeOneLocked()
