Spread writes of all proxies over the time until a write shows

TestMembersAreRecordedByFewProxies allows 6 writes and saw 7 to 10 in 13 of 300 plays: 60 proxies drew their delays over 1.2 s, 20 ms each, and a write shows after about 70 ms. With 70 ms each: 0 of 600.

--- a/internal/fleet/era.go
+++ b/internal/fleet/era.go
@@ -18,7 +18,7 @@
 	// writeSpread is, per proxy of the fleet, the time over which proxies spread a
 	// write that one of them has to make. It is about the time until the others see
 	// that it was made.
-	writeSpread = 20 * time.Millisecond
+	writeSpread = 70 * time.Millisecond
 	// minWriteSpread is the spread of a small fleet.
 	minWriteSpread = 300 * time.Millisecond
 	// noMemoryDelay is how much later a proxy confirms groups that started in the new
