--- a/internal/systems/replace/replace_test.go
+++ b/internal/systems/replace/replace_test.go
@@ -108,3 +108,24 @@
 	}
 	assert.DeepEqual(t, Stopped(ids("a", "b", "c"), ids("a"), "c"), ids("b"))
 }
+
+// A group that is only just appearing must not be taken for one whose primary is gone.
+func TestJudgeAbsent(t *testing.T) {
+	const second = tables.Time(time.Second)
+	for name, c := range map[string]struct {
+		v    AbsentView
+		want Cause
+	}{
+		"entries never read":           {AbsentView{Now: 100 * second, JoinedAt: second}, CauseNone},
+		"no server":                    {AbsentView{Now: 100 * second, EntriesSince: second}, CauseNone},
+		"first server just appeared":   {AbsentView{Now: 13 * second, EntriesSince: second, JoinedAt: 12 * second}, CauseNone},
+		"primary may still appear":     {AbsentView{Now: 15 * second, EntriesSince: second, JoinedAt: 12 * second}, CauseNone},
+		"primary did not appear":       {AbsentView{Now: 17 * second, EntriesSince: second, JoinedAt: 12 * second}, CauseGone},
+		"ran before":                   {AbsentView{Now: 13 * second, EntriesSince: 10 * second, JoinedAt: 12 * second, Led: true}, CauseGone},
+		"ran before, store just back":  {AbsentView{Now: 13 * second, EntriesSince: 12 * second, JoinedAt: second, Led: true}, CauseNone},
+		"store back, primary unknown":  {AbsentView{Now: 17 * second, EntriesSince: 16 * second, JoinedAt: second}, CauseNone},
+		"store back long ago, unknown": {AbsentView{Now: 30 * second, EntriesSince: 16 * second, JoinedAt: second}, CauseGone},
+	} {
+		assert.Equal(t, JudgeAbsent(c.v), c.want, name)
+	}
+}
