--- a/internal/fleet/forwarded.go
+++ b/internal/fleet/forwarded.go
@@ -52,8 +52,9 @@
 }
 
 // RecordForwarded records the server's reply to a statement that another proxy ran and
-// that needed the position after, and the time until it arrived here. It says nothing about this proxy's own path to the
-// server, on which Unreachable and the checks of primaries rely.
+// that needed the position after, and the time until the reply arrived here. It says
+// nothing about this proxy's own path to the server, on which Unreachable and the checks
+// of primaries rely.
 func (u *Upstream) RecordForwarded(r statement.Reply, after tables.Position, took time.Duration) {
 	u.mu.Lock()
 	if r.Code == statement.OK {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,6 +1,6 @@
 // Package forward runs single reads through the proxy of the own data centre that holds
 // the connections to a server, the holder (see package holder). It is in use only where
-// a proxy's share of a server's connections is below 1.
+// a proxy's share of a server's connections is below the server's slots.
 //
 // A forwarded read carries all that a direct one sends to the server: the log position
 // that the server must have reached, the session values and the prepared statement's
