--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -278,6 +278,9 @@
 	}
 }
 
+// readyTimeout bounds the start of a process on a busy machine.
+const readyTimeout = 40 * time.Second
+
 // awaitReady waits until the process answers the readiness probe with 200.
 func (p *proxyProcess) awaitReady(timeout time.Duration) error {
 	client := http.Client{Timeout: time.Second}
