--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -82,15 +82,13 @@
 
 	// The group's lock guards what follows.
 	alive, leads, draining bool
-	deaf                   bool
 	term, held             uint64
 	log                    []commit
 	applied                int
 	seq                    uint64
 	conns                  map[net.Conn]bool
-	// noBeats says that the server does not reach the store.
-	noBeats bool
-	born    int64
+	// born is when the server started, in Unix milliseconds.
+	born int64
 }
 
 func newGroup(rec *recorder, st *store, name string) *group {
@@ -147,7 +145,7 @@
 func (s *dbServer) writeEntry() {
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	if s.noBeats || !s.alive {
+	if !s.alive {
 		return
 	}
 	s.seq++
@@ -502,7 +500,7 @@
 
 // feed sends a primary's commits to a replica that receives. The lock must be held.
 func (g *group) feed(from, to *dbServer) {
-	if to == from || !from.alive || !to.alive || to.leads || to.held != 0 || to.deaf || to.term > from.term {
+	if to == from || !from.alive || !to.alive || to.leads || to.held != 0 || to.term > from.term {
 		return
 	}
 	to.term = from.term
@@ -570,7 +568,7 @@
 		term = max(term, o.term)
 	}
 	s.leads, s.term, s.held, s.applied = true, term+1, 0, len(s.log)
-	born := s.term
+	led := s.term
 	for _, o := range g.servers {
 		if o == s {
 			continue
@@ -583,17 +581,17 @@
 		}
 	}
 	g.mu.Unlock()
-	g.rec.add("server %s leads term %d", s.id, born)
+	g.rec.add("server %s leads term %d", s.id, led)
 	s.writeEntry()
 	time.AfterFunc(time.Second, func() {
 		g.mu.Lock()
-		if s.term != born || !s.leads {
+		if s.term != led || !s.leads {
 			g.mu.Unlock()
 			return
 		}
 		var deposed []*dbServer
 		for _, o := range g.servers {
-			if o != s && o.alive && o.leads && o.term < born {
+			if o != s && o.alive && o.leads && o.term < led {
 				o.leads = false
 				deposed = append(deposed, o)
 			}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -88,13 +88,6 @@
 	}
 }
 
-// value returns a row's value.
-func (s *store) value(table, key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rows[table][key].value
-}
-
 func (s *store) set(table, key string, r storeRow) {
 	s.version++
 	r.version = s.version
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -263,21 +263,6 @@
 	return nil
 }
 
-func (p *proxyProcess) signal(s syscall.Signal) {
-	p.w.rec.add("signal %v to %s", s, p.name)
-	_ = p.command.Process.Signal(s)
-}
-
-// ended reports whether the process has ended.
-func (p *proxyProcess) ended() bool {
-	select {
-	case <-p.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 // readyTimeout bounds the start of a process on a busy machine.
 const readyTimeout = 40 * time.Second
 
