--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays a scripted case: run-case.sh FOLDER CASE. Exits with 1 if the rule was broken, 0
-# if it held, and 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+# Plays a scripted case: run-case.sh FOLDER CASE TROUBLE. Exits with 1 if the rule was
+# broken, 0 if it held, and 2 if the case could not run. TROUBLE 0 leaves out the disruption.
 set -u
 folder=$(cd "$1" && pwd)
 cd "$(dirname "$0")/.." || exit 2
@@ -11,7 +11,7 @@
 fi
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-timeout 115 review/bin/standin "$2" "$program" "$folder/record.txt" "$work"
+TROUBLE="$3" timeout 115 review/bin/standin "$2" "$program" "$folder/record.txt" "$work"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
