Record a connection's session state from its own replies, one by one

Foreign values may choose another tenant at a database.

Cause: what a connection lacks for a statement is sent in one go, and was recorded only if all of it succeeded. The server runs each statement by itself: of SET and PREPARE the first succeeded and was forgotten. Outside a transaction the connection is closed after a refusal; in one it is rolled back and returned to the pool.

Evidence: the case's record shows a SET with ok, a PREPARE that fails, a rollback, and no RESET before the next client's read on that connection.

Change: links.Conn notes each statement as it is sent and each reply as it arrives. From its sending on the effect of a statement that changes state is unknown; a refusal leaves it unknown until a RESET is confirmed. The end of a transaction follows from the replies too. A connection with an open transaction or an outstanding reply can't return to the pool. Why this works: there is one place through which all statements pass, callers', forwarded and the proxy's own, and nothing is concluded from what was not confirmed.

A refusal is logged and counted (cranberrystage_state_refusals_total).

--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/systems/admit"
 	"github.com/cranberrystage/cranberrystage/internal/systems/pace"
+	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ramp"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
@@ -150,7 +151,7 @@
 // be discarded.
 func (u *Upstream) Exchange(c *links.Conn, deadline time.Time, commit bool, st statement.Statement) (statement.Reply, error) {
 	token := u.startStatement(commit)
-	r, err := exchange(c, deadline, st)
+	r, err := u.exchange(c, deadline, st)
 	if err != nil {
 		u.recordFailure(token, err)
 		return r, err
@@ -163,27 +164,25 @@
 }
 
 // Prepare sends a connection the state that it lacks for a session's next
-// statement.
-func (u *Upstream) Prepare(c *links.Conn, deadline time.Time, list []statement.Statement, inTransaction bool) (statement.Reply, error) {
+// statement. It returns the first refusal if there is one; the statements behind it
+// ran all the same.
+func (u *Upstream) Prepare(c *links.Conn, deadline time.Time, list []statement.Statement) (statement.Reply, error) {
 	if len(list) == 0 {
 		return statement.Reply{}, nil
 	}
 	token := u.startStatement(false)
-	r, err := exchange(c, deadline, list...)
+	r, err := u.exchange(c, deadline, list...)
 	if err != nil {
 		u.recordFailure(token, err)
 		return r, err
 	}
 	u.recordReply(token, false)
-	if r.Code == statement.OK {
-		c.State.Applied(list, inTransaction)
-	}
 	return r, nil
 }
 
-// exchange runs statements and returns the last reply, or the first refusal; it
-// reads all replies.
-func exchange(c *links.Conn, deadline time.Time, list ...statement.Statement) (statement.Reply, error) {
+// exchange runs statements and returns the last reply, or the first refusal with the
+// transaction state of the last reply; it reads all replies.
+func (u *Upstream) exchange(c *links.Conn, deadline time.Time, list ...statement.Statement) (statement.Reply, error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return statement.Reply{}, err
 	}
@@ -191,14 +190,26 @@
 		return statement.Reply{}, err
 	}
 	var out statement.Reply
-	for range list {
+	for _, st := range list {
 		r, err := c.Receive()
 		if err != nil {
 			return r, err
 		}
+		if r.Code != statement.OK && preparation.ChangesState(st.Kind) {
+			u.recordStateRefusal(c, st, r)
+		}
 		if out.Code == statement.OK {
 			out = r
 		}
+		out.State = r.State
 	}
 	return out, nil
 }
+
+// recordStateRefusal records that the server refused to change a connection's session
+// state, which is unknown until the connection is reset.
+func (u *Upstream) recordStateRefusal(c *links.Conn, st statement.Statement, r statement.Reply) {
+	u.fleet.Metrics.CountStateRefusal(u.entry.Group, st.Kind.String())
+	u.fleet.log.Info("A server refused to change a connection's session state.", "group", u.entry.Group, "upstream", u.ID(),
+		"statement", st.Kind.String(), "code", r.Code.String(), "detail", r.Detail, "transaction", !c.State.Settled())
+}
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -240,7 +240,7 @@
 func (a *attempt) ApplyState(context.Context) (statement.Reply, error) {
 	list, st := preparation.Plan(&a.conn.State, &a.state, a.q.statement(), false)
 	a.st = st
-	return a.u.Prepare(a.conn, a.deadline, list, false)
+	return a.u.Prepare(a.conn, a.deadline, list)
 }
 
 // Exchange implements exec.Attempt.
@@ -250,9 +250,6 @@
 	if err != nil {
 		return r, err
 	}
-	if r.Code == statement.NoStatement {
-		a.conn.State.StatementMissing()
-	}
 	a.u.AdjustConcurrency(r, a.f.Now().Sub(began), time.Duration(a.q.TargetMicros)*time.Microsecond)
 	return r, nil
 }
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -73,13 +73,29 @@
 	// Team is the team to which the connection belongs; empty in deployments without
 	// teams and for a connection of the proxy's own.
 	Team tables.TeamID
-	// State is the session state set on the connection.
+	// State is the session state that the server holds for the connection. Send and
+	// Receive keep it up to date.
 	State preparation.Connection
 	// OpenedAt is when its opening began.
 	OpenedAt  tables.Time
 	idleSince tables.Time
 }
 
+// Send writes statements in one call.
+func (c *Conn) Send(list ...statement.Statement) error {
+	c.State.Sent(list...)
+	return c.Link.Send(list...)
+}
+
+// Receive returns the reply to the oldest statement without one.
+func (c *Conn) Receive() (statement.Reply, error) {
+	r, err := c.Link.Receive()
+	if err == nil {
+		c.State.Replied(r)
+	}
+	return r, err
+}
+
 // Errors of Get besides those of the connection.
 var (
 	// ErrFull means that no connection is free and none can be opened.
@@ -420,11 +436,16 @@
 	}
 }
 
-// Put returns a connection without an open transaction or an outstanding reply
-// to the pool.
+// Put returns a connection to the pool. One with an open transaction or an outstanding
+// reply is closed.
 func (p *Pool) Put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !c.State.Settled() {
+		p.closeConn(c)
+		p.wakeOneLocked()
+		return
+	}
 	if p.closed {
 		p.closeConn(c)
 		return
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,23 +49,27 @@
 	StoreCallSeconds = "cranberrystage_store_call_seconds"
 	// RampsTotal counts the ramps of servers that began, by group and reason.
 	RampsTotal = "cranberrystage_ramps_total"
+	// StateRefusalsTotal counts the statements that change a connection's session state and
+	// that a server refused, by group and statement.
+	StateRefusalsTotal = "cranberrystage_state_refusals_total"
 	// RampSeconds is how long ramps took, by group and result.
 	RampSeconds = "cranberrystage_ramp_seconds"
 )
 
 // Names of the labels.
 const (
-	LabelService  = "service"
-	LabelDatabase = "database"
-	LabelKind     = "kind"
-	LabelServedBy = "served_by"
-	LabelCode     = "code"
-	LabelWithin   = "within"
-	LabelGroup    = "group"
-	LabelCall     = "call"
-	LabelTable    = "table"
-	LabelResult   = "result"
-	LabelReason   = "reason"
+	LabelService   = "service"
+	LabelDatabase  = "database"
+	LabelKind      = "kind"
+	LabelServedBy  = "served_by"
+	LabelCode      = "code"
+	LabelWithin    = "within"
+	LabelGroup     = "group"
+	LabelCall      = "call"
+	LabelTable     = "table"
+	LabelResult    = "result"
+	LabelReason    = "reason"
+	LabelStatement = "statement"
 )
 
 // Kind is the kind of a request: read or write.
@@ -128,6 +132,7 @@
 	storeSeconds  *prometheus.HistogramVec
 	ramps         *prometheus.CounterVec
 	rampSeconds   *prometheus.HistogramVec
+	stateRefusals *prometheus.CounterVec
 	forward       forwardMetrics
 	quota         *quotaMetrics
 
@@ -168,10 +173,13 @@
 			prometheus.CounterOpts{Name: RampsTotal, Help: "Ramps of servers that started, recovered or were promoted."},
 			[]string{LabelGroup, LabelReason}),
 		rampSeconds: histogram(RampSeconds, "Time from the begin of a server's ramp to its end.", rampBuckets, LabelGroup, LabelResult),
-		forward:     newForwardMetrics(reg),
+		stateRefusals: prometheus.NewCounterVec(
+			prometheus.CounterOpts{Name: StateRefusalsTotal, Help: "Statements that change a connection's session state and that a server refused."},
+			[]string{LabelGroup, LabelStatement}),
+		forward: newForwardMetrics(reg),
 	}
 	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.configKnown, m.storeEra, m.unconfirmed, m.leaderless, m.callers, m.callerErrors,
-		m.storeCalls, m.storeSeconds, m.ramps, m.rampSeconds)
+		m.storeCalls, m.storeSeconds, m.ramps, m.rampSeconds, m.stateRefusals)
 	m.quota = newQuotaMetrics(reg)
 	return m
 }
@@ -222,6 +230,12 @@
 	m.ramps.WithLabelValues(string(group), reason).Inc()
 }
 
+// CountStateRefusal records that a server refused a statement that changes a connection's
+// session state.
+func (m *Metrics) CountStateRefusal(group tables.GroupID, statement string) {
+	m.stateRefusals.WithLabelValues(string(group), statement).Inc()
+}
+
 // ObserveRamp records the end of a server's ramp.
 func (m *Metrics) ObserveRamp(group tables.GroupID, result string, took time.Duration) {
 	m.rampSeconds.WithLabelValues(string(group), result).Observe(took.Seconds())
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -56,7 +56,7 @@
 func (a *attempt) prepare(inTransaction bool) (statement.Reply, error) {
 	list, st := preparation.Plan(&a.conn.State, &a.q.s.state, a.q.st, inTransaction)
 	a.st = st
-	return a.u.Prepare(a.conn, a.q.deadline, list, inTransaction)
+	return a.u.Prepare(a.conn, a.q.deadline, list)
 }
 
 // Exchange implements exec.Attempt.
@@ -73,9 +73,6 @@
 	if err != nil {
 		return r, err
 	}
-	if r.Code == statement.NoStatement {
-		a.conn.State.StatementMissing()
-	}
 	if a.st.ID != "" {
 		a.u.AdjustConcurrency(r, a.q.s.fleet.Now().Sub(began), a.q.route.TargetLatency)
 	}
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -526,12 +526,17 @@
 	n int
 }
 
-// run runs one statement of a session.
-func (s *session) run(kind statement.Kind, arguments string) statement.Reply {
+// newID returns the ID of the next statement.
+func newID() string {
 	lastID.Lock()
+	defer lastID.Unlock()
 	lastID.n++
-	id := strconv.Itoa(lastID.n)
-	lastID.Unlock()
+	return strconv.Itoa(lastID.n)
+}
+
+// run runs one statement of a session.
+func (s *session) run(kind statement.Kind, arguments string) statement.Reply {
+	id := newID()
 	if holder, ok := strings.CutPrefix(s.key, keyPrefix); ok {
 		id = holder + "." + id
 	}
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -81,7 +81,6 @@
 			u.Discard(c)
 			return
 		}
-		c.State.TransactionEnded(false)
 		u.Release(c)
 	}()
 }
@@ -225,7 +224,6 @@
 // the answer was lost.
 func (s *session) endCommit(tx *transaction, out exec.Outcome) {
 	if out.Err == nil && out.Reply.Code == statement.OK && out.Reply.State == statement.Idle {
-		tx.conn.State.TransactionEnded(true)
 		tx.upstream.Release(tx.conn)
 		tx.conn = nil
 	}
--- a/internal/standin/dbgroup/dbgroup.go
+++ b/internal/standin/dbgroup/dbgroup.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
@@ -57,6 +58,11 @@
 	opened, behind int
 	// observe receives the statements that servers run, if set.
 	observe func(Run)
+	// failureOf returns how a server fails a statement, if set.
+	failureOf func(tables.UpstreamID, statement.Statement) Failure
+	// rollbackUndoesSettings means that a rollback restores the session state as of the
+	// begin of the transaction.
+	rollbackUndoesSettings bool
 }
 
 // LimitSlots limits the statements that each server runs at the same time; the
--- a/internal/standin/dbgroup/runs.go
+++ b/internal/standin/dbgroup/runs.go
@@ -1,6 +1,7 @@
 package dbgroup
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cranberrystage/cranberrystage/internal/statement"
@@ -15,6 +16,10 @@
 	ID string
 	// Continues means that an earlier statement of the same transaction ran.
 	Continues bool
+	// Values are the session values with which it ran, Text the definition of the prepared
+	// statement that it executed; empty if it was none.
+	Values map[string]string
+	Text   string
 }
 
 // Observe makes the group report the statements that its servers run from now on. f
@@ -25,15 +30,18 @@
 	g.observe = f
 }
 
-// ran reports a statement, unless it is one of the proxy's own. The caller holds the
-// lock.
-func (c *Session) ran(st statement.Statement) {
+// ran reports a statement, unless it is one of the proxy's own. text is the definition of
+// a prepared statement. The caller holds the lock.
+func (c *Session) ran(st statement.Statement, text string) {
 	if st.ID == "" {
 		return
 	}
 	continues := c.state == statement.Open && c.ranInTransaction
 	c.ranInTransaction = c.state == statement.Open
 	if c.s.g.observe != nil {
-		c.s.g.observe(Run{At: time.Now(), User: c.user, ID: st.ID, Continues: continues})
+		c.s.g.observe(Run{
+			At: time.Now(), User: c.user, ID: st.ID, Continues: continues,
+			Values: maps.Clone(c.settings.values), Text: text,
+		})
 	}
 }
--- a/internal/standin/dbgroup/session.go
+++ b/internal/standin/dbgroup/session.go
@@ -28,9 +28,8 @@
 	readOnly       bool
 	// writes are the items that the open transaction writes.
 	writes map[string]string
-	// values are the values of settings by name.
-	values   map[string]string
-	prepared map[string]statement.Statement
+	// settings is the session state, settingsAtBegin that before the open transaction.
+	settings, settingsAtBegin settings
 	// ranInTransaction means that a statement ran in the open transaction.
 	ranInTransaction bool
 }
@@ -59,7 +58,7 @@
 	if s.full() {
 		return nil, statement.Reply{Code: statement.TooMany}, nil
 	}
-	c := &Session{s: s, user: user, crashesAtStart: s.crashes, prepared: make(map[string]statement.Statement)}
+	c := &Session{s: s, user: user, crashesAtStart: s.crashes}
 	s.sessions[c] = true
 	g.opened++
 	return c, statement.Reply{Position: s.appliedAt()}, nil
@@ -199,27 +198,26 @@
 		s.g.behind++
 		return r, true
 	}
+	if c.state == statement.Failed && st.Kind != statement.Commit && st.Kind != statement.Rollback {
+		r.Code = statement.Bad
+		return r, true
+	}
+	if f := s.g.failure(s.entry.ID, st); f.Code != statement.OK {
+		return c.fail(st, f, r), true
+	}
 	switch st.Kind {
-	case statement.Reset:
-		c.values, c.prepared = nil, make(map[string]statement.Statement)
-	case statement.Set:
-		if c.values == nil {
-			c.values = make(map[string]string)
-		}
-		c.values[st.Name] = st.Value
-	case statement.Prepare:
-		c.prepared[st.Name] = st
+	case statement.Reset, statement.Set, statement.Prepare:
+		c.settings.apply(st)
 	case statement.Begin, statement.BeginRead:
 		return c.begin(st, r), true
 	case statement.Rollback:
-		c.state, c.writes = statement.Idle, nil
+		c.rollback()
 	case statement.Commit:
 		return c.commit(st, r)
 	case statement.Read:
-		c.ran(st)
-		r.Rows, r.Proof = []string{s.read(st.Arguments)}, string(s.entry.ID)
+		return c.read(st, "", r), true
 	case statement.Write:
-		return c.write(st, r)
+		return c.write(st, "", r)
 	case statement.Execute:
 		return c.execute(st, r)
 	default:
@@ -242,24 +240,40 @@
 	}
 	c.state, c.readOnly, c.writes = statement.Open, st.Kind == statement.BeginRead, nil
 	c.ranInTransaction = false
+	c.settingsAtBegin = c.settings.clone()
 	r.State = c.state
 	return r
 }
 
+// rollback ends the open transaction without its effects.
+func (c *Session) rollback() {
+	if c.state != statement.Idle && c.s.g.rollbackUndoesSettings {
+		c.settings = c.settingsAtBegin
+	}
+	c.state, c.writes = statement.Idle, nil
+}
+
+// read runs a read; text is its definition if it was prepared.
+func (c *Session) read(st statement.Statement, text string, r statement.Reply) statement.Reply {
+	c.ran(st, text)
+	r.Rows, r.Proof = []string{c.s.read(st.Arguments)}, string(c.s.entry.ID)
+	return r
+}
+
 func (c *Session) execute(st statement.Statement, r statement.Reply) (statement.Reply, bool) {
-	p, ok := c.prepared[st.Name]
+	p, ok := c.settings.prepared[st.Name]
 	if !ok {
 		r.Code = statement.NoStatement
 		return r, true
 	}
-	kind := statement.Read
 	if p.Writes {
-		kind = statement.Write
+		return c.write(st, p.Value, r)
 	}
-	return c.run(statement.Statement{ID: st.ID, Kind: kind, Arguments: st.Arguments})
+	return c.read(st, p.Value, r), true
 }
 
-func (c *Session) write(st statement.Statement, r statement.Reply) (statement.Reply, bool) {
+// write runs a write; text is its definition if it was prepared.
+func (c *Session) write(st statement.Statement, text string, r statement.Reply) (statement.Reply, bool) {
 	if !c.s.leads {
 		r.Code = statement.ReadOnly
 		if c.state == statement.Open {
@@ -268,7 +282,7 @@
 		r.State = c.state
 		return r, true
 	}
-	c.ran(st)
+	c.ran(st, text)
 	item, value := splitWrite(st.Arguments)
 	if c.state == statement.Open {
 		if c.writes == nil {
@@ -282,7 +296,12 @@
 }
 
 func (c *Session) commit(st statement.Statement, r statement.Reply) (statement.Reply, bool) {
-	c.ran(st)
+	if c.state == statement.Failed {
+		c.rollback()
+		r.Code, r.State = statement.Aborted, c.state
+		return r, true
+	}
+	c.ran(st, "")
 	writes := c.writes
 	c.state, c.writes = statement.Idle, nil
 	r.State = c.state
--- a/internal/systems/preparation/preparation.go
+++ b/internal/systems/preparation/preparation.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/url"
+	"slices"
 	"sort"
 
 	"github.com/cranberrystage/cranberrystage/internal/statement"
@@ -83,15 +84,94 @@
 	return definition, ok
 }
 
-// Connection is the session state that a server connection holds.
+// Connection is the session state that a server connection holds, as its replies confirm
+// it. The zero value is a new connection, which holds none.
 type Connection struct {
+	// values and prepared are what the server confirmed.
 	values   map[string]string
 	prepared map[string]bool
-	// uncertain reports whether the recorded state may differ from the server's, for
-	// example because a rollback may have undone changes.
-	uncertain bool
-	// changedInTransaction reports whether state was changed in the open transaction.
-	changedInTransaction bool
+	// unknown reports whether the server may hold other state than confirmed. Only a
+	// confirmed Reset makes the state known again.
+	unknown bool
+	// inTransaction reports whether a transaction is open, and changedInTransaction
+	// whether a statement that changes state was sent in it.
+	inTransaction, changedInTransaction bool
+	// sent are the statements without a reply, the oldest first.
+	sent []statement.Statement
+}
+
+// Sent records statements that are about to be sent on the connection. Until its reply
+// arrives, the effect of a statement that changes state is unknown.
+func (c *Connection) Sent(list ...statement.Statement) {
+	for _, st := range list {
+		if ChangesState(st.Kind) {
+			c.changedInTransaction = c.changedInTransaction || c.inTransaction
+		}
+	}
+	c.sent = append(c.sent, list...)
+}
+
+// Replied records the reply to the oldest statement without one.
+func (c *Connection) Replied(r statement.Reply) {
+	if len(c.sent) == 0 {
+		c.unknown = true
+		return
+	}
+	st := c.sent[0]
+	c.sent = slices.Delete(c.sent, 0, 1)
+	switch {
+	case r.Code == statement.OK:
+		c.apply(st)
+	case ChangesState(st.Kind), r.Code == statement.NoStatement:
+		c.unknown = true
+	}
+	c.recordTransaction(st, r)
+}
+
+// Settled reports whether the connection may serve another session: every statement has
+// its reply and no transaction is open.
+func (c *Connection) Settled() bool { return len(c.sent) == 0 && !c.inTransaction }
+
+// ChangesState reports whether statements of a kind change a connection's session state.
+func ChangesState(k statement.Kind) bool {
+	switch k {
+	case statement.Set, statement.Prepare, statement.Forget, statement.Reset:
+		return true
+	default:
+		return false
+	}
+}
+
+// apply records the effect of a statement that succeeded.
+func (c *Connection) apply(st statement.Statement) {
+	switch st.Kind {
+	case statement.Reset:
+		c.values, c.prepared, c.unknown = nil, nil, false
+	case statement.Set:
+		if c.values == nil {
+			c.values = make(map[string]string)
+		}
+		c.values[st.Name] = st.Value
+	case statement.Prepare:
+		if c.prepared == nil {
+			c.prepared = make(map[string]bool)
+		}
+		c.prepared[st.Name] = true
+	case statement.Forget:
+		delete(c.prepared, st.Name)
+	}
+}
+
+// recordTransaction records whether a transaction is open after the reply to st. The
+// server may undo changes of state in a transaction that ended without a commit.
+func (c *Connection) recordTransaction(st statement.Statement, r statement.Reply) {
+	if r.State != statement.Idle {
+		c.inTransaction = true
+		return
+	}
+	committed := st.Kind == statement.Commit && r.Code == statement.OK
+	c.unknown = c.unknown || c.changedInTransaction && !committed
+	c.inTransaction, c.changedInTransaction = false, false
 }
 
 // Plan returns the statements that must run on c before st of session s, and st with
@@ -100,7 +180,7 @@
 func Plan(c *Connection, s *Session, st statement.Statement, inTransaction bool) ([]statement.Statement, statement.Statement) {
 	var out []statement.Statement
 	if !inTransaction && c.mustReset(s) {
-		*c = Connection{}
+		c = &Connection{}
 		out = append(out, statement.Statement{Kind: statement.Reset})
 	}
 	for _, name := range s.missing(c) {
@@ -118,7 +198,7 @@
 }
 
 func (c *Connection) mustReset(s *Session) bool {
-	if c.uncertain || len(c.prepared) >= maxPreparedPerConnection {
+	if c.unknown || len(c.sent) > 0 || len(c.prepared) >= maxPreparedPerConnection {
 		return true
 	}
 	for name := range c.values {
@@ -141,36 +221,6 @@
 	return names
 }
 
-// Applied records statements of a Plan that have succeeded on the connection.
-func (c *Connection) Applied(list []statement.Statement, inTransaction bool) {
-	for _, st := range list {
-		switch st.Kind {
-		case statement.Set:
-			if c.values == nil {
-				c.values = make(map[string]string)
-			}
-			c.values[st.Name] = st.Value
-		case statement.Prepare:
-			if c.prepared == nil {
-				c.prepared = make(map[string]bool)
-			}
-			c.prepared[st.Name] = true
-		}
-	}
-	c.changedInTransaction = c.changedInTransaction || inTransaction && len(list) > 0
-}
-
-// TransactionEnded records the end of a transaction. If it was not committed, state
-// changed in it may have been undone.
-func (c *Connection) TransactionEnded(committed bool) {
-	c.uncertain = c.uncertain || c.changedInTransaction && !committed
-	c.changedInTransaction = false
-}
-
-// StatementMissing records that a prepared statement that was recorded for the
-// connection does not exist on the server.
-func (c *Connection) StatementMissing() { c.uncertain = true }
-
 // Values returns the session values by name. They must not be modified.
 func (s *Session) Values() map[string]string { return s.values }
 
--- a/internal/systems/preparation/preparation_test.go
+++ b/internal/systems/preparation/preparation_test.go
@@ -13,24 +13,60 @@
 type server struct {
 	values   map[string]string
 	prepared map[string]Definition
+	state    statement.State
+	// refuse, if set, returns with which code a statement is refused; refusedRun means
+	// that it has its effect all the same.
+	refuse     func(statement.Statement) statement.Code
+	refusedRun bool
 }
 
-func (s *server) run(list []statement.Statement) {
+func (s *server) run(c *Connection, list ...statement.Statement) {
+	c.Sent(list...)
 	for _, st := range list {
-		switch st.Kind {
-		case statement.Reset:
-			s.values, s.prepared = nil, nil
-		case statement.Set:
-			if s.values == nil {
-				s.values = make(map[string]string)
-			}
-			s.values[st.Name] = st.Value
-		case statement.Prepare:
-			if s.prepared == nil {
-				s.prepared = make(map[string]Definition)
-			}
-			s.prepared[st.Name] = Definition{Text: st.Value, Writes: st.Writes}
+		code := statement.OK
+		if s.refuse != nil {
+			code = s.refuse(st)
+		}
+		if code == statement.OK || s.refusedRun {
+			s.apply(st)
+		}
+		c.Replied(statement.Reply{Code: code, State: s.state})
+	}
+}
+
+func (s *server) apply(st statement.Statement) {
+	switch st.Kind {
+	case statement.Reset:
+		s.values, s.prepared = nil, nil
+	case statement.Set:
+		if s.values == nil {
+			s.values = make(map[string]string)
+		}
+		s.values[st.Name] = st.Value
+	case statement.Prepare:
+		if s.prepared == nil {
+			s.prepared = make(map[string]Definition)
+		}
+		s.prepared[st.Name] = Definition{Text: st.Value, Writes: st.Writes}
+	case statement.Begin:
+		s.state = statement.Open
+	case statement.Commit, statement.Rollback:
+		s.state = statement.Idle
+	}
+}
+
+// begin opens a transaction and end ends it.
+func (s *server) begin(c *Connection) { s.run(c, statement.Statement{Kind: statement.Begin}) }
+
+func (s *server) end(c *Connection, how statement.Kind) { s.run(c, statement.Statement{Kind: how}) }
+
+// refuseKind makes the server refuse statements of a kind.
+func (s *server) refuseKind(k statement.Kind, code statement.Code) {
+	s.refuse = func(st statement.Statement) statement.Code {
+		if st.Kind != k {
+			return statement.OK
 		}
+		return code
 	}
 }
 
@@ -41,8 +77,7 @@
 // use prepares the connection for st of a session, as package relay does.
 func use(s *server, c *Connection, sess *Session, st statement.Statement, inTransaction bool) statement.Statement {
 	list, st := Plan(c, sess, st, inTransaction)
-	s.run(list)
-	c.Applied(list, inTransaction)
+	s.run(c, list...)
 	return st
 }
 
@@ -80,9 +115,10 @@
 	var sess Session
 	s, c := &server{}, &Connection{}
 	use(s, c, &sess, statement.Statement{Kind: statement.Read}, false)
+	s.begin(c)
 	sess.Set("role", "driver")
 	use(s, c, &sess, statement.Statement{Kind: statement.Read}, true)
-	c.TransactionEnded(false)
+	s.end(c, statement.Rollback)
 	s.values = nil // undone by the server
 	use(s, c, &sess, statement.Statement{Kind: statement.Read}, false)
 	assert.Equal(t, s.values["role"], "driver")
@@ -91,9 +127,10 @@
 func TestCommittedTransactionKeepsState(t *testing.T) {
 	var sess Session
 	s, c := &server{}, &Connection{}
+	s.begin(c)
 	sess.Set("role", "driver")
 	use(s, c, &sess, statement.Statement{Kind: statement.Read}, true)
-	c.TransactionEnded(true)
+	s.end(c, statement.Commit)
 	list, _ := Plan(c, &sess, statement.Statement{Kind: statement.Read}, false)
 	assert.Equal(t, len(list), 0)
 }
@@ -102,13 +139,64 @@
 	var sess Session
 	sess.Prepare("a", Definition{Text: "q"})
 	s, c := &server{}, &Connection{}
-	use(s, c, &sess, execute("a"), false)
-	c.StatementMissing()
+	s.run(c, use(s, c, &sess, execute("a"), false))
 	s.prepared = nil
+	s.refuseKind(statement.Execute, statement.NoStatement)
+	s.run(c, execute("a"))
+	s.refuse = nil
 	st := use(s, c, &sess, execute("a"), false)
 	assert.Equal(t, s.prepared[st.Name], Definition{Text: "q"})
 }
 
+func TestRefusedStatementsLeaveNoStateBehind(t *testing.T) {
+	read := statement.Statement{Kind: statement.Read}
+	for _, refused := range []statement.Kind{statement.Set, statement.Prepare, statement.Reset} {
+		for name, code := range map[string]statement.Code{"busy": statement.Busy, "failed": statement.RunFailed, "ran and failed": statement.RunFailed} {
+			for _, inTransaction := range []bool{false, true} {
+				t.Run(fmt.Sprint(refused, " ", name, " ", inTransaction), func(t *testing.T) {
+					var one, two Session
+					one.Set("account", "a")
+					one.Set("role", "r")
+					one.Prepare("s1", Definition{Text: "q"})
+					two.Set("role", "s")
+					s, c := &server{refusedRun: name == "ran and failed"}, &Connection{}
+					if inTransaction {
+						s.begin(c)
+					}
+					s.refuseKind(refused, code)
+					use(s, c, &one, execute("s1"), inTransaction)
+					if inTransaction {
+						s.end(c, statement.Rollback)
+					}
+					s.run(c, statement.Statement{Kind: statement.Reset})
+					s.refuse = nil
+					use(s, c, &two, read, false)
+					assert.DeepEqual(t, s.values, map[string]string{"role": "s"})
+					st := use(s, c, &one, execute("s1"), false)
+					assert.DeepEqual(t, s.values, map[string]string{"account": "a", "role": "r"})
+					assert.Equal(t, s.prepared[st.Name], Definition{Text: "q"})
+				})
+			}
+		}
+	}
+}
+
+// Until the reply to a statement that changes state arrives, the state is unknown.
+func TestStateIsUnknownUntilReply(t *testing.T) {
+	var one, two Session
+	one.Set("account", "a")
+	c := &Connection{}
+	list, _ := Plan(c, &one, statement.Statement{Kind: statement.Read}, false)
+	c.Sent(list...)
+	assert.Assert(t, !c.Settled())
+	list, _ = Plan(c, &two, statement.Statement{Kind: statement.Read}, false)
+	assert.Equal(t, list[0].Kind, statement.Reset)
+	c.Replied(statement.Reply{})
+	assert.Assert(t, c.Settled())
+	list, _ = Plan(c, &one, statement.Statement{Kind: statement.Read}, false)
+	assert.Equal(t, len(list), 0)
+}
+
 func TestLimitsStateOfSessionsAndConnections(t *testing.T) {
 	var sess Session
 	for i := range MaxValues {
