Count a refused RESET of the proxy as no reset

Cause: the proxy reads a primary's position by a RESET on a pooled connection. After any reply, a refusal as well, it recorded that the connection holds no session state.

Change: the line is gone. The connection's own record counts the reply to a RESET like any other: a confirmed one empties it, a refused one makes the state unknown, and the next session resets the connection first.

--- a/internal/fleet/query.go
+++ b/internal/fleet/query.go
@@ -7,7 +7,6 @@
 	"github.com/cranberrystage/cranberrystage/internal/links"
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
-	"github.com/cranberrystage/cranberrystage/internal/systems/preparation"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 	"github.com/pkg/errors"
 )
@@ -115,9 +114,6 @@
 		u.Discard(c)
 		return statement.Reply{}, err
 	}
-	if st.Kind == statement.Reset {
-		c.State = preparation.Connection{}
-	}
 	u.Release(c)
 	if r.Code != statement.OK {
 		return r, errors.Errorf("fleet: %s refused: %s %s", st.Kind, r.Code, r.Detail)
--- a/internal/relay/settings_test.go
+++ b/internal/relay/settings_test.go
@@ -73,3 +73,42 @@
 		})
 	}
 }
+
+// Guards against statements that run with another session's values: the proxy's own RESET,
+// by which it reads the primary's position, was refused, and the proxy took the connection
+// for clean (review case 7).
+func TestRefusedResetLeavesNoValues(t *testing.T) {
+	for name, f := range map[string]dbgroup.Failure{
+		"busy":           {Code: statement.Busy},
+		"failed":         {Code: statement.RunFailed},
+		"ran and failed": {Code: statement.RunFailed, Ran: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tc := newTestCluster(t, 1)
+				log := tc.logSettings()
+				p := tc.proxies[0]
+				s := p.session(newest)
+				s.do(t, statement.Statement{Kind: statement.Set, Name: "account", Value: "a"}, statement.OK)
+				id := newID()
+				log.Expect(id, sessionlog.State{Values: map[string]string{"account": "a"}})
+				s.do(t, statement.Statement{ID: id, Kind: statement.Read, Arguments: "item0"}, statement.OK)
+				refused := 0
+				tc.group.FailStatements(func(_ tables.UpstreamID, st statement.Statement) dbgroup.Failure {
+					if st.Kind != statement.Reset {
+						return dbgroup.Failure{}
+					}
+					refused++
+					return f
+				})
+				opened := tc.group.Opened()
+				time.Sleep(700 * time.Millisecond) // the proxy reads the position now and then
+				tc.group.FailStatements(nil)
+				assert.Assert(t, refused > 0, "the proxy sent no RESET of its own")
+				assert.Equal(t, tc.group.Opened(), opened, "the connection is not in use any more")
+				p.session(newest).do(t, statement.Statement{Kind: statement.Read, Arguments: "item0"}, statement.OK)
+				assert.DeepEqual(t, log.Violations(), []string(nil))
+			})
+		})
+	}
+}
