Record prepared statements from the reply to each message

What callers would see on the PostgreSQL edge after a batch of the extended protocol in which one message failed: a statement that the server had skipped replaced an earlier one of that name and ran in its place; one whose Close was skipped was unknown; one that the proxy had evicted in the batch passed for prepared on that connection, and its next use failed with 26000.

Evidence: TestEvictionInFailedBatchIsRecorded, TestFailedBatchRecordsWhatServerDid and TestSkippedMessagesChangeNoStatement failed (26000 for a statement that was acknowledged; SELECT 3 ran for a name prepared as SELECT 1).

Change: each ParseComplete and CloseComplete counts for its own message, and what was assumed in translating the batch is taken back for messages without one. Why this works: the replies come in the order of the messages, and a message behind the failed one has none.

The settings of a connection are unknown while they are being applied; a refusal used to leave the earlier ones recorded.

--- a/internal/pgsession/exchange.go
+++ b/internal/pgsession/exchange.go
@@ -30,6 +30,7 @@
 	}
 	x := exchanger{conn: c, out: out, response: resp, onResult: onResult, pending: len(out.messages) - 1}
 	err = x.receive()
+	undoAll(x.out.awaited)
 	return x.reply, x.rolledBack, err
 }
 
@@ -61,7 +62,6 @@
 		_, ready := msg.(*pgproto3.ReadyForQuery)
 		if ready || x.out.partial && x.endsPartial(msg) {
 			x.conn.MarkResponseComplete()
-			x.recordStatements()
 			return nil
 		}
 	}
@@ -81,23 +81,6 @@
 	return x.pending == 0
 }
 
-// recordStatements records which prepared statements the connection holds now.
-func (x *exchanger) recordStatements() {
-	for _, n := range x.out.adds {
-		if x.reply.Code == statement.OK {
-			x.conn.Prepared.Add(n)
-		} else {
-			x.conn.Prepared.Remove(n)
-		}
-	}
-	if x.reply.Code != statement.OK {
-		// A statement that the batch was to close may still exist.
-		for _, n := range x.out.closes {
-			x.conn.Prepared.Add(n)
-		}
-	}
-}
-
 // handle processes one message of the response.
 func (x *exchanger) handle(msg pgproto3.BackendMessage) error {
 	switch m := msg.(type) {
@@ -107,7 +90,7 @@
 	case *pgproto3.ParameterStatus:
 		return x.parameter(m)
 	case *pgproto3.ParseComplete, *pgproto3.CloseComplete:
-		if x.nextIsInjected() {
+		if x.complete() {
 			return nil
 		}
 	case *pgproto3.DataRow, *pgproto3.CopyOutResponse:
@@ -162,15 +145,16 @@
 	return nil
 }
 
-// nextIsInjected reports whether the next ParseComplete or CloseComplete
-// belongs to a message that the proxy added. The caller does not receive it.
-func (x *exchanger) nextIsInjected() bool {
-	if len(x.out.injected) == 0 {
+// complete records a ParseComplete or CloseComplete. It reports whether it responds to a
+// message that the proxy added; the caller does not receive it.
+func (x *exchanger) complete() (injected bool) {
+	if len(x.out.awaited) == 0 {
 		return false
 	}
-	first := x.out.injected[0]
-	x.out.injected = x.out.injected[1:]
-	return first
+	first := x.out.awaited[0]
+	x.out.awaited = x.out.awaited[1:]
+	first.apply(x.conn.Prepared)
+	return first.injected
 }
 
 // refuseCopy ends a COPY FROM STDIN, which the proxy does not support. The
--- a/internal/pgsession/pipeline_test.go
+++ b/internal/pgsession/pipeline_test.go
@@ -146,3 +146,56 @@
 		a.query("SELECT 1").ok(t)
 	}
 }
+
+// Guards against a statement that the proxy believes to be prepared on a connection although
+// it was evicted there: the eviction succeeded and a later message of the batch failed.
+func TestEvictionInFailedBatchIsRecorded(t *testing.T) {
+	const limit = 256
+	rig := newEmulatorRig(t, 1)
+	a := rig.open(nil)
+	for i := range limit {
+		a.batch(&pgproto3.Parse{Name: fmt.Sprintf("s%d", i), Query: fmt.Sprintf("SELECT %d", i)}).ok(t)
+	}
+	r := a.batch(&pgproto3.Parse{Name: "new", Query: "SELECT 1000"}, &pgproto3.Parse{Name: "bad", Query: "nonsense"})
+	assert.Equal(t, r.sqlState, "42601")
+	for i := range 2 {
+		r = a.batch(&pgproto3.Bind{PreparedStatement: fmt.Sprintf("s%d", i)}, &pgproto3.Execute{}).ok(t)
+		assert.DeepEqual(t, r.rows, []string{fmt.Sprint(i)})
+	}
+}
+
+// A connection's record of prepared statements counts each reply for its own message, in a
+// batch that fails as well.
+func TestFailedBatchRecordsWhatServerDid(t *testing.T) {
+	rig := newEmulatorRig(t, 1)
+	a := rig.open(nil)
+	parse := func(name string) *pgproto3.Parse { return &pgproto3.Parse{Name: name, Query: "SELECT '" + name + "'"} }
+	closing := func(name string) *pgproto3.Close { return &pgproto3.Close{ObjectType: 'S', Name: name} }
+	a.batch(parse("closed"), parse("kept")).ok(t)
+	r := a.batch(parse("before"), closing("closed"), &pgproto3.Parse{Name: "bad", Query: "nonsense"}, parse("after"), closing("kept"))
+	assert.Equal(t, r.sqlState, "42601")
+	c, err := rig.core.pool.Acquire(context.Background(), 1)
+	assert.NilError(t, err)
+	defer rig.core.pool.Release(c)
+	for name, held := range map[string]bool{"before": true, "closed": false, "bad": false, "after": false, "kept": true} {
+		assert.Equal(t, c.Prepared.Use(newPreparedStatement(parse(name)).sharedName), held, name)
+	}
+}
+
+// Messages that the server skipped change none of the caller's prepared statements.
+func TestSkippedMessagesChangeNoStatement(t *testing.T) {
+	rig := newEmulatorRig(t, 1)
+	a := rig.open(nil)
+	a.batch(&pgproto3.Parse{Name: "s", Query: "SELECT 1"}, &pgproto3.Parse{Name: "t", Query: "SELECT 2"}).ok(t)
+	r := a.batch(&pgproto3.Parse{Name: "bad", Query: "nonsense"}, &pgproto3.Parse{Name: "s", Query: "SELECT 3"},
+		&pgproto3.Close{ObjectType: 'S', Name: "t"}, &pgproto3.Parse{Name: "new", Query: "SELECT 4"})
+	assert.Equal(t, r.sqlState, "42601")
+	for name, row := range map[string]string{"s": "1", "t": "2"} {
+		r = a.batch(&pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{}).ok(t)
+		assert.DeepEqual(t, r.rows, []string{row})
+	}
+	for _, name := range []string{"bad", "new"} {
+		r = a.batch(&pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{})
+		assert.Equal(t, r.sqlState, "26000", name)
+	}
+}
--- a/internal/pgsession/prepared.go
+++ b/internal/pgsession/prepared.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
 
 	"github.com/cranberrystage/cranberrystage/internal/upstream"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -70,15 +71,8 @@
 // outgoing is a batch as it is sent on one upstream connection.
 type outgoing struct {
 	messages []pgproto3.FrontendMessage
-	// injected says, for each ParseComplete and CloseComplete in order,
-	// whether the proxy added the message that it responds to.
-	injected []bool
-	// adds are the shared names that the connection gains if the batch
-	// succeeds.
-	adds []string
-	// closes are the shared names that the connection loses if the batch
-	// succeeds.
-	closes []string
+	// awaited are the effects of each ParseComplete and CloseComplete, in order.
+	awaited []completion
 	// partial is set if the batch ends with a Flush, which has no response of
 	// its own.
 	partial bool
@@ -87,6 +81,37 @@
 	holdCompletions bool
 }
 
+// completion is the effect of a ParseComplete or CloseComplete on the records of prepared
+// statements. Those of the caller's are changed as the batch is translated, because later
+// messages of it refer to them; undo takes that back if the server did not run the message.
+type completion struct {
+	// injected is set if the proxy added the message; the caller receives no response.
+	injected bool
+	// parsed is the shared name that the connection gains, closed the one that it loses;
+	// empty if none.
+	parsed, closed string
+	undo           func()
+}
+
+// apply records that the server completed the message.
+func (c completion) apply(held *upstream.Statements) {
+	if c.closed != "" {
+		held.Remove(c.closed)
+	}
+	if c.parsed != "" {
+		held.Add(c.parsed)
+	}
+}
+
+// undoAll takes back the changes of messages that the server did not complete.
+func undoAll(list []completion) {
+	for _, c := range slices.Backward(list) {
+		if c.undo != nil {
+			c.undo()
+		}
+	}
+}
+
 // translate rewrites a batch for a connection that holds the statements in
 // held. It replaces the caller's names by shared names and parses missing
 // statements first.
@@ -116,8 +141,9 @@
 	switch m := m.(type) {
 	case *pgproto3.Parse:
 		s := newPreparedStatement(m)
+		restore := t.restorer(m.Name)
 		t.prepared[m.Name] = s
-		t.parse(m.Name, s, false)
+		t.parse(m.Name, s, completion{undo: restore})
 	case *pgproto3.Bind:
 		v := *m
 		v.PreparedStatement = t.ensure(m.PreparedStatement)
@@ -148,15 +174,28 @@
 	return s.sharedName
 }
 
-func (t *translation) parse(callerName string, s preparedStatement, injected bool) {
+// restorer returns a function that restores the caller's statement of a name.
+func (t *translation) restorer(callerName string) func() {
+	before, ok := t.prepared[callerName]
+	return func() {
+		if ok {
+			t.prepared[callerName] = before
+		} else {
+			delete(t.prepared, callerName)
+		}
+	}
+}
+
+// parse parses a statement; done is its completion.
+func (t *translation) parse(callerName string, s preparedStatement, done completion) {
 	n := nameAtUpstream(callerName, s)
 	if n != "" {
 		t.evictStatement()
-		t.closeBeforeParse(n)
-		t.out.adds = append(t.out.adds, n)
+		t.closeInjected(n, nil)
 	}
 	t.send(&pgproto3.Parse{Name: n, Query: s.query, ParameterOIDs: s.oids})
-	t.out.injected = append(t.out.injected, injected)
+	done.parsed = n
+	t.out.awaited = append(t.out.awaited, done)
 	t.parsed[n] = struct{}{}
 }
 
@@ -168,15 +207,14 @@
 		return
 	}
 	t.held.Remove(n)
-	t.closeBeforeParse(n)
-	t.out.closes = append(t.out.closes, n)
+	t.closeInjected(n, func() { t.held.Add(n) })
 }
 
-// closeBeforeParse closes a statement that may already exist under a shared
-// name.
-func (t *translation) closeBeforeParse(n string) {
+// closeInjected closes a statement that may exist under a shared name. undo is called if
+// the server does not.
+func (t *translation) closeInjected(n string, undo func()) {
 	t.send(&pgproto3.Close{ObjectType: 'S', Name: n})
-	t.out.injected = append(t.out.injected, true)
+	t.out.awaited = append(t.out.awaited, completion{injected: true, closed: n, undo: undo})
 }
 
 // ensure parses the statement if the connection lacks it, and returns its name
@@ -193,20 +231,28 @@
 	if n != "" && t.held.Use(n) {
 		return n
 	}
-	t.parse(callerName, s, true)
+	t.parse(callerName, s, completion{injected: true})
 	return n
 }
 
 func (t *translation) closeObject(m *pgproto3.Close) {
 	v := *m
+	var done completion
 	if s, ok := t.prepared[m.Name]; ok && m.ObjectType == 'S' {
 		v.Name = nameAtUpstream(m.Name, s)
+		restore, held := t.restorer(m.Name), t.held.Holds(v.Name)
+		done = completion{closed: v.Name, undo: func() {
+			restore()
+			if held {
+				t.held.Add(v.Name)
+			}
+		}}
 		delete(t.prepared, m.Name)
 		t.held.Remove(v.Name)
 		delete(t.parsed, v.Name)
 	}
 	t.send(&v)
-	t.out.injected = append(t.out.injected, false)
+	t.out.awaited = append(t.out.awaited, done)
 }
 
 // text returns the SQL of the first statement of a batch.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -175,6 +175,7 @@
 	}
 	deadline, _ := ctx.Deadline()
 	c.SetDeadline(deadline)
+	c.settingsUnknown = true
 	if _, err := c.queryValue("RESET ALL;" + text); err != nil {
 		return errors.Wrap(err, "set up the session's settings")
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -349,6 +349,20 @@
 	p.Release(other)
 }
 
+// Settings that a server refused to apply are unknown until they are confirmed.
+func TestRefusedSettingsAreAppliedAgain(t *testing.T) {
+	s := startServer(t, dbserver.Config{Slots: 1, Connections: 10})
+	p := startPool(t, s.Addr(), "vm", Limits{Connections: 1, Slots: 1})
+	c := acquire(t, p, 1)
+	defer p.Release(c)
+	const settings = "SET work_mem = '1';"
+	assert.NilError(t, c.ApplySettings(t.Context(), settings))
+	assert.ErrorContains(t, c.ApplySettings(t.Context(), "nonsense;"), "SQLSTATE")
+	assert.Assert(t, c.settingsUnknown)
+	assert.NilError(t, c.ApplySettings(t.Context(), settings))
+	assert.Assert(t, !c.settingsUnknown)
+}
+
 func TestPreparedStatementsAreLimited(t *testing.T) {
 	st := newStatements()
 	for i := range maxStatements {
--- a/internal/upstream/statements.go
+++ b/internal/upstream/statements.go
@@ -14,13 +14,19 @@
 
 // Use reports whether the server holds the statement name, and marks it used.
 func (s *Statements) Use(name string) bool {
-	if _, ok := s.used[name]; !ok {
+	if !s.Holds(name) {
 		return false
 	}
 	s.Add(name)
 	return true
 }
 
+// Holds reports whether the server holds the statement name.
+func (s *Statements) Holds(name string) bool {
+	_, ok := s.used[name]
+	return ok
+}
+
 // Add records that the server holds the statement name.
 func (s *Statements) Add(name string) {
 	s.next++
