Record a broken idle connection wherever it is met

Cause: while the store is lost, a commit counts once a known replica has received it that has not restarted, since a restart ends its hold. A restart was recognized by broken connections, but only by those found by one of the four places that close them. If the replica was up again when its connection was next taken from the pool, nobody recorded that it had broken.

Change: the pool records the time wherever it meets a broken connection. Why this works: every idle connection is looked at when it leaves the pool or when the question is asked, so one that broke after the hold is always found.

--- a/internal/fleet/acknowledge.go
+++ b/internal/fleet/acknowledge.go
@@ -80,11 +80,8 @@
 // mayHaveRestartedSince reports whether a connection to the server has broken or could
 // not be opened after the moment since.
 func (u *Upstream) mayHaveRestartedSince(since tables.Time) bool {
-	broken := u.pool.CloseBroken()
+	broken := u.pool.BrokenAfter(since)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if broken {
-		u.brokenAt = u.fleet.Now()
-	}
-	return max(u.brokenAt, u.lastFailureAt) > since
+	return broken || u.lastFailureAt > since
 }
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -33,8 +33,6 @@
 	// for commits.
 	lastFailureAt       tables.Time
 	lastCommitFailureAt tables.Time
-	// brokenAt is when an idle connection was last found broken.
-	brokenAt tables.Time
 	// oldestLostCommitAt is when the oldest commit without a reply was sent,
 	// provided that no commit was answered since; 0 if there is none.
 	oldestLostCommitAt tables.Time
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -129,7 +129,9 @@
 	// refusedAttemptAt is when the last attempt began to which the server replied that
 	// it has no room.
 	refusedAttemptAt tables.Time
-	closed           bool
+	// brokenAt is when an idle connection was last found broken.
+	brokenAt tables.Time
+	closed   bool
 }
 
 // waiter is a call of Get that waits for a connection of its team.
@@ -247,7 +249,7 @@
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
-		if c.Alive() {
+		if p.stillAlive(c) {
 			return c
 		}
 		p.closeConn(c)
@@ -255,11 +257,28 @@
 	return nil
 }
 
+// stillAlive reports whether an idle connection is still open, and records if it is not.
+// The lock must be held.
+func (p *Pool) stillAlive(c *Conn) bool {
+	alive := c.Alive()
+	if !alive {
+		p.brokenAt = p.now()
+	}
+	return alive
+}
+
+// closeIdle closes an idle connection, which may have broken unnoticed. The lock must be
+// held.
+func (p *Pool) closeIdle(c *Conn) {
+	p.stillAlive(c)
+	p.closeConn(c)
+}
+
 // evictIdle closes the connection that has been idle longest, if there is one. The
 // lock must be held.
 func (p *Pool) evictIdle() {
 	if len(p.idle) > 0 {
-		p.closeConn(p.idle[0])
+		p.closeIdle(p.idle[0])
 		p.idle = slices.Delete(p.idle, 0, 1)
 	}
 }
@@ -305,29 +324,28 @@
 	}
 	c := p.idle[oldest]
 	p.idle = append(p.idle[:oldest], p.idle[oldest+1:]...)
-	if !c.Alive() {
+	if !p.stillAlive(c) {
 		p.closeConn(c)
 		return nil, false
 	}
 	return c, true
 }
 
-// CloseBroken closes the idle connections that are no longer alive and returns
-// whether there were any.
-func (p *Pool) CloseBroken() bool {
+// BrokenAfter reports whether an idle connection was found broken after t, by any use of
+// the pool. It looks at all idle connections and closes those that are.
+func (p *Pool) BrokenAfter(t tables.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	alive := p.idle[:0:0]
 	for _, c := range p.idle {
-		if c.Alive() {
+		if p.stillAlive(c) {
 			alive = append(alive, c)
 		} else {
 			p.closeConn(c)
 		}
 	}
-	broken := len(alive) < len(p.idle)
 	p.idle = alive
-	return broken
+	return p.brokenAt > t
 }
 
 // takeOrReserve returns an idle connection, or a channel to wait on, or neither
@@ -511,7 +529,7 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	for len(p.idle) > 0 && now.Sub(p.idle[0].idleSince) > p.idleTimeout(now, share) {
-		p.closeConn(p.idle[0])
+		p.closeIdle(p.idle[0])
 		p.idle = p.idle[1:]
 	}
 }
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -231,3 +231,35 @@
 		}
 	})
 }
+
+// A restart of the server must be noticed whatever use of the pool meets the connections
+// that it broke: a replica that restarted may have lost a hold.
+func TestBrokenConnectionIsRecordedByAnyUse(t *testing.T) {
+	for name, use := range map[string]func(p *Pool){
+		"taken":    func(p *Pool) { _, _ = p.Get(context.Background(), "", false) },
+		"own work": func(p *Pool) { _, _ = p.GetOwn(context.Background()) },
+		"oldest":   func(p *Pool) { p.Oldest(p.now()) },
+		"evicted":  func(p *Pool) { _, _ = p.Get(context.Background(), "", true) },
+		"trimmed": func(p *Pool) {
+			time.Sleep(time.Minute)
+			p.Trim(0)
+		},
+		"none": func(*Pool) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := 0
+				p := newTestPool(1, openCounted(&n))
+				c := get(t, p, false)
+				p.Put(c)
+				before := p.now()
+				time.Sleep(time.Millisecond)
+				assert.Assert(t, !p.BrokenAfter(before))
+				c.Link.(*fakeLink).closed = true
+				use(p)
+				assert.Assert(t, p.BrokenAfter(before))
+				assert.Assert(t, !p.BrokenAfter(p.now()))
+			})
+		})
+	}
+}
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -336,6 +336,33 @@
 	})
 }
 
+// Guards against evidence from a replica that lost its hold in a restart so short that no
+// statement failed: the connections that it broke were replaced when they were next taken
+// from the pool, and nobody recorded that they had broken.
+func TestShortRestartOfHeldReplicaIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, l := newLoadedCluster(t)
+		tc.proxies[0].store.setDown(true)
+		time.Sleep(time.Second)
+		ordered := tc.crashUntilOrdered("s1")
+		bystander := tables.UpstreamID("s2")
+		if ordered == bystander {
+			bystander = "s3"
+		}
+		tc.group.Change(bystander, func(s *dbgroup.Server) {
+			s.Crash()
+			s.Restart()
+		})
+		time.Sleep(100 * time.Millisecond)
+		tc.restart("s1")
+		time.Sleep(5 * time.Second)
+		tc.proxies[0].store.setDown(false)
+		time.Sleep(3 * time.Second)
+		l.end()
+		assert.Equal(t, tc.group.Promotions(), 1)
+	})
+}
+
 // While a primary is replaced, reads are served by held replicas that have all
 // acknowledged commits.
 func TestReadsAreServedDuringReplacement(t *testing.T) {
