Walks and soak check the session state with which statements run

Callers of sessionlog set values, prepare statements and run reads that depend on them, alone and in transactions, in many short sessions; the emulated servers report the state of each statement, and one server after the other fails a random share of all statements but those of replacements. Every second run undoes session state at a rollback.

--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -80,6 +80,8 @@
 	idleTransactionTimeout time.Duration
 	// connections is the configured number of connections of a server.
 	connections int
+	// wrapLink wraps the proxies' sessions at servers, if set.
+	wrapLink func(links.Link) links.Link
 	// forwarding connects the proxies' forwarders, if set.
 	forwarding *forwarding
 	// teams are the configured teams with their keys; nil if there are none.
@@ -422,7 +424,11 @@
 			if s == nil {
 				return nil, r, err
 			}
-			return tc.forwarding.record(&pathLink{Session: s, tc: tc, vm: vm, id: e.ID}, team), r, err
+			link := tc.forwarding.record(&pathLink{Session: s, tc: tc, vm: vm, id: e.ID}, team)
+			if tc.wrapLink != nil {
+				link = tc.wrapLink(link)
+			}
+			return link, r, err
 		},
 		Now:        func() tables.Time { return tables.Time(time.Since(tc.began) + time.Hour) },
 		Log:        log,
--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -285,13 +285,18 @@
 
 // walk injects the faults of a seed under load.
 func (tc *testCluster) walk(seed uint64, kinds int) *load {
-	k := &walk{tc: tc, rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds}
 	l := tc.startLoad()
+	tc.injectFaults(seed, kinds)
+	return l
+}
+
+// injectFaults injects the faults of a seed.
+func (tc *testCluster) injectFaults(seed uint64, kinds int) {
+	k := &walk{tc: tc, rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds}
 	for began := time.Now(); time.Since(began) < walkTime; {
 		time.Sleep(time.Duration(100+k.rng.IntN(1800)) * time.Millisecond)
 		tc.t.Log(k.step())
 	}
-	return l
 }
 
 // delayRecords makes reads of the records return their state of the given time ago, with
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -102,7 +102,9 @@
 	if c.conn == nil && !c.connect() {
 		return r, false
 	}
-	st.ID = teamlog.ID(string(c.holder), statements.Add(1))
+	if st.ID == "" {
+		st.ID = teamlog.ID(string(c.holder), statements.Add(1))
+	}
 	err := c.conn.SetDeadline(time.Now().Add(replyTimeout))
 	if err == nil {
 		err = c.conn.Send(st)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -45,6 +45,7 @@
 	open.Go(func() { s.drillOnce(ctx) })
 	open.Go(func() { s.removeEarly(ctx) })
 	open.Go(func() { s.cutCoordinator(ctx) })
+	open.Go(func() { s.failStatements(ctx) })
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		name, undo := faults[r.IntN(len(faults))](s, r)
 		duration := time.Duration(r.Int64N(int64(maxFaultDuration)))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
 	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
+	"github.com/cranberrystage/cranberrystage/internal/standin/sessionlog"
 	"github.com/cranberrystage/cranberrystage/internal/standin/teamlog"
 	"github.com/cranberrystage/cranberrystage/internal/statement"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
@@ -104,6 +105,8 @@
 	faultsEnded   time.Time
 	// ran holds the statements that servers ran.
 	ran teamlog.Log
+	// settings compares the session state with which they ran with that of their callers.
+	settings sessionlog.Log
 	// orders are the promotion orders that the platform received.
 	orders []emulator.Order
 }
@@ -138,6 +141,9 @@
 	for i, h := range []holder{earlyLeaver, lateLeaver, stranger} {
 		wg.Go(func() { s.runGuest(work, h, i) })
 	}
+	for i := range settingsCallers {
+		wg.Go(func() { s.runSettings(work, i) })
+	}
 	s.inject(ctx)
 	s.faultsEnded = time.Now()
 	if err := s.checkRemoval(ctx); err != nil {
@@ -152,6 +158,7 @@
 	s.checkLogs()
 	s.checkOrders()
 	s.checkTeams()
+	s.checkSettings()
 	return nil
 }
 
@@ -183,7 +190,7 @@
 	s.group = dbgroup.New(group, list...)
 	s.group.PromoteDelay = promoteDelay
 	s.group.LimitSlots(slots)
-	s.group.Observe(s.ran.Record)
+	s.group.Observe(s.observe)
 	for i, l := range listeners {
 		go emulator.ServeUpstream(l, s.group, list[i])
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -57,6 +57,7 @@
 		t.Log(s.Report(false))
 		assert.Equal(t, len(s.Failures), 0)
 		assert.Assert(t, s.Served > 100)
+		assert.Assert(t, s.settings.Ran() > 100, "%d statements of sessions with values ran", s.settings.Ran())
 		for h := range teamOf {
 			assert.Assert(t, s.ran.Count(string(h)) > 0, "%s ran nothing", h)
 		}
