Hold replicas at the term of the promotion, whatever was held before

Cause: an attempt that was interrupted leaves its replicas held at the term of the promotion. NextTerm counted holds as terms, so the next attempt held them at one more, and the promotion lifts holds up to its own term only. The replica that was not promoted stayed held.

Change: holds don't count. TestNextTermIsAboveAllKnownTerms asked for the higher term, which was the fault; TestNextTermIsThatOfThePromotion asks for exactly the promotion's.

--- a/internal/fleet/holds.go
+++ b/internal/fleet/holds.go
@@ -78,7 +78,7 @@
 			a.demote(ctx, u, r.status)
 		case r.status.Held == 0:
 			missing, err = missing+1, errors.Errorf("%s is not held at term %d", u.ID(), term)
-			a.term = replace.NextTerm(a.term, r.status)
+			a.term = max(a.term, replace.NextTerm(a.record.Term, r.status))
 		default:
 			held[u.entry.ID] = replace.Held{ID: u.entry.ID, Leaving: leaving[u.entry.ID], Status: r.status}
 		}
@@ -96,8 +96,8 @@
 	})
 }
 
-// chooseTerm determines the term of the holds, above all terms known to the replicas,
-// unless it is known already.
+// chooseTerm determines the term of the holds, which is that of the promotion, unless it is
+// known already.
 func (a *attempt) chooseTerm(ctx context.Context, replicas []*Upstream) {
 	if a.term != 0 {
 		return
--- a/internal/standin/dbgroup/dbgroup.go
+++ b/internal/standin/dbgroup/dbgroup.go
@@ -353,12 +353,16 @@
 	}
 	s.leads, s.term, s.held, s.applied = true, g.term, 0, len(s.log)
 	for _, o := range g.servers {
-		if o != s && o.up && !o.isolated {
+		if o != s && o.up && !o.isolated && !o.heldAbove(g.term) {
 			o.follow(s)
 		}
 	}
 }
 
+// heldAbove reports whether s is held for a higher term. A promotion lifts holds of its own
+// term and of lower ones only.
+func (s *Server) heldAbove(term tables.Term) bool { return s.held > term && !s.g.ignoreHolds }
+
 // follow makes s a replica of the primary p and truncates its log where it
 // diverges from p's.
 func (s *Server) follow(p *Server) {
@@ -437,7 +441,7 @@
 		return
 	}
 	for _, s := range g.servers {
-		if s == p || !s.up || s.receiveStopped || s.isolated || s.leads || s.held > p.term && !g.ignoreHolds || s.term > p.term {
+		if s == p || !s.up || s.receiveStopped || s.isolated || s.leads || s.heldAbove(p.term) || s.term > p.term {
 			continue
 		}
 		if s.term < p.term {
--- a/internal/standin/dbgroup/session.go
+++ b/internal/standin/dbgroup/session.go
@@ -338,7 +338,7 @@
 	switch st.Kind {
 	case statement.Hold:
 		if !s.leads && st.Term > s.g.term {
-			s.held = st.Term
+			s.held = max(s.held, st.Term)
 		}
 	case statement.Resume:
 		s.held = 0
--- a/internal/systems/replace/replace.go
+++ b/internal/systems/replace/replace.go
@@ -220,12 +220,14 @@
 	return demoted != (tables.Position{}) && newest.Status.Received.AtLeast(demoted)
 }
 
-// NextTerm returns the term for statement.Hold: one above the highest of known and
-// the terms in the status reports.
+// NextTerm returns the term for statement.Hold: one above the highest of known and the terms
+// in the status reports in which a server led, which is the term of the promotion. Holds
+// of earlier attempts don't count: no server led their term, and a promotion would not lift
+// a hold above its own term.
 func NextTerm(known tables.Term, statuses ...statement.ServerStatus) tables.Term {
 	next := known
 	for _, status := range statuses {
-		next = max(next, status.Term, status.Held, status.Received.LogTerm)
+		next = max(next, status.Term, status.Received.LogTerm)
 	}
 	return next + 1
 }
--- a/internal/systems/replace/replace_test.go
+++ b/internal/systems/replace/replace_test.go
@@ -85,9 +85,23 @@
 	}
 }
 
-func TestNextTermIsAboveAllKnownTerms(t *testing.T) {
-	next := NextTerm(3, statement.ServerStatus{Term: 4, Held: 7, Received: pos(2, 9)}, statement.ServerStatus{Term: 5})
-	assert.Equal(t, next, tables.Term(8))
+// The term of the holds is exactly that of the promotion, the one above the newest in which a
+// server led: a lower one does not hold, and a higher one outlasts the promotion. The terms
+// of other holds say nothing about it, however many attempts were interrupted.
+func TestNextTermIsThatOfThePromotion(t *testing.T) {
+	for name, c := range map[string]struct {
+		known    tables.Term
+		statuses []statement.ServerStatus
+		want     tables.Term
+	}{
+		"known":               {3, nil, 4},
+		"of a follower":       {3, []statement.ServerStatus{{Term: 4, Received: pos(2, 9)}, {Term: 5}}, 6},
+		"of a log":            {3, []statement.ServerStatus{{Term: 4, Received: pos(6, 9)}}, 7},
+		"held before":         {3, []statement.ServerStatus{{Term: 3, Held: 4, Received: pos(3, 9)}, {Term: 3}}, 4},
+		"held before, higher": {3, []statement.ServerStatus{{Term: 4, Held: 7, Received: pos(2, 9)}, {Term: 5}}, 6},
+	} {
+		assert.Equal(t, NextTerm(c.known, c.statuses...), c.want, name)
+	}
 }
 
 func TestOrderWaitsForLeaseAndNeedsCoordinatorLease(t *testing.T) {
