The random walk's platform row refuses a write that lost a race

Cause in the test: its platform took every write of a group's row. One coordinator read the row, another wrote it, and the first then wrote the same grant again; both held term 4. The product sends the version that the row must have (action.WriteGroupRow.Version), and the platform refuses such a write, as the matrices' platform does (harness_test.go).

The walk's row has a version now and refuses writes for another one.

--- a/internal/faults/walk_test.go
+++ b/internal/faults/walk_test.go
@@ -33,8 +33,10 @@
 	writers      []*writer
 	messages     []message
 	checks       *checker
-	nextTerm     tables.Term
-	nextWrite    uint64
+	// nextTerm is the content of the group's row that matters here, rowVersion its version.
+	nextTerm   tables.Term
+	rowVersion uint64
+	nextWrite  uint64
 }
 
 type walkServer struct {
@@ -64,7 +66,7 @@
 var walkMembers = []tables.UpstreamID{"a", "b", "c"}
 
 func newWalk(draw func(int) int, rule ack.Rule, choose func([]failover.Fenced, int, bool) (tables.UpstreamID, bool)) *walk {
-	w := &walk{draw: draw, random: rand.New(rand.NewPCG(1, 1)), rule: rule, choose: choose, checks: newChecker(), nextTerm: 2}
+	w := &walk{draw: draw, random: rand.New(rand.NewPCG(1, 1)), rule: rule, choose: choose, checks: newChecker(), nextTerm: 2, rowVersion: 1}
 	for i, id := range walkMembers {
 		w.servers = append(w.servers, &walkServer{id: id, state: replog.New(i == 0)})
 	}
@@ -234,10 +236,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case action.ReadGroupRow:
-			w.perform(c, now, c.system.Handle(now, c.world, event.GroupRowRead{Group: testGroup, Row: tables.GroupRow{Next: w.nextTerm}, Version: 1}))
+			w.perform(c, now, c.system.Handle(now, c.world, event.GroupRowRead{Group: testGroup, Row: tables.GroupRow{Next: w.nextTerm}, Version: w.rowVersion}))
 		case action.WriteGroupRow:
-			w.nextTerm = max(w.nextTerm, a.Row.Next)
-			w.perform(c, now, c.system.Handle(now, c.world, event.GroupRowWritten{Group: testGroup, TxnID: a.TxnID}))
+			w.perform(c, now, c.system.Handle(now, c.world, event.GroupRowWritten{Group: testGroup, TxnID: a.TxnID, Outcome: w.writeRow(a)}))
 			w.perform(c, now, c.system.Tick(now, c.world))
 		case action.Fence:
 			w.control(c, now, a.Upstream, a.Term, tables.StepFence, func(s *replog.State) (tables.Status, error) { return s.Fence(a.Term) })
@@ -249,6 +250,16 @@
 	}
 }
 
+// writeRow writes the group's row if it has the expected version.
+func (w *walk) writeRow(a action.WriteGroupRow) event.Outcome {
+	if a.Version != w.rowVersion {
+		return event.OutcomeConflict
+	}
+	w.nextTerm = a.Row.Next
+	w.rowVersion++
+	return event.OutcomeOK
+}
+
 func (w *walk) control(c *coordinator, now tables.Time, id tables.UpstreamID, term tables.Term, step tables.Step, run func(*replog.State) (tables.Status, error)) {
 	w.send(func() {
 		s := w.server(id)
