End holds that nobody owns; cancel a replacement though a member has ended

What callers saw, in two tests: a database whose data is all there takes no write until an operator acts. (1) A replica refused its RESUME when a replacement was cancelled, and stayed held for ever. (2) The coordinator died after its announcement, another replica ended, and the primary came back: each attempt to cancel failed, as the ended one's log might be needed.

Cause: (1) a failed RESUME was logged and the record written all the same; nothing looked for holds afterwards. (2) The list of members was checked for every attempt, also for one that can only cancel.

Change: control statements are retried after any refusal. After each change of a group's record proxies ask its replicas whether they are held, until each has found none; one that is found in the primary's own term is resumed under the coordinator lease, by an announcement that is cancelled at once. An attempt that can only cancel needs no member's log. Why this is safe: RESUME is sent under the lease only, so no other proxy relies on that hold, and a replica in an earlier term, which may be held against a replaced primary, is left alone.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -176,6 +176,10 @@
 	// under way.
 	announcedAt tables.Time
 	leaderless  leaderless
+	// unheldRecord is the version of the record for which this proxy found no replica
+	// held, nextHoldCheckAt the earliest time of the next check.
+	unheldRecord    tables.Version
+	nextHoldCheckAt tables.Time
 }
 
 // New returns a fleet without configuration, servers or groups; Run fills it.
--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -70,6 +70,9 @@
 					probesDone <- check.leader.Upstream.ID()
 				}()
 			}
+			if check.mayBeHeld {
+				go f.releaseUnowned(ctx, check.leader)
+			}
 			switch {
 			case check.recordOrdered:
 				go f.recordOrderedPrimary(ctx, check.id)
@@ -124,6 +127,9 @@
 	// recordOrdered says that the server which was ordered has to be recorded if
 	// it leads.
 	recordOrdered bool
+	// mayBeHeld says that the replicas are to be asked whether one is held although no
+	// replacement is under way.
+	mayBeHeld bool
 }
 
 func (f *Fleet) checkGroups() []groupCheck {
@@ -159,6 +165,7 @@
 			})
 			check.probe = refused != 0 || u.Unreachable() || unanswered != 0 && now.Sub(unanswered) > probeTimeout/2
 			check.fetchTerm = g.term == 0
+			check.mayBeHeld = check.mayReplace && f.mayBeHeld(g, now)
 			newest, found := g.NewestPoint()
 			check.fetchEvidence = (f.storeLostAt != 0 || !f.confirmed(g)) && g.inUse(now) && g.LedAt(now) && now.Sub(g.ProvenAt) > evidenceRefreshAge
 			check.fetchPoint = g.inUse(now) && (!found || now.Sub(newest) > pointRefreshAge) && now.Sub(g.pointRequestedAt) > pointRefreshAge/2
--- a/internal/fleet/promotion.go
+++ b/internal/fleet/promotion.go
@@ -242,8 +242,7 @@
 	f.log.Warn("A server leads that is not recorded; recording it as the primary.", "group", a.id,
 		"upstream", record.Primary, "term", record.Term, "before", a.record.Primary, "ordered", a.record.Ordered)
 	a.record.Primary, a.record.Term = record.Primary, record.Term
-	a.cancelReplacement(ctx)
-	return nil
+	return a.cancelReplacement(ctx, a.othersThanPrimary())
 }
 
 // recordOrderedPrimary records the server that another proxy ordered, if it
--- a/internal/fleet/query.go
+++ b/internal/fleet/query.go
@@ -66,7 +66,8 @@
 // runControlWithRetry runs a control statement for a replacement and returns
 // the server's status. Without a primary, callers load the remaining servers
 // heavily, so it retries until it gets a connection and a slot, within
-// queryTimeout.
+// queryTimeout. It also retries after any other refusal, as control statements may run
+// twice.
 func (u *Upstream) runControlWithRetry(ctx context.Context, st statement.Statement) (statement.ServerStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
@@ -75,7 +76,7 @@
 		if err == nil {
 			return statusOf(r, st)
 		}
-		if r.Code != statement.Busy || sleep.For(ctx, busyRetryDelay) != nil {
+		if r.Code == statement.OK || sleep.For(ctx, busyRetryDelay) != nil {
 			return statement.ServerStatus{}, err
 		}
 	}
--- a/internal/fleet/replacement.go
+++ b/internal/fleet/replacement.go
@@ -11,7 +11,6 @@
 	"github.com/cranberrystage/cranberrystage/internal/systems/confirm"
 	"github.com/cranberrystage/cranberrystage/internal/systems/replace"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 )
 
@@ -55,6 +54,10 @@
 	}
 	took := f.Now().Sub(startedAt)
 	f.Metrics.ObserveWriteGap(id, took)
+	if cause == replace.CauseHeld {
+		log.Info("Released the replicas of a group.", "took", took)
+		return
+	}
 	log.Info("Replaced a primary.", "took", took)
 }
 
@@ -142,12 +145,17 @@
 	// pending is the server of an earlier order that may still take effect; empty if
 	// there is none.
 	pending tables.UpstreamID
+	// keepsPrimary means that the attempt promotes no server, so it needs no member's log.
+	keepsPrimary bool
 }
 
 func (f *Fleet) tryReplacePrimary(ctx context.Context, id tables.GroupID, cause replace.Cause, l Leader) error {
 	if err := sleep.For(ctx, f.attemptDelay()); err != nil {
 		return err
 	}
+	if cause == replace.CauseHeld {
+		return f.tryRelease(ctx, id, l)
+	}
 	// Once a replacement is announced, only the holder of the coordinator lease queries
 	// the replicas: queries of all proxies would take the slots and connections that the
 	// replacement needs.
@@ -160,7 +168,8 @@
 			return err
 		}
 	}
-	a := &attempt{f: f, id: id, era: f.currentEra(), claimID: string(f.VM) + "/" + uuid.NewString(), failedLeader: l}
+	a := f.newAttempt(id, l)
+	a.keepsPrimary = announced && f.keptPrimary(ctx, id)
 	if err := a.announce(ctx); err != nil {
 		return err
 	}
@@ -182,7 +191,9 @@
 	// Without a failed primary there may be one that appeared meanwhile. Commits that it
 	// acknowledges would be lost if a pending order took effect.
 	if (announced || l.Upstream == nil) && a.pending == "" && a.primaryStillLeads(ctx) {
-		a.cancelReplacement(ctx)
+		if err := a.cancelReplacement(ctx, a.othersThanPrimary()); err != nil {
+			return err
+		}
 		return errors.Errorf("%s still leads, so the replacement was cancelled", a.record.Primary)
 	}
 	if announced {
@@ -241,7 +252,9 @@
 // an order that was recorded and not sent. A pending order stays on record.
 func (a *attempt) withdraw(ctx context.Context) {
 	if a.pending == "" && a.primaryLeads(ctx) {
-		a.cancelReplacement(ctx)
+		if err := a.cancelReplacement(ctx, a.othersThanPrimary()); err != nil {
+			a.f.log.Warn("Could not cancel a replacement.", "group", a.id, "error", err)
+		}
 		return
 	}
 	next := a.record.WithoutOrder()
@@ -381,30 +394,34 @@
 	return since != 0 && f.Now().Sub(since) >= replace.MissingTimeout
 }
 
-// cancelReplacement resumes the replicas and then records that the primary
+// othersThanPrimary returns the servers of the group but the recorded primary.
+func (a *attempt) othersThanPrimary() []*Upstream {
+	a.f.mu.Lock()
+	defer a.f.mu.Unlock()
+	return a.f.serversWhere(a.id, func(u *Upstream) bool { return u.entry.ID != a.record.Primary })
+}
+
+// cancelReplacement resumes replicas and then records that the primary
 // stays. It is called before any promotion was ordered. Once the claim may have
 // expired it resumes no more replicas: the next coordinator may rely on its own
-// holds, and finds the announcement.
-func (a *attempt) cancelReplacement(ctx context.Context) {
+// holds, and finds the announcement. A replica that can't be resumed is found by
+// releaseUnowned.
+func (a *attempt) cancelReplacement(ctx context.Context, replicas []*Upstream) error {
 	f := a.f
 	f.mu.Lock()
 	validUntil := f.coordinator.validUntil
-	replicas := f.serversWhere(a.id, func(u *Upstream) bool { return u.entry.ID != a.record.Primary })
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), validUntil.Sub(f.Now()))
 	defer cancel()
-	for _, u := range replicas {
-		if f.Now() >= validUntil {
-			f.log.Warn("The coordinator lease expired before all replicas were resumed.", "group", a.id)
-			return
-		}
-		if _, err := u.runControlWithRetry(ctx, statement.Statement{Kind: statement.Resume}); err != nil {
-			f.log.Warn("Could not resume a replica.", "group", a.id, "upstream", u.ID(), "error", err)
+	for i, r := range runControlOnAll(ctx, replicas, statement.Statement{Kind: statement.Resume}) {
+		if r.err != nil {
+			f.log.Warn("Could not resume a replica.", "group", a.id, "upstream", replicas[i].ID(), "error", r.err)
 		}
 	}
+	if f.Now() >= validUntil {
+		return errors.Wrap(errNotCoordinator, "the coordinator lease expired before all replicas were resumed")
+	}
 	next := a.record.WithoutOrder()
 	next.Replacing = false
-	if err := a.updateRecord(ctx, next); err != nil {
-		f.log.Warn("Could not withdraw the announcement of a cancelled replacement.", "group", a.id, "error", err)
-	}
+	return errors.Wrap(a.updateRecord(ctx, next), "withdraw the announcement of a cancelled replacement")
 }
--- a/internal/relay/interrupted_test.go
+++ b/internal/relay/interrupted_test.go
@@ -70,3 +70,69 @@
 		})
 	}
 }
+
+// Guards against a replica that stays held for ever although no replacement is under way:
+// the attempt that held it was cancelled, and the replica failed its RESUME. Once another
+// replica is lost, the group would take no write any more.
+func TestHoldOfCancelledReplacementIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, l := newLoadedCluster(t)
+		// One replica can't be held, so that the attempt is cancelled once the primary is back.
+		tc.group.FailStatements(func(id tables.UpstreamID, st statement.Statement) dbgroup.Failure {
+			if st.Kind == statement.Resume || st.Kind == statement.Hold && id == "s3" {
+				return dbgroup.Failure{Code: statement.RunFailed}
+			}
+			return dbgroup.Failure{}
+		})
+		tc.group.Change("s1", func(s *dbgroup.Server) { s.SetSilent(true) })
+		for len(tc.heldReplicas()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		tc.group.Change("s1", func(s *dbgroup.Server) { s.SetSilent(false) })
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, tc.heldReplicas(), []tables.UpstreamID{"s2"})
+		assert.Equal(t, tc.group.Primary(), tables.UpstreamID("s1"))
+		tc.group.FailStatements(nil)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(tc.heldReplicas()), 0, "%v are held", tc.heldReplicas())
+		tc.remove("s3")
+		time.Sleep(3 * time.Second)
+		for _, p := range tc.proxies {
+			r := tc.write(p.session(newest), "last", 1)
+			assert.Equal(t, r.Code, statement.OK, "%s: %s", p.vm, r.Detail)
+		}
+		l.end()
+		assert.Equal(t, tc.group.Promotions(), 0)
+	})
+}
+
+// Guards against an announced replacement that is never cancelled although the primary
+// leads: its coordinator died, and a replica that ended meanwhile is not covered, as held
+// replicas receive nothing.
+func TestAnnouncementIsCancelledThoughMemberEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc, l := newLoadedCluster(t)
+		tc.group.FailStatements(func(id tables.UpstreamID, st statement.Statement) dbgroup.Failure {
+			if st.Kind == statement.Hold && id == "s3" {
+				return dbgroup.Failure{Code: statement.RunFailed}
+			}
+			return dbgroup.Failure{}
+		})
+		tc.group.Change("s1", func(s *dbgroup.Server) { s.SetSilent(true) })
+		for len(tc.heldReplicas()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		tc.coordinator().restart()
+		tc.remove("s3")
+		time.Sleep(4 * time.Second)
+		tc.group.FailStatements(nil)
+		tc.group.Change("s1", func(s *dbgroup.Server) { s.SetSilent(false) })
+		time.Sleep(12 * time.Second)
+		for _, p := range tc.proxies {
+			r := tc.write(p.session(newest), "last", 1)
+			assert.Equal(t, r.Code, statement.OK, "%s: %s", p.vm, r.Detail)
+		}
+		assert.Equal(t, len(tc.heldReplicas()), 0, "%v are held", tc.heldReplicas())
+		l.end()
+	})
+}
--- a/internal/systems/replace/replace.go
+++ b/internal/systems/replace/replace.go
@@ -77,11 +77,14 @@
 	CauseDeposed
 	// CauseUnfinished means that another proxy started a replacement and did not finish it.
 	CauseUnfinished
+	// CauseHeld means that a replica is held although no replacement is under way. The
+	// primary stays; the replica is to receive commits again.
+	CauseHeld
 )
 
 // String returns the label used in logs and metrics.
 func (c Cause) String() string {
-	return [...]string{"none", "leaving", "gone", "refused", "silent", "no commits", "deposed", "unfinished"}[c]
+	return [...]string{"none", "leaving", "gone", "refused", "silent", "no commits", "deposed", "unfinished", "held"}[c]
 }
 
 // NeedsReplicaCheck reports whether the replicas must first be queried whether the
--- a/internal/systems/replace/replace_test.go
+++ b/internal/systems/replace/replace_test.go
@@ -41,7 +41,7 @@
 	for _, c := range []Cause{CauseRefused, CauseSilent, CauseNoCommits} {
 		assert.Assert(t, c.NeedsReplicaCheck(), c.String())
 	}
-	for _, c := range []Cause{CauseLeaving, CauseGone, CauseDeposed, CauseUnfinished} {
+	for _, c := range []Cause{CauseLeaving, CauseGone, CauseDeposed, CauseUnfinished, CauseHeld} {
 		assert.Assert(t, !c.NeedsReplicaCheck(), c.String())
 	}
 }
