Walks lose a primary for good and kill the proxy that replaces it

No walk lost a server for good, so a replica that stays held could not stop a group: another one came back. TestRandomWalkWithLostPrimary does, kills the coordinator up to 2 s later, and asks that no replica is held at the end.

--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -399,3 +399,38 @@
 	defer tc.mu.Unlock()
 	tc.leaving[id] = on
 }
+
+// TestRandomWalkWithLostPrimary checks the same while one primary is lost for good and the
+// proxy that replaces it is killed at a random moment, and that no replica stays held.
+func TestRandomWalkWithLostPrimary(t *testing.T) {
+	for seed := *walkFirst; seed < *walkFirst+uint64(*variantSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				tc := newTestCluster(t, 3)
+				go tc.losePrimary(rand.New(rand.NewPCG(seed, 6)))
+				walkCluster(t, tc, seed, kindsWithoutDrills)
+				assert.Equal(t, len(tc.heldReplicas()), 0, "%v are held", tc.heldReplicas())
+			})
+		})
+	}
+}
+
+// maxKillDelay is the longest time from the loss of a primary until the coordinator of its
+// replacement is killed.
+const maxKillDelay = 2 * time.Second
+
+// losePrimary removes the primary for good at a random time of the walk, and kills the
+// coordinator of its replacement.
+func (tc *testCluster) losePrimary(rng *rand.Rand) {
+	time.Sleep(time.Duration(rng.Int64N(int64(walkTime))))
+	primary := tc.group.Primary()
+	if primary == "" {
+		return
+	}
+	tc.remove(primary)
+	time.Sleep(time.Duration(rng.Int64N(int64(maxKillDelay))))
+	if p := tc.coordinator(); p != nil {
+		p.restart()
+	}
+}
