--- a/internal/fleet/unowned.go
+++ b/internal/fleet/unowned.go
@@ -15,7 +15,8 @@
 // A hold ends by a promotion, by RESUME, or with the replica's process. If the proxy that
 // cancels a replacement can't resume a replica, nobody owns that hold any more: the replica
 // receives nothing, and once it is the last one, no commit is acknowledged. So after each
-// change of a group's record proxies ask its replicas until one proxy has found none held.
+// change of a group's record the proxies ask its replicas, a few of them at a time, until
+// each has found none held.
 
 const (
 	// holdCheckInterval is the mean time between two checks for holds without a
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -196,7 +196,7 @@
 			return r, err
 		}
 		if r.Code != statement.OK && preparation.ChangesState(st.Kind) {
-			u.recordStateRefusal(c, st, r)
+			u.recordStateRefusal(st, r)
 		}
 		if out.Code == statement.OK {
 			out = r
@@ -208,8 +208,8 @@
 
 // recordStateRefusal records that the server refused to change a connection's session
 // state, which is unknown until the connection is reset.
-func (u *Upstream) recordStateRefusal(c *links.Conn, st statement.Statement, r statement.Reply) {
+func (u *Upstream) recordStateRefusal(st statement.Statement, r statement.Reply) {
 	u.fleet.Metrics.CountStateRefusal(u.entry.Group, st.Kind.String())
 	u.fleet.log.Info("A server refused to change a connection's session state.", "group", u.entry.Group, "upstream", u.ID(),
-		"statement", st.Kind.String(), "code", r.Code.String(), "detail", r.Detail, "transaction", !c.State.Settled())
+		"statement", st.Kind.String(), "code", r.Code.String(), "detail", r.Detail)
 }
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -312,27 +312,36 @@
 	})
 }
 
+// restartAfterOrder crashes the primary while one proxy is without the store, and calls
+// restart for the replica that is not promoted once the promotion is ordered. The old primary
+// comes back before it takes effect.
+func restartAfterOrder(t *testing.T, restart func(tc *testCluster, bystander tables.UpstreamID)) {
+	tc, l := newLoadedCluster(t)
+	tc.proxies[0].store.setDown(true)
+	time.Sleep(time.Second)
+	ordered := tc.crashUntilOrdered("s1")
+	bystander := tables.UpstreamID("s2")
+	if ordered == bystander {
+		bystander = "s3"
+	}
+	restart(tc, bystander)
+	tc.restart("s1")
+	time.Sleep(5 * time.Second)
+	tc.proxies[0].store.setDown(false)
+	time.Sleep(3 * time.Second)
+	l.end()
+	assert.Equal(t, tc.group.Promotions(), 1)
+}
+
 // A replica that restarts after the order has lost its hold, and the old primary comes
 // back before the promotion takes effect.
 func TestCommitIsNotAcknowledgedOnceReplicaLostItsHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tc, l := newLoadedCluster(t)
-		tc.proxies[0].store.setDown(true)
-		time.Sleep(time.Second)
-		ordered := tc.crashUntilOrdered("s1")
-		bystander := tables.UpstreamID("s2")
-		if ordered == bystander {
-			bystander = "s3"
-		}
-		tc.group.Change(bystander, (*dbgroup.Server).Crash)
-		time.Sleep(100 * time.Millisecond)
-		tc.restart("s1")
-		tc.restart(bystander)
-		time.Sleep(5 * time.Second)
-		tc.proxies[0].store.setDown(false)
-		time.Sleep(3 * time.Second)
-		l.end()
-		assert.Equal(t, tc.group.Promotions(), 1)
+		restartAfterOrder(t, func(tc *testCluster, bystander tables.UpstreamID) {
+			tc.group.Change(bystander, (*dbgroup.Server).Crash)
+			time.Sleep(100 * time.Millisecond)
+			tc.restart(bystander)
+		})
 	})
 }
 
@@ -341,25 +350,13 @@
 // from the pool, and nobody recorded that they had broken.
 func TestShortRestartOfHeldReplicaIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tc, l := newLoadedCluster(t)
-		tc.proxies[0].store.setDown(true)
-		time.Sleep(time.Second)
-		ordered := tc.crashUntilOrdered("s1")
-		bystander := tables.UpstreamID("s2")
-		if ordered == bystander {
-			bystander = "s3"
-		}
-		tc.group.Change(bystander, func(s *dbgroup.Server) {
-			s.Crash()
-			s.Restart()
+		restartAfterOrder(t, func(tc *testCluster, bystander tables.UpstreamID) {
+			tc.group.Change(bystander, func(s *dbgroup.Server) {
+				s.Crash()
+				s.Restart()
+			})
+			time.Sleep(100 * time.Millisecond)
 		})
-		time.Sleep(100 * time.Millisecond)
-		tc.restart("s1")
-		time.Sleep(5 * time.Second)
-		tc.proxies[0].store.setDown(false)
-		time.Sleep(3 * time.Second)
-		l.end()
-		assert.Equal(t, tc.group.Promotions(), 1)
 	})
 }
 
