Replace a leaving primary soon after an outage if its log proves enough

Cause: no replacement began within 2.5 s of an outage, as a server that joined in it may be unknown and have the only copy of a commit. The store was never there for longer, so leaving primaries worked on until they ended, and a leaving replica with them, which is waited for ever after.

Change: an attempt for a leaving primary, or an announced one, begins at once if the primary can be reached. The order needs either the known servers, as before, or that a held replica has all that the demoted primary's log has. Why no commit is lost: a demoted primary acknowledges nothing, and whatever a server has received is in that log.

--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -141,13 +141,14 @@
 		if !f.configured(id) {
 			continue
 		}
-		check := groupCheck{id: id, mayReplace: !g.attemptRunning && now >= g.nextReplaceAt && f.storeLostAt == 0 && f.confirmed(g) && f.serversKnown(now)}
+		check := groupCheck{id: id, mayReplace: !g.attemptRunning && now >= g.nextReplaceAt && f.storeLostAt == 0 && f.confirmed(g)}
+		serversKnown := f.serversKnown(now)
 		u, ok := f.upstreams[g.Primary]
 		switch {
 		case g.record.Replacing && now.Sub(g.announcedAt) < recordOrderedAfter:
 			continue
 		case g.record.Replacing && g.record.Ordered != "" && now.Sub(g.announcedAt) < replace.CoordinatorLeaseTime+replace.MinOrderGap:
-			check.recordOrdered = check.mayReplace
+			check.recordOrdered = check.mayReplace && serversKnown
 		case g.record.Replacing && now.Sub(g.announcedAt) < replace.CoordinatorLeaseTime:
 			continue
 		case g.record.Replacing:
@@ -165,7 +166,7 @@
 			})
 			check.probe = refused != 0 || u.Unreachable() || unanswered != 0 && now.Sub(unanswered) > probeTimeout/2
 			check.fetchTerm = g.term == 0
-			check.mayBeHeld = check.mayReplace && f.mayBeHeld(g, now)
+			check.mayBeHeld = check.mayReplace && serversKnown && f.mayBeHeld(g, now)
 			newest, found := g.NewestPoint()
 			check.fetchEvidence = (f.storeLostAt != 0 || !f.confirmed(g)) && g.inUse(now) && g.LedAt(now) && now.Sub(g.ProvenAt) > evidenceRefreshAge
 			check.fetchPoint = g.inUse(now) && (!found || now.Sub(newest) > pointRefreshAge) && now.Sub(g.pointRequestedAt) > pointRefreshAge/2
@@ -173,11 +174,23 @@
 				g.pointRequestedAt = now
 			}
 		}
+		check.mayReplace = check.mayReplace && (serversKnown || f.mayDemote(g, check.cause))
 		out = append(out, check)
 	}
 	return out
 }
 
+// mayDemote reports whether a replacement for a cause can demote the primary: the log of
+// a demoted primary shows whether the servers that are known have all commits, so that one
+// that joined during an outage need not be waited for. The lock must be held.
+func (f *Fleet) mayDemote(g *group, cause replace.Cause) bool {
+	u, ok := f.upstreams[g.record.Primary]
+	if g.version.IsZero() {
+		u, ok = f.upstreams[g.Primary]
+	}
+	return ok && (cause == replace.CauseLeaving || cause == replace.CauseUnfinished) && u.missingSince == 0 && !u.Unreachable()
+}
+
 // configured reports whether the configuration names a group. Entries of other writers
 // may name groups that do not exist.
 func (f *Fleet) configured(id tables.GroupID) bool {
@@ -210,7 +223,8 @@
 // serversKnown reports whether every server that may count for commits has an
 // entry. A server that joined during an outage of the store receives commits at
 // once, but its entry shows only after the outage: a replacement that doesn't hold
-// it would lose commits that no other replica has. The lock must be held.
+// it would lose commits that no other replica has, unless the log of the demoted
+// primary shows that there are none. The lock must be held.
 func (f *Fleet) serversKnown(now tables.Time) bool {
 	return f.entriesReadAt != 0 && now.Sub(max(f.entriesReadAt, f.outageEndedAt)) >= replace.MissingTimeout
 }
--- a/internal/fleet/promotion.go
+++ b/internal/fleet/promotion.go
@@ -48,11 +48,21 @@
 		if err != nil || missing > 0 || len(held) != heldCount || !a.candidateUnchanged(held, best) {
 			continue
 		}
+		if !replace.HasAllCommits(best, demoted) && !a.serversKnown() {
+			return replace.Held{}, errors.New("servers that joined during an outage of the store may not be known yet")
+		}
 		a.heldAt = heldAt
 		return best, a.recordOrder(ctx, best)
 	}
 }
 
+// serversKnown reports whether every server that may count for commits has an entry.
+func (a *attempt) serversKnown() bool {
+	a.f.mu.Lock()
+	defer a.f.mu.Unlock()
+	return a.f.serversKnown(a.f.Now())
+}
+
 // checkPending returns an error if another server than best may still be promoted by a
 // pending order: it would lack the commits that best acknowledges.
 func (a *attempt) checkPending(best replace.Held) error {
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -596,6 +596,28 @@
 	})
 }
 
+// Guards against a leaving primary that is never replaced, as the store is never there for
+// long enough after an outage: it ends with its process, and once a replica ended in the
+// same way nothing could tell whether the others have all commits (review case 10).
+func TestLeavingPrimaryIsReplacedBetweenOutages(t *testing.T) {
+	const outage, pause = 4500 * time.Millisecond, 2400 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		tc, l := newLoadedCluster(t)
+		tc.mark(tc.leaving, "s1")
+		time.Sleep(100 * time.Millisecond)
+		for range 3 {
+			tc.store.SetFaults(metadata.Faults{Down: true})
+			time.Sleep(outage)
+			tc.store.SetFaults(metadata.Faults{})
+			time.Sleep(pause)
+		}
+		assert.Equal(t, tc.group.Promotions(), 1)
+		r := tc.write(tc.proxies[0].session(newest), "last", 1)
+		assert.Equal(t, r.Code, statement.OK, r.Detail)
+		l.end()
+	})
+}
+
 // Every proxy sees which servers a group has, and one of them has to record it. With 78
 // proxies and 20 groups, the others' failed writes were most calls of a quiet day.
 func TestMembersAreRecordedByFewProxies(t *testing.T) {
