Say what the interval and the number of checks for holds mean

The comments read as if one proxy's check served all, and gave the interval as that of all proxies together. It is the mean time between two draws of one proxy, by which a few of all check. Comments only.

--- a/internal/fleet/primaries.go
+++ b/internal/fleet/primaries.go
@@ -127,8 +127,8 @@
 	// recordOrdered says that the server which was ordered has to be recorded if
 	// it leads.
 	recordOrdered bool
-	// mayBeHeld says that the replicas are to be asked whether one is held although no
-	// replacement is under way.
+	// mayBeHeld says that the status of the replicas is to be queried, as one may be held
+	// although no replacement is under way.
 	mayBeHeld bool
 }
 
--- a/internal/fleet/unowned.go
+++ b/internal/fleet/unowned.go
@@ -19,11 +19,10 @@
 // each has found none held.
 
 const (
-	// holdCheckInterval is the mean time between two checks for holds without a
-	// replacement, over all proxies together; a random part of up to half is added or
-	// taken away.
+	// holdCheckInterval is the mean time between two moments at which a proxy may check
+	// for holds without a replacement; a random part of up to half is added or taken away.
 	holdCheckInterval = 500 * time.Millisecond
-	// holdCheckers is the number of proxies that are to check in one interval.
+	// holdCheckers is the mean number of proxies, out of all, that check in one interval.
 	holdCheckers = 3
 )
 
