--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-standin-3 ./review/standin-3
+go build -tags review3 -o target/review-standin-3 ./review/standin-3
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 // Command standin-3 plays a case of the review with real proxy processes: it emulates the
 // platform and one group of three database servers, sends writes through three proxies, and
 // checks whether a promotion lost an acknowledged commit.
