--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -67,15 +67,26 @@
 	disruptions = crashAt + crashFor
 )
 
+// The case "joins": a zone is cut off for zoneCut, and a new server starts in it at joinAt.
+const (
+	zoneCut = 800 * time.Millisecond
+	joinAt  = 450 * time.Millisecond
+)
+
 // names of the servers: the first one is the primary, the second one falls behind, the
-// third one is cut off from the store.
-var names = []tables.UpstreamID{"db-1", "db-2", "db-3"}
+// third one is cut off from the store, the fourth one joins.
+var names = []tables.UpstreamID{"db-1", "db-2", "db-3", "db-4"}
+
+// joining is the server that joins in one of the cases.
+const joining = tables.UpstreamID("db-4")
 
 type play struct {
 	binary, directory string
 	// trouble means that there are disruptions, cut that the one of the store is among them.
 	trouble, cut bool
-	began        time.Time
+	// name is that of the case.
+	name  string
+	began time.Time
 
 	mu     sync.Mutex
 	record *os.File
@@ -87,16 +98,18 @@
 	store   *metadata.Store
 	group   *dbgroup.Group
 	fronts  []string
+	links   map[tables.UpstreamID]*link
 	closers []func()
 	writes  int
 }
 
 func main() {
-	p := &play{acknowledged: make(map[string]time.Duration), silent: make(map[tables.UpstreamID]time.Time)}
+	p := &play{acknowledged: make(map[string]time.Duration), silent: make(map[tables.UpstreamID]time.Time), links: make(map[tables.UpstreamID]*link)}
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.StringVar(&p.binary, "binary", "target/cranberrystage-entry", "the proxy's program")
 	flag.StringVar(&p.directory, "directory", "", "directory for settings and logs")
 	flag.BoolVar(&p.trouble, "trouble", true, "disrupt")
+	flag.StringVar(&p.name, "case", "unlisted", "the case: unlisted or joins")
 	flag.BoolVar(&p.cut, "cut", true, "cut a replica off from the store as well")
 	flag.Parse()
 	var err error
@@ -159,14 +172,21 @@
 		if err != nil {
 			return err
 		}
-		p.closers = append(p.closers, func() { _ = l.Close() })
+		k, err := newLink(l.Addr().String())
+		if err != nil {
+			return err
+		}
+		p.closers = append(p.closers, func() { _ = l.Close() }, k.close)
 		listeners = append(listeners, l)
+		p.links[id] = k
 		list = append(list, tables.Entry{
-			ID: id, Group: group, Address: l.Addr().String(), DataCentre: zone(i), Slots: 5, StartedAt: 1,
+			ID: id, Group: group, Address: k.address(), DataCentre: zone(i % 3), Slots: 5, StartedAt: 1,
 		})
 	}
 	p.group = dbgroup.New(group, list...)
 	p.group.PromoteDelay = promoteDelay
+	p.group.Change(joining, (*dbgroup.Server).Crash) // it has not started yet
+	p.silent[joining] = p.began
 	p.group.Observe(func(r dbgroup.Run) { p.note("run %s", r.ID) })
 	for i, l := range listeners {
 		go emulator.ServeUpstream(l, p.group, list[i])
@@ -332,7 +352,14 @@
 // disrupt cuts a replica off from the store for a while. Meanwhile the other replica
 // receives nothing for a while, and the primary crashes.
 func (p *play) disrupt() {
-	if !p.trouble {
+	switch {
+	case !p.trouble && p.name == "joins":
+		p.joinCalmly()
+		return
+	case p.name == "joins":
+		p.joinBehindCut()
+		return
+	case !p.trouble:
 		time.Sleep(disruptions)
 		return
 	}
