Acknowledge a commit after a sign of a cut only if a known replica has it

Cause: evidence that no promotion had been ordered counted as proof that every later primary has a commit. That holds if a replica that the coordinator holds has received it. While a primary is cut off from its known replicas, only a server that nobody knows can confirm its commits, and then the age of the evidence proves nothing.

Ruled out: the list of members and the read of the entries before the order (the server is on neither for a heartbeat). A comparison with the demoted primary's log shows this loss, but not if the primary crashes between the cut's end and the order.

Three signs show such a cut: a late commit, silence of the primary, no progress of a known replica for 0.4 s. After one, and once an announcement is known, a commit is acknowledged if a known replica shows that it has received it, held or not: the replacement takes its log into account. Otherwise the outcome is unknown, and further writes are refused before they run. cranberrystage_receipt_checks_total counts these checks.

The test cluster lost replies under way when their path was cut; now it holds them up, which the case needs.

--- a/internal/fleet/acknowledge.go
+++ b/internal/fleet/acknowledge.go
@@ -13,11 +13,18 @@
 // A replica that restarts after the order has lost its hold, and a primary that returns may
 // go on with it until the promotion takes effect. So a commit needs lease evidence that no
 // promotion had been ordered when it was acknowledged, or a known replica that shows to
-// have received it and to be neither held nor restarted.
+// have received it and to be neither held nor restarted. If an unknown server may have been
+// the only one to receive it, a known replica must show that it has it as well: held or not,
+// the replacement takes its log into account. That is so once a replacement is announced,
+// as known replicas may be held, and after a commit that was late; see package receipt.
 
 // MayCommit reports whether a commit that is sent to l now can be acknowledged. While
 // the store is lost, it looks for evidence if necessary; otherwise MayAcknowledge can.
 func (f *Fleet) MayCommit(ctx context.Context, l Leader) bool {
+	// A commit behind one that no known replica gets could not be acknowledged either.
+	if p := l.Upstream.doubted(); p != (tables.Position{}) && l.Upstream.receiptFailed() && !f.receivedByKnown(ctx, l, p) {
+		return false
+	}
 	now := f.Now()
 	f.mu.Lock()
 	ok := f.storeLostAt == 0 || f.commitProves(l, now)
@@ -35,6 +42,11 @@
 // just now, with its log at position p, is surely in the log of every later primary, as far
 // as this proxy can know. It looks for evidence if necessary.
 func (f *Fleet) MayAcknowledge(ctx context.Context, l Leader, sentAt tables.Time, p tables.Position) bool {
+	if f.needsReceipt(l) && !f.receivedByKnown(ctx, l, p) {
+		f.log.Info("Did not acknowledge a commit that no known replica is known to have received.", "group", l.group.id,
+			"upstream", l.Upstream.ID(), "position", p, "took", f.Now().Sub(sentAt))
+		return false
+	}
 	now := f.Now()
 	f.mu.Lock()
 	ok, storeLost := f.commitProves(l, now), f.storeLostAt != 0
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -9,6 +9,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/systems/catchup"
 	"github.com/cranberrystage/cranberrystage/internal/systems/place"
 	"github.com/cranberrystage/cranberrystage/internal/systems/ramp"
+	"github.com/cranberrystage/cranberrystage/internal/systems/receipt"
 	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
@@ -41,6 +42,10 @@
 	// deposedFirstAt is 0 if it leads.
 	deposedFirstAt tables.Time
 	deposedLastAt  tables.Time
+	// commits are the commits that this proxy sent to the server as a primary.
+	commits receipt.Tracker
+	// noReceipt means that the last search for a known replica with a late commit failed.
+	noReceipt bool
 	// unanswered holds the statements without a reply, by token. Key 0 stands for
 	// the oldest statement that timed out.
 	unanswered map[uint64]sentStatement
@@ -89,6 +94,26 @@
 	return u.lastToken
 }
 
+// recordConnected records that a connection was taken from the pool or opened.
+func (u *Upstream) recordConnected(token uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.recordAnswer(u.fleet.Now())
+	delete(u.unanswered, token)
+}
+
+// recordAnswer records the end of a time without an answer of the server.
+func (h *health) recordAnswer(now tables.Time) {
+	if !receipt.Silent(now.Sub(h.lastReplyAt)) {
+		return
+	}
+	oldest := now
+	for _, s := range h.unanswered {
+		oldest = min(oldest, s.at)
+	}
+	h.commits.Answered(now.Sub(max(oldest, h.lastReplyAt)))
+}
+
 func (u *Upstream) cancelStatement(token uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -100,6 +125,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.fleet.Now()
+	u.recordAnswer(now)
 	s, ok := u.unanswered[token]
 	delete(u.unanswered, token)
 	if u.failingSince != 0 && now.Sub(u.failingSince) >= minRampFailure && (u.dialFailed || u.timedOutSentAt() > u.lastReplyAt) {
@@ -146,6 +172,7 @@
 			u.failingSince = s.at
 		}
 	}
+	u.commits.Failed()
 	if s.commit {
 		u.lastCommitFailureAt = now
 		if u.oldestLostCommitAt == 0 {
@@ -158,6 +185,64 @@
 
 func (h *health) timedOutSentAt() tables.Time { return h.unanswered[0].at }
 
+// recordCommit records the server's reply to a commit that was sent at sentAt.
+func (u *Upstream) recordCommit(sentAt tables.Time, r statement.Reply) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch r.Code {
+	case statement.OK:
+	case statement.Timeout:
+		u.commits.Failed()
+		return
+	default:
+		return
+	}
+	now, oldest := u.fleet.Now(), sentAt
+	for _, s := range u.unanswered {
+		if s.commit {
+			oldest = min(oldest, s.at)
+		}
+	}
+	u.commits.Confirmed(receipt.Commit{Position: r.Position, SentAt: sentAt, ConfirmedAt: now, OldestAt: oldest})
+}
+
+// recordTerm records that the server leads a term, which is 0 if it is not known.
+func (u *Upstream) recordTerm(term tables.Term) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.commits.Leads(term)
+}
+
+// doubted returns the newest late commit of the server that no known replica has shown to
+// have received; zero if there is none.
+func (u *Upstream) doubted() tables.Position {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.commits.Doubted()
+}
+
+// recordReceived records that a known replica of the server has received a position.
+func (u *Upstream) recordReceived(p tables.Position) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.commits.Received(u.fleet.Now(), p)
+}
+
+// recordReceipt records whether a known replica has received a late commit.
+func (u *Upstream) recordReceipt(found bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.noReceipt = !found
+}
+
+// receiptFailed reports whether the last search for a known replica with a late commit
+// failed.
+func (u *Upstream) receiptFailed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.noReceipt
+}
+
 // avoidReads keeps reads away from the server for d.
 func (u *Upstream) avoidReads(d time.Duration) {
 	u.mu.Lock()
--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -117,21 +117,27 @@
 func (f *Fleet) Committed(l Leader, at tables.Time, p tables.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r := f.routing.Load(); r == nil || r.Groups[l.group.id].SyncReplicas < 1 {
+	if !f.replicatesCommits(l.group.id) {
 		return
 	}
 	l.group.AddCommit(l.Upstream.entry.ID, l.record, freshness.Point{At: at, Position: p})
 }
 
-// recordReached takes the position that a server reported as applied as lease evidence for
-// its group's primary. A server that may have restarted since the last evidence of the
+// recordReached takes the position that a server reported as applied as proof of what a
+// known replica has received, and as lease evidence for its group's primary. A server that may have restarted since the last evidence of the
 // store may have lost a hold, and one without an entry may not be held.
 func (u *Upstream) recordReached(p tables.Position) {
 	f := u.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(u.entry.Group)
-	if u.entry.ID == g.Primary || u.missingSince != 0 || !g.AwaitsReplica(p) || u.mayHaveRestartedSince(g.storeEvidenceAt) {
+	if u.entry.ID == g.Primary || u.missingSince != 0 {
+		return
+	}
+	if primary, ok := f.upstreams[g.Primary]; ok {
+		primary.recordReceived(p)
+	}
+	if !g.AwaitsReplica(p) || u.mayHaveRestartedSince(g.storeEvidenceAt) {
 		return
 	}
 	g.AddReached(p)
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -111,6 +111,9 @@
 		g.term = g.record.Term
 	}
 	g.SetPrimary(primary, g.version)
+	if u, ok := f.upstreams[primary]; ok {
+		u.recordTerm(g.record.Term)
+	}
 	f.rampPromoted(g, primary)
 	g.notifyLeaderChanged()
 }
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -123,7 +123,7 @@
 	c, err := source(ctx)
 	switch {
 	case err == nil:
-		u.cancelStatement(token)
+		u.recordConnected(token)
 	case err == links.ErrFull && u.pool.RefusedSince(startedAt):
 		u.recordReply(token, false)
 		u.avoidReads(failureAvoidTime / 4)
@@ -150,13 +150,16 @@
 // says that the reply waits for a replica. After an error the connection must
 // be discarded.
 func (u *Upstream) Exchange(c *links.Conn, deadline time.Time, commit bool, st statement.Statement) (statement.Reply, error) {
-	token := u.startStatement(commit)
+	token, sentAt := u.startStatement(commit), u.fleet.Now()
 	r, err := u.exchange(c, deadline, st)
 	if err != nil {
 		u.recordFailure(token, err)
 		return r, err
 	}
 	u.recordReply(token, st.ID != "" && !commit && r.Code == statement.OK)
+	if commit {
+		u.recordCommit(sentAt, r)
+	}
 	u.recordState(r, st.After, r.Code == statement.OK && (commit || st.Kind == statement.Begin))
 	u.recordIdentified()
 	u.recordReached(r.Position)
--- a/internal/metrics/document_test.go
+++ b/internal/metrics/document_test.go
@@ -13,7 +13,7 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	for _, name := range []string{RequestsTotal, RequestSeconds, ReadAgeSeconds, WriteGapSeconds, ConfigVersion, ConfigVersionKnown, StoreEra, UnconfirmedGroups, CallerConnections, CallerErrorsTotal, TeamOperationsTotal, TeamTokensTotal,
-		ForwardableReadsTotal, ForwardHopSeconds, ForwardRefusalsTotal, ForwardMalformedTotal, RampsTotal, RampSeconds} {
+		ForwardableReadsTotal, ForwardHopSeconds, ForwardRefusalsTotal, ForwardMalformedTotal, RampsTotal, RampSeconds, ReceiptChecksTotal} {
 		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), name)
 	}
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,6 +52,9 @@
 	// StateRefusalsTotal counts the statements that change a connection's session state and
 	// that a server refused, by group and statement.
 	StateRefusalsTotal = "cranberrystage_state_refusals_total"
+	// ReceiptChecksTotal counts the commits for which known replicas were queried before they
+	// were acknowledged, by group and result.
+	ReceiptChecksTotal = "cranberrystage_receipt_checks_total"
 	// RampSeconds is how long ramps took, by group and result.
 	RampSeconds = "cranberrystage_ramp_seconds"
 )
@@ -133,6 +136,7 @@
 	ramps         *prometheus.CounterVec
 	rampSeconds   *prometheus.HistogramVec
 	stateRefusals *prometheus.CounterVec
+	receiptChecks *prometheus.CounterVec
 	forward       forwardMetrics
 	quota         *quotaMetrics
 
@@ -176,10 +180,13 @@
 		stateRefusals: prometheus.NewCounterVec(
 			prometheus.CounterOpts{Name: StateRefusalsTotal, Help: "Statements that change a connection's session state and that a server refused."},
 			[]string{LabelGroup, LabelStatement}),
+		receiptChecks: prometheus.NewCounterVec(
+			prometheus.CounterOpts{Name: ReceiptChecksTotal, Help: "Commits for which known replicas were queried before they were acknowledged, by result."},
+			[]string{LabelGroup, LabelResult}),
 		forward: newForwardMetrics(reg),
 	}
 	reg.MustRegister(m.requests, m.seconds, m.readAge, m.writeGap, m.configVersion, m.configKnown, m.storeEra, m.unconfirmed, m.leaderless, m.callers, m.callerErrors,
-		m.storeCalls, m.storeSeconds, m.ramps, m.rampSeconds, m.stateRefusals)
+		m.storeCalls, m.storeSeconds, m.ramps, m.rampSeconds, m.stateRefusals, m.receiptChecks)
 	m.quota = newQuotaMetrics(reg)
 	return m
 }
@@ -236,6 +243,16 @@
 	m.stateRefusals.WithLabelValues(string(group), statement).Inc()
 }
 
+// CountReceiptCheck records that known replicas were queried for a commit, and whether one
+// had received it.
+func (m *Metrics) CountReceiptCheck(group tables.GroupID, received bool) {
+	result := "missing"
+	if received {
+		result = "received"
+	}
+	m.receiptChecks.WithLabelValues(string(group), result).Inc()
+}
+
 // ObserveRamp records the end of a server's ramp.
 func (m *Metrics) ObserveRamp(group tables.GroupID, result string, took time.Duration) {
 	m.rampSeconds.WithLabelValues(string(group), result).Observe(took.Seconds())
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -339,20 +339,34 @@
 	return l.Session.SetDeadline(t)
 }
 
+// Receive holds up a reply while the path is interrupted. It arrives late if the path is
+// restored before the deadline.
 func (l *pathLink) Receive() (statement.Reply, error) {
-	var r statement.Reply
-	var err error
-	if !l.tc.pathDown(l.vm, l.id) {
-		r, err = l.Session.Receive()
+	if !l.awaitPath() {
+		return statement.Reply{}, os.ErrDeadlineExceeded
 	}
+	r, err := l.Session.Receive()
 	// The path may have been interrupted meanwhile.
-	if l.tc.pathDown(l.vm, l.id) {
-		time.Sleep(time.Until(l.deadline))
+	if !l.awaitPath() {
 		return statement.Reply{}, os.ErrDeadlineExceeded
 	}
 	return r, err
 }
 
+// awaitPath waits until the path is up; false means that the deadline passed.
+func (l *pathLink) awaitPath() bool {
+	for l.tc.pathDown(l.vm, l.id) {
+		if !time.Now().Before(l.deadline) {
+			return false
+		}
+		time.Sleep(pathPollInterval)
+	}
+	return true
+}
+
+// pathPollInterval is the time between two looks at an interrupted path.
+const pathPollInterval = 2 * time.Millisecond
+
 // peers are the other proxies of a cluster, which answer after random delays.
 type peers struct {
 	tc   *testCluster
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -778,3 +778,29 @@
 		})
 	}
 }
+
+// A data centre with the primary is cut off for less than a second, and a server starts in it
+// whose entry shows one heartbeat later. Proxies outside acknowledged the commits that had
+// waited for it as the cut ended, after they had announced a replacement, and then promoted
+// a replica without them (review case 13).
+func TestCommitsThroughUnknownServerAreNotAcknowledgedAfterShortCut(t *testing.T) {
+	for _, c := range []struct{ cut, joinAfter time.Duration }{
+		{800 * time.Millisecond, 450 * time.Millisecond},
+		{650 * time.Millisecond, 450 * time.Millisecond},
+		{900 * time.Millisecond, 600 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			tc := newTestClusterWith(t, 3, func(tc *testCluster) { tc.entryDelay = joinedEntryDelay })
+			l := tc.startLoad()
+			tc.remove("s3")
+			time.Sleep(10 * time.Second)
+			tc.cutShortly("s1", "s3", -1, c.cut, func() {
+				time.Sleep(c.joinAfter)
+				tc.reinstate("s3")
+			})
+			time.Sleep(8 * time.Second)
+			assert.Equal(t, tc.lostToCallers(), 0, "cut of %s", c.cut)
+			l.stop()
+		})
+	}
+}
--- a/internal/relay/walk_test.go
+++ b/internal/relay/walk_test.go
@@ -209,6 +209,64 @@
 	}
 }
 
+// TestRandomWalkWithShortCuts checks the same while primaries are cut off for about a second,
+// and servers join behind the cut whose entries show one heartbeat later.
+func TestRandomWalkWithShortCuts(t *testing.T) {
+	for seed := *walkFirst; seed < *walkFirst+uint64(*variantSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				tc := newTestClusterWith(t, 3, func(tc *testCluster) { tc.entryDelay = joinedEntryDelay })
+				go tc.joinBehindShortCuts(rand.New(rand.NewPCG(seed, 7)))
+				walkCluster(t, tc, seed, kindsWithoutDrills)
+			})
+		})
+	}
+}
+
+// joinBehindShortCuts removes a replica for good and lets it join again while the primary is
+// cut off from the other servers and from all proxies, or all but one, until the walk ends.
+func (tc *testCluster) joinBehindShortCuts(rng *rand.Rand) {
+	for began := time.Now(); time.Since(began) < walkTime; {
+		primary := tc.group.Primary()
+		joining := servers[rng.IntN(len(servers))]
+		if joining == primary || primary == "" {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		tc.remove(joining)
+		time.Sleep(6 * time.Second)
+		cut := time.Duration(300+rng.IntN(900)) * time.Millisecond
+		tc.cutShortly(primary, joining, rng.IntN(len(tc.proxies)+2)-2, cut, func() {
+			time.Sleep(time.Duration(rng.Int64N(int64(cut))))
+			tc.reinstate(joining)
+		})
+		time.Sleep(3 * time.Second)
+	}
+}
+
+// joinedEntryDelay is how late the entry of a server shows whose first check-in was lost.
+const joinedEntryDelay = 1200 * time.Millisecond
+
+// cutShortly cuts a primary off from the servers but one, and from the proxies but one if
+// its number is not negative, and runs during meanwhile.
+func (tc *testCluster) cutShortly(primary, beside tables.UpstreamID, except int, cut time.Duration, during func()) {
+	restore := tc.cutPathsTo(primary, except)
+	setReceiveStopped := func(on bool) {
+		for _, id := range servers {
+			if id != primary && id != beside {
+				tc.group.Change(id, func(s *dbgroup.Server) { s.SetReceiveStopped(on) })
+			}
+		}
+	}
+	setReceiveStopped(true)
+	ended := time.Now().Add(cut)
+	during()
+	time.Sleep(time.Until(ended))
+	setReceiveStopped(false)
+	restore()
+}
+
 // TestRandomWalkWithLateOrders checks the same while the platform carries out some
 // promotion orders only after their sender gave up.
 func TestRandomWalkWithLateOrders(t *testing.T) {
