Take the usual time between signs of progress as the bound for commits

A proxy that reached a primary all the while trusted its commits for 0.4 s after the last progress of a known replica, also on busy groups where progress shows every few milliseconds. The bound now follows the observed time between two moments of progress, as that of late commits does, between 50 ms and 0.4 s.

--- a/internal/systems/receipt/receipt.go
+++ b/internal/systems/receipt/receipt.go
@@ -8,7 +8,7 @@
 //
 //   - a commit was late: it waited until such a server joined
 //   - the primary was silent for a while: the cut may lie before this proxy as well
-//   - no known replica has shown progress for progressTimeout. Replies to reads carry the
+//   - no known replica has shown progress for unusually long. Replies to reads carry the
 //     replicas' positions, so on a busy group this costs nothing.
 package receipt
 
@@ -20,23 +20,18 @@
 )
 
 const (
-	// latencySmoothing and deviationSmoothing are the divisors of the moving averages of
-	// latency and its deviation, as in RFC 6298.
-	latencySmoothing   = 8
-	deviationSmoothing = 4
-	// deviations is the number of deviations above the average up to which a commit is
-	// not late.
-	deviations = 4
 	// minSlack is the least time above the average up to which a commit is not late.
 	minSlack = 10 * time.Millisecond
 	// initialBound is the time above which the first commit is late.
 	initialBound = 100 * time.Millisecond
 	// silenceTimeout is the least time without a reply after which the primary was silent.
 	silenceTimeout = 100 * time.Millisecond
-	// progressTimeout is the time after which progress of a known replica proves nothing for
-	// the commits that follow. Evidence of the primary holds as long.
-	progressTimeout = freshness.Lease
-	// outlierLimit limits the weight of a late commit in the averages, in units of the
+	// minProgressTimeout and maxProgressTimeout limit the time after which progress of a
+	// known replica proves nothing for the commits that follow. Evidence of the primary
+	// holds no longer.
+	minProgressTimeout = 50 * time.Millisecond
+	maxProgressTimeout = freshness.Lease
+	// outlierLimit limits the weight of a late commit in the average, in units of the
 	// bound, so that a cut does not hide the next one.
 	outlierLimit = 2
 )
@@ -44,7 +39,9 @@
 // Tracker follows the commits of one primary as one proxy sees them. The zero value is a
 // primary without commits.
 type Tracker struct {
-	latency, deviation time.Duration
+	latency average
+	// progress is the time between two moments at which a known replica showed progress.
+	progress average
 	// doubted is the newest commit with such a sign that no known replica has shown to have received.
 	doubted tables.Position
 	// shown is the newest position that a known replica has shown to have received, and
@@ -57,10 +54,18 @@
 
 // Bound returns the time above which a commit is late.
 func (t *Tracker) Bound() time.Duration {
-	if t.latency == 0 {
+	if t.latency.mean == 0 {
 		return initialBound
 	}
-	return t.latency + max(deviations*t.deviation, minSlack)
+	return t.latency.mean + max(t.latency.spread(), minSlack)
+}
+
+// progressTimeout returns how long after progress of a known replica commits need no proof.
+func (t *Tracker) progressTimeout() time.Duration {
+	if t.progress.mean == 0 {
+		return maxProgressTimeout
+	}
+	return min(max(t.progress.mean+t.progress.spread(), minProgressTimeout), maxProgressTimeout)
 }
 
 // Failed records that a statement got no reply, or that no connection could be opened.
@@ -84,11 +89,11 @@
 // Confirmed records a commit that the primary confirmed.
 func (t *Tracker) Confirmed(c Commit) {
 	late := c.ConfirmedAt.Sub(min(c.SentAt, c.OldestAt)) > t.Bound()
-	if t.silent || late || c.ConfirmedAt.Sub(t.shownAt) > progressTimeout {
+	if t.silent || late || c.ConfirmedAt.Sub(t.shownAt) > t.progressTimeout() {
 		t.doubted = newer(t.doubted, c.Position)
 	}
 	t.silent = false
-	t.sample(c.ConfirmedAt.Sub(c.SentAt))
+	t.latency.add(min(c.ConfirmedAt.Sub(c.SentAt), outlierLimit*t.Bound()))
 }
 
 func newer(a, b tables.Position) tables.Position {
@@ -98,24 +103,18 @@
 	return b
 }
 
-func (t *Tracker) sample(took time.Duration) {
-	took = min(took, outlierLimit*t.Bound())
-	if t.latency == 0 {
-		t.latency, t.deviation = took, took/2
-		return
-	}
-	t.deviation += ((took - t.latency).Abs() - t.deviation) / deviationSmoothing
-	t.latency += (took - t.latency) / latencySmoothing
-}
-
 // Received records that a known replica showed at now that it has received p.
 func (t *Tracker) Received(now tables.Time, p tables.Position) {
 	if Covers(p, t.doubted) {
 		t.doubted = tables.Position{}
 	}
-	if !t.shown.AtLeast(p) {
-		t.shown, t.shownAt = p, now
+	if t.shown.AtLeast(p) {
+		return
+	}
+	if t.shownAt != 0 {
+		t.progress.add(min(now.Sub(t.shownAt), maxProgressTimeout))
 	}
+	t.shown, t.shownAt = p, now
 }
 
 // Leads records that the primary leads a term. Its commits of earlier terms need no proof any
--- a/internal/systems/receipt/receipt_test.go
+++ b/internal/systems/receipt/receipt_test.go
@@ -48,15 +48,14 @@
 // no progress.
 func TestCommitsNeedProofIfNoReplicaShowsProgress(t *testing.T) {
 	h := usual()
-	began, shown := h.now, pos(h.last)
-	for h.now.Sub(began) < progressTimeout-30*time.Millisecond {
+	shown := pos(h.last)
+	h.commit(5*time.Millisecond, 5*time.Millisecond)
+	assert.Assert(t, !h.Doubtful())
+	for began := h.now; !h.Doubtful(); {
 		h.commit(5*time.Millisecond, 5*time.Millisecond)
 		h.Received(h.now, shown)
-		assert.Assert(t, !h.Doubtful(), "after %s", h.now.Sub(began))
+		assert.Assert(t, h.now.Sub(began) < 2*minProgressTimeout)
 	}
-	h.commit(5*time.Millisecond, 5*time.Millisecond)
-	h.commit(5*time.Millisecond, 5*time.Millisecond)
-	assert.Assert(t, h.Doubtful())
 	h.Received(h.now, pos(h.last-1))
 	assert.Assert(t, h.Doubtful())
 	h.show()
@@ -65,6 +64,18 @@
 	assert.Assert(t, !h.Doubtful())
 }
 
+// With few commits, progress is rare, and not each commit needs proof.
+func TestProgressTimeoutFollowsLoad(t *testing.T) {
+	h := usual()
+	for range 50 {
+		h.now = h.now.Add(200 * time.Millisecond)
+		h.commit(5*time.Millisecond, 5*time.Millisecond)
+		h.show()
+	}
+	assert.Assert(t, h.progressTimeout() > 200*time.Millisecond)
+	assert.Assert(t, h.progressTimeout() <= maxProgressTimeout)
+}
+
 // Commits that waited for a replica, those that were sent meanwhile, and those after a commit
 // without a reply may have been received by an unknown server alone.
 func TestLateCommitsNeedProofUntilReplicaHasCaughtUp(t *testing.T) {
@@ -85,7 +96,7 @@
 		assert.Assert(t, h.Doubtful(), name)
 		h.Received(h.now, tables.Position{LogTerm: 2, Index: 500})
 		assert.Assert(t, h.Doubtful(), "%s: a log of a later term may lack the commit", name)
-		h.Received(h.now, pos(doubted))
+		h.show()
 		assert.Assert(t, !h.Doubtful(), name)
 	}
 }
