Soak: Let a row expire while its server runs

The soak removed rows only together, in an outage of the store. Each run now lets one replica's row expire for 3 to 6 s; meanwhile the other replicas receive nothing and the primary crashes.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrystage/cranberrystage/internal/sleep"
 	"github.com/cranberrystage/cranberrystage/internal/standin/dbgroup"
 	"github.com/cranberrystage/cranberrystage/internal/standin/metadata"
+	"github.com/cranberrystage/cranberrystage/internal/tables"
 )
 
 const (
@@ -45,6 +46,7 @@
 	open.Go(func() { s.drillOnce(ctx) })
 	open.Go(func() { s.removeEarly(ctx) })
 	open.Go(func() { s.cutCoordinator(ctx) })
+	open.Go(func() { s.lapseEntry(ctx) })
 	open.Go(func() { s.failStatements(ctx) })
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		name, undo := faults[r.IntN(len(faults))](s, r)
@@ -110,6 +112,45 @@
 // two holders.
 const coordinatorCut = 7 * time.Second
 
+// lapseEntry removes the row of a replica that goes on running, for longer than a server without
+// one may be used. Then the other replicas receive nothing for a while, and the primary
+// crashes.
+func (s *Soak) lapseEntry(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.Seed, 4))
+	if sleep.For(ctx, time.Duration(r.Int64N(int64(s.FaultDuration)))) != nil {
+		return
+	}
+	primary, lapsed := s.group.Primary(), serverName(r.IntN(servers))
+	if primary == "" || primary == lapsed {
+		return
+	}
+	s.recordStep("the row of %s expires", lapsed)
+	s.setLapsed(lapsed)
+	defer s.setLapsed("")
+	_ = sleep.For(ctx, minLapse+time.Duration(r.Int64N(int64(maxFaultDuration)))) // it ends in any case
+	for i := range servers {
+		if id := serverName(i); id != primary && id != lapsed {
+			s.group.Change(id, func(server *dbgroup.Server) { server.SetReceiveStopped(true) })
+			defer s.group.Change(id, func(server *dbgroup.Server) { server.SetReceiveStopped(false) })
+		}
+	}
+	_ = sleep.For(ctx, time.Duration(r.Int64N(int64(maxFaultDuration/4))))
+	s.recordStep("crash %s while only %s follows it", primary, lapsed)
+	s.group.Change(primary, (*dbgroup.Server).Crash)
+	defer s.group.Change(primary, (*dbgroup.Server).Restart)
+	_ = sleep.For(ctx, time.Duration(r.Int64N(int64(maxFaultDuration))))
+}
+
+// minLapse is the least time without a row: longer than the time after which proxies treat
+// a server without one as gone.
+const minLapse = 3 * time.Second
+
+func (s *Soak) setLapsed(id tables.UpstreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapsed = id
+}
+
 // setCutFromPlatform holds up what the proxy and the platform send to each other.
 func (p *proxy) setCutFromPlatform(on bool) {
 	for _, k := range []*link{p.promotion, p.store} {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -98,6 +98,8 @@
 	leaving map[tables.UpstreamID]bool
 	// entriesExpired means that the servers' rows have expired.
 	entriesExpired bool
+	// lapsed is the server whose row alone has expired; empty if there is none.
+	lapsed tables.UpstreamID
 	// configVersion is the version of the newest configuration, removed are the
 	// holders whose keys it lacks, with the time of their removal.
 	configVersion uint64
@@ -260,14 +262,15 @@
 			id := serverName(i)
 			e := s.group.Entry(id)
 			e.Leaving = s.leaving[id]
+			expired := entriesExpired || id == s.lapsed
 			value, err := entries.Encode(e)
 			switch {
 			case err != nil:
 				s.Failures = append(s.Failures, err.Error())
-			case entriesExpired && last[id] != "":
+			case expired && last[id] != "":
 				s.store.Drop(entries.Table, string(id))
 				last[id] = ""
-			case !entriesExpired && last[id] != string(value):
+			case !expired && last[id] != string(value):
 				last[id] = string(value)
 				sequence[id]++
 				e.Sequence = sequence[id]
