Refuse writes at once while no known replica gets commits

While commits need proof and no known replica has shown one, each write waited up to 0.4 s for a search of its own before it was refused. Writes within 0.1 s of a search without success are now refused at once; they have not run.

--- a/internal/fleet/acknowledge.go
+++ b/internal/fleet/acknowledge.go
@@ -22,8 +22,11 @@
 // the store is lost, it looks for evidence if necessary; otherwise MayAcknowledge can.
 func (f *Fleet) MayCommit(ctx context.Context, l Leader) bool {
 	// A commit behind one that no known replica gets could not be acknowledged either.
-	if p := l.Upstream.doubted(); p != (tables.Position{}) && l.Upstream.receiptFailed() && !f.receivedByKnown(ctx, l, p) {
-		return false
+	if p := l.Upstream.doubted(); p != (tables.Position{}) {
+		failed, recently := l.Upstream.receiptFailed()
+		if recently || failed && !f.receivedByKnown(ctx, l, p) {
+			return false
+		}
 	}
 	now := f.Now()
 	f.mu.Lock()
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -46,8 +46,9 @@
 	deposedLastAt  tables.Time
 	// commits are the commits that this proxy sent to the server as a primary.
 	commits receipt.Tracker
-	// noReceipt means that the last search for a known replica with a late commit failed.
-	noReceipt bool
+	// noReceiptAt is when the last search for a known replica with a late commit failed; 0
+	// if it did not.
+	noReceiptAt tables.Time
 	// unanswered holds the statements without a reply, by token. Key 0 stands for
 	// the oldest statement that timed out.
 	unanswered map[uint64]sentStatement
@@ -243,15 +244,18 @@
 func (u *Upstream) recordReceipt(found bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.noReceipt = !found
+	u.noReceiptAt = 0
+	if !found {
+		u.noReceiptAt = u.fleet.Now()
+	}
 }
 
 // receiptFailed reports whether the last search for a known replica with a late commit
-// failed.
-func (u *Upstream) receiptFailed() bool {
+// failed, and whether it did just now, so that another one would fail too.
+func (u *Upstream) receiptFailed() (failed, recently bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.noReceipt
+	return u.noReceiptAt != 0, u.noReceiptAt != 0 && u.fleet.Now().Sub(u.noReceiptAt) < receiptRetryDelay
 }
 
 // avoidReads keeps reads away from the server for d.
--- a/internal/fleet/receipt.go
+++ b/internal/fleet/receipt.go
@@ -36,6 +36,10 @@
 // times the first answer suffices.
 const nextReplicaDelay = 10 * time.Millisecond
 
+// receiptRetryDelay is the time after a search without success in which writes are refused
+// without another one.
+const receiptRetryDelay = 100 * time.Millisecond
+
 // receivedByKnown queries the known replicas of l until one has received p, for at most
 // queryTimeout. It ends sooner if no known replica receives anything any more.
 func (f *Fleet) receivedByKnown(ctx context.Context, l Leader, p tables.Position) bool {
