Refuse writes at once also while a server without an entry may live

A search for a known replica that failed within the last 0.1 s now refuses the next writes in each case in which commits need proof; without a late commit they ran, and their outcome was reported as unknown. Comments are corrected as well.

--- a/internal/fleet/acknowledge.go
+++ b/internal/fleet/acknowledge.go
@@ -15,16 +15,17 @@
 // promotion had been ordered when it was acknowledged, or a known replica that shows to
 // have received it and to be neither held nor restarted. If an unknown server may have been
 // the only one to receive it, a known replica must show that it has it as well: held or not,
-// the replacement takes its log into account. That is so once a replacement is announced,
-// as known replicas may be held, and after a commit that was late; see package receipt.
+// the replacement takes its log into account. That is so once a replacement is announced, as
+// known replicas may be held, after a sign of a cut (see package receipt), and while a server
+// without an entry may live.
 
 // MayCommit reports whether a commit that is sent to l now can be acknowledged. While
 // the store is lost, it looks for evidence if necessary; otherwise MayAcknowledge can.
 func (f *Fleet) MayCommit(ctx context.Context, l Leader) bool {
 	// A commit behind one that no known replica gets could not be acknowledged either.
-	if p := l.Upstream.doubted(); p != (tables.Position{}) {
-		failed, recently := l.Upstream.receiptFailed()
-		if recently || failed && !f.receivedByKnown(ctx, l, p) {
+	if failed, recently := l.Upstream.receiptFailed(); failed && f.needsReceipt(l) {
+		p := l.Upstream.doubted()
+		if recently || p != (tables.Position{}) && !f.receivedByKnown(ctx, l, p) {
 			return false
 		}
 	}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -46,8 +46,8 @@
 	deposedLastAt  tables.Time
 	// commits are the commits that this proxy sent to the server as a primary.
 	commits receipt.Tracker
-	// noReceiptAt is when the last search for a known replica with a late commit failed; 0
-	// if it did not.
+	// noReceiptAt is when the last search for a known replica with a commit failed; 0 if it
+	// did not.
 	noReceiptAt tables.Time
 	// unanswered holds the statements without a reply, by token. Key 0 stands for
 	// the oldest statement that timed out.
@@ -225,8 +225,8 @@
 	u.commits.Leads(term)
 }
 
-// doubted returns the newest late commit of the server that no known replica has shown to
-// have received; zero if there is none.
+// doubted returns the newest commit of the server with a sign of a cut that no known replica
+// has shown to have received; zero if there is none.
 func (u *Upstream) doubted() tables.Position {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -240,7 +240,7 @@
 	u.commits.Received(u.fleet.Now(), p)
 }
 
-// recordReceipt records whether a known replica has received a late commit.
+// recordReceipt records whether a search for a known replica with a commit found one.
 func (u *Upstream) recordReceipt(found bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -250,8 +250,8 @@
 	}
 }
 
-// receiptFailed reports whether the last search for a known replica with a late commit
-// failed, and whether it did just now, so that another one would fail too.
+// receiptFailed reports whether the last search for a known replica with a commit failed, and
+// whether it did just now, so that another one would fail too.
 func (u *Upstream) receiptFailed() (failed, recently bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/fleet/leaders.go
+++ b/internal/fleet/leaders.go
@@ -124,8 +124,9 @@
 }
 
 // recordReached takes the position that a server reported as applied as proof of what a
-// known replica has received, and as lease evidence for its group's primary. A server that may have restarted since the last evidence of the
-// store may have lost a hold, and one without an entry may not be held.
+// known replica has received, and as lease evidence for its group's primary. A server that
+// may have restarted since the last evidence of the store may have lost a hold, and one
+// without an entry may not be held.
 func (u *Upstream) recordReached(p tables.Position) {
 	f := u.fleet
 	f.mu.Lock()
--- a/internal/fleet/unlisted.go
+++ b/internal/fleet/unlisted.go
@@ -16,8 +16,8 @@
 // before it is removed from the list of members, and in each replacement.
 //
 // One that does not answer may live as well. A replacement can't wait for it without end, so
-// it is removed from the list once another replica has all commits. Unless its process has
-// surely ended, commits need proof meanwhile that a known replica has them.
+// it is removed from the list once another replica has all commits. Unless it has surely
+// left, commits need proof meanwhile that a known replica has them.
 
 // isGone reports whether a server gets no more work: its entry has been missing for long, or
 // it runs under another id. The lock must be held.
