Test of a closed pool: Cover connections released after their quantum

A connection that has held its slot for the quantum, which is real time, releases it in the background; the test expected the other path, in which a release closes the connection at once. With 0.3 s before the release it failed 5 of 5 times.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -376,18 +376,29 @@
 	assert.Equal(t, name, "B", "the least recently used one is evicted")
 }
 
+// A closed pool refuses waiters and closes each connection that is released, also one that
+// has held its slot for the quantum: its slot is released in the background first.
 func TestCloseRefusesWaiters(t *testing.T) {
-	s := startServer(t, dbserver.Config{Slots: 1, Connections: 10})
-	p := startPool(t, s.Addr(), "vm", Limits{Connections: 1, Slots: 1})
-	held := acquire(t, p, 1)
-	failed := make(chan error)
-	go func() {
-		_, err := p.Acquire(context.Background(), 1)
-		failed <- err
-	}()
-	await(t, func() bool { return p.Waiting() == 1 })
-	p.Close()
-	assert.ErrorContains(t, <-failed, "ShuttingDown")
-	p.Release(held)
-	assert.Equal(t, p.Open(), 0)
+	for _, afterQuantum := range []bool{false, true} {
+		s := startServer(t, dbserver.Config{Slots: 1, Connections: 10})
+		p := startPool(t, s.Addr(), "vm", Limits{Connections: 1, Slots: 1})
+		p.quantum = time.Hour
+		if afterQuantum {
+			p.quantum = 0
+		}
+		held := acquire(t, p, 1)
+		failed := make(chan error)
+		go func() {
+			_, err := p.Acquire(context.Background(), 1)
+			failed <- err
+		}()
+		await(t, func() bool { return p.Waiting() == 1 })
+		p.Close()
+		assert.ErrorContains(t, <-failed, "ShuttingDown")
+		p.Release(held)
+		if afterQuantum {
+			await(t, func() bool { return p.Open() == 0 })
+		}
+		assert.Equal(t, p.Open(), 0)
+	}
 }
